--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/answer/package-info.java
@@ -0,0 +1,2 @@
+/** Answers kept for repeated requests. */
+package org.bronzewheel.answer;
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimService.java
@@ -0,0 +1,32 @@
+package org.bronzewheel.claim;
+
+import io.reactivex.rxjava3.core.Single;
+import org.bronzewheel.service.Service;
+
+/** A decider of which request may run under an idempotency key, over all routers. */
+public interface ClaimService extends Service {
+    /**
+     * Claims a key.
+     *
+     * @param request the wish
+     * @return the decision; never an error
+     */
+    Single<ClaimDecision> claim(ClaimRequest request);
+
+    /**
+     * Checks, immediately before a non-idempotent call leaves, that the grant still stands by the
+     * monotonic clock. A process that was paused past the grant's validity must not send.
+     *
+     * @param request the wish that was granted
+     * @return true where the call may be sent
+     */
+    boolean stillGranted(ClaimRequest request);
+
+    /**
+     * Hands the votes of this router to its peers; part of a planned stop.
+     *
+     * @param timeoutMillis the longest wait, in milliseconds
+     * @return true where each vote has reached a peer
+     */
+    Single<Boolean> handOver(long timeoutMillis);
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/load/package-info.java
@@ -0,0 +1,2 @@
+/** Digests of upstream load that routers share. */
+package org.bronzewheel.load;
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/MembershipService.java
@@ -0,0 +1,24 @@
+package org.bronzewheel.membership;
+
+import io.reactivex.rxjava3.core.Flowable;
+import org.bronzewheel.service.Service;
+
+/** The published VM list joined with what this router observes of its peers. */
+public interface MembershipService extends Service {
+    /**
+     * Returns the newest view.
+     *
+     * @return the view, {@link MembershipView#EMPTY} before the first list
+     */
+    MembershipView current();
+
+    /**
+     * Returns the views as they change, beginning with the current one.
+     *
+     * @return views; slow subscribers get the newest only
+     */
+    Flowable<MembershipView> changes();
+
+    /** Tells the peers that this router is leaving; part of a planned stop. */
+    void announceLeaving();
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/MembershipView.java
@@ -0,0 +1,26 @@
+package org.bronzewheel.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.bronzewheel.vm.VmList;
+
+/**
+ * The routers and upstream VMs as this router sees them now.
+ *
+ * @param list the newest VM list known
+ * @param members its routers, ordered by VM id
+ */
+public record MembershipView(VmList list, List<Member> members) {
+    /** Nothing is known yet. */
+    public static final MembershipView EMPTY = new MembershipView(VmList.EMPTY, List.of());
+
+    /**
+     * Finds a router.
+     *
+     * @param vmId its VM
+     * @return the member, or empty where it is not listed
+     */
+    public Optional<Member> find(String vmId) {
+        return members.stream().filter(m -> m.vm().vmId().equals(vmId)).findFirst();
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/package-info.java
@@ -0,0 +1,2 @@
+/** The published VM list joined with what routers observe. */
+package org.bronzewheel.membership;
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/relay/ConfigurationRefusal.java
@@ -0,0 +1,10 @@
+package org.bronzewheel.relay;
+
+/**
+ * A document that was not accepted.
+ *
+ * @param revision its revision
+ * @param digest its digest
+ * @param reason why, a line for each violation
+ */
+public record ConfigurationRefusal(long revision, String digest, String reason) {}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Frames and calls between routers. */
+package org.bronzewheel.transport;
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/configuration/Report.java
@@ -0,0 +1,7 @@
+package org.bronzewheel.configuration;
+
+/** A receiver of violations. */
+@FunctionalInterface
+interface Report {
+    void violation(String pointer, String expected);
+}
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration document: parsing, whole-file validation and revisions. */
+package org.bronzewheel.configuration;
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/error/package-info.java
@@ -0,0 +1,2 @@
+/** Error codes and the exception that carries them. */
+package org.bronzewheel.error;
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/inventory/Inventory.java
@@ -0,0 +1,41 @@
+package org.bronzewheel.inventory;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The operators' asset register.
+ *
+ * @param regions regions with their failure domains
+ * @param models models in steady use
+ * @param pools pools of upstreams
+ * @param workspaces workspaces that may send requests
+ * @param weightStoreMegabytesPerSecond what the weight store gives to the whole fleet, in megabytes
+ *     a second, 0 for no limit
+ */
+public record Inventory(
+        List<Region> regions,
+        List<ModelVersion> models,
+        List<Pool> pools,
+        List<Workspace> workspaces,
+        int weightStoreMegabytesPerSecond) {
+    /**
+     * Finds a pool by name.
+     *
+     * @param name the name
+     * @return the pool, or empty
+     */
+    public Optional<Pool> pool(String name) {
+        return pools.stream().filter(p -> p.name().equals(name)).findFirst();
+    }
+
+    /**
+     * Finds a workspace by name.
+     *
+     * @param name the name
+     * @return the workspace, or empty
+     */
+    public Optional<Workspace> workspace(String name) {
+        return workspaces.stream().filter(w -> w.name().equals(name)).findFirst();
+    }
+}
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/inventory/PoolKind.java
@@ -0,0 +1,15 @@
+package org.bronzewheel.inventory;
+
+/** The kind of the upstreams of a pool, which decides the protocol spoken to them. */
+public enum PoolKind {
+    /** A model engine: completions with streaming, priorities, cancel, orders and cache events. */
+    MODEL_ENGINE,
+    /** An encoder. */
+    ENCODER,
+    /** A retriever. */
+    RETRIEVER,
+    /** A reranker. */
+    RERANKER,
+    /** A plain service, for example a booking application. */
+    PLAIN_SERVICE
+}
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/request/package-info.java
@@ -0,0 +1,2 @@
+/** Requests, their identifiers, their outcomes and their cost. */
+package org.bronzewheel.request;
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/rules/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' rules: pipelines, request classes, limits and retention. */
+package org.bronzewheel.rules;
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/service/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of a process that are started and stopped. */
+package org.bronzewheel.service;
--- /dev/null
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/vm/package-info.java
@@ -0,0 +1,2 @@
+/** The published list of VMs. */
+package org.bronzewheel.vm;
--- /dev/null
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/StageCall.java
@@ -0,0 +1,35 @@
+package org.bronzewheel.upstream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Map;
+import org.bronzewheel.inventory.Pool;
+import org.bronzewheel.inventory.Upstream;
+import org.bronzewheel.request.AttemptId;
+import org.bronzewheel.rules.Stage;
+
+/**
+ * One attempt of one stage at one upstream.
+ *
+ * @param attemptId echoed by the upstream
+ * @param stage the stage
+ * @param pool the pool of the upstream
+ * @param upstream the receiver
+ * @param workspace the workspace of the caller
+ * @param priority the priority of the request class, 0 first
+ * @param idempotencyKey the key under which an upstream that checks keys runs the call once, empty
+ *     for none
+ * @param remainingMillis time until the deadline of the request, in milliseconds
+ * @param input the output of the previous stage, or the caller's input
+ * @param headers trace context to pass on
+ */
+public record StageCall(
+        AttemptId attemptId,
+        Stage stage,
+        Pool pool,
+        Upstream upstream,
+        String workspace,
+        int priority,
+        String idempotencyKey,
+        long remainingMillis,
+        JsonNode input,
+        Map<String, String> headers) {}
--- /dev/null
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of upstreams and of the platform. */
+package org.bronzewheel.upstream;
