--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/AdmissionQueue.java
@@ -0,0 +1,211 @@
+package org.bronzewheel.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.ToIntFunction;
+import org.bronzewheel.error.ErrorCode;
+import org.bronzewheel.rules.RequestClass;
+
+/**
+ * The bounded queue of one pool: strict preference by request class with a floor for each, and
+ * weighted fair between workspaces within a class.
+ *
+ * <p>Work that cannot be in time is refused when it comes, and dropped as soon as that becomes
+ * known while it waits. The cost of each operation grows with the logarithm of the number of
+ * workspaces. Not safe for use by several threads.
+ *
+ * @param <T> the type of the work
+ */
+public final class AdmissionQueue<T> {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double PERCENT = 100;
+    private static final double MIN_RATE_PER_NANO = 1e-6;
+
+    private final int maxQueuedPerClass;
+    private final ToIntFunction<String> weights;
+    private final TreeMap<RequestClass, ClassQueue<T>> classes =
+            new TreeMap<>(
+                    Comparator.comparingInt(RequestClass::priority)
+                            .thenComparing(RequestClass::name));
+    private long nextSequence;
+
+    /**
+     * Creates an empty queue.
+     *
+     * @param maxQueuedPerClass the largest number of pieces of work that wait in one class
+     * @param weights gives the weight of a workspace, at least 1
+     */
+    public AdmissionQueue(int maxQueuedPerClass, ToIntFunction<String> weights) {
+        this.maxQueuedPerClass = maxQueuedPerClass;
+        this.weights = weights;
+    }
+
+    /**
+     * Takes a piece of work into the queue, or refuses it.
+     *
+     * @param item the work
+     * @param request what it asks
+     * @param nowNanos the present time
+     * @return the refusal, or empty where the work is queued
+     */
+    public Optional<Refusal> offer(T item, AdmissionRequest request, long nowNanos) {
+        Optional<Refusal> refusal = check(request, nowNanos);
+        if (refusal.isEmpty()) {
+            force(item, request, nowNanos);
+        }
+        return refusal;
+    }
+
+    /**
+     * Takes a piece of work into the queue without a check.
+     *
+     * @param item the work
+     * @param request what it asks
+     * @param nowNanos the present time
+     */
+    public void force(T item, AdmissionRequest request, long nowNanos) {
+        Queued<T> queued = new Queued<>(item, request, nextSequence++, nowNanos);
+        queueOf(request.requestClass()).add(queued, nowNanos);
+    }
+
+    /**
+     * Tells whether a piece of work would be refused now.
+     *
+     * @param request what it asks
+     * @param nowNanos the present time
+     * @return the refusal, or empty
+     */
+    public Optional<Refusal> check(AdmissionRequest request, long nowNanos) {
+        long slackNanos = request.latestStartNanos() - nowNanos;
+        if (slackNanos < 0) {
+            return Optional.of(tooShort());
+        }
+        ClassQueue<T> queue = queueOf(request.requestClass());
+        if (queue.size() >= maxQueuedPerClass) {
+            return Optional.of(overloaded(request.requestClass(), 0));
+        }
+        double waitNanos = expectedWaitNanos(request, nowNanos);
+        if (waitNanos > slackNanos) {
+            return Optional.of(overloaded(request.requestClass(), waitNanos - slackNanos));
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the time until a piece of work would start.
+     *
+     * @param request what it asks
+     * @param nowNanos the present time
+     * @return the expected wait in nanoseconds, 0 where nothing is known
+     */
+    public double expectedWaitNanos(AdmissionRequest request, long nowNanos) {
+        ClassQueue<T> queue = queueOf(request.requestClass());
+        queue.rate.roll(nowNanos);
+        if (!queue.rate.isKnown()) {
+            return 0;
+        }
+        return queue.waitNanos(request.workspace(), ratePerNano(queue));
+    }
+
+    /**
+     * Returns the next work of each request class in the order of service.
+     *
+     * @return at most one piece of work for each class, the first to be served first
+     */
+    public List<Queued<T>> heads() {
+        List<Queued<T>> heads = new ArrayList<>(classes.size());
+        for (ClassQueue<T> queue : classes.values()) {
+            if (!queue.isEmpty() && queue.floorCredit > 0) {
+                heads.add(queue.head());
+            }
+        }
+        for (ClassQueue<T> queue : classes.values()) {
+            if (!queue.isEmpty() && queue.floorCredit <= 0) {
+                heads.add(queue.head());
+            }
+        }
+        return heads;
+    }
+
+    /**
+     * Removes a piece of work because it is dispatched.
+     *
+     * @param queued the work, as returned by {@link #heads}
+     * @param nowNanos the present time
+     */
+    public void take(Queued<T> queued, long nowNanos) {
+        ClassQueue<T> own = queueOf(queued.request().requestClass());
+        if (!own.take(queued, nowNanos)) {
+            return;
+        }
+        double cost = queued.request().cost();
+        for (ClassQueue<T> queue : classes.values()) {
+            queue.floorCredit += cost * queue.requestClass.floorPercent() / PERCENT;
+            if (queue == own) {
+                queue.floorCredit -= cost;
+            }
+            if (queue.isEmpty() || queue == own) {
+                queue.floorCredit = Math.min(0, queue.floorCredit);
+            }
+        }
+    }
+
+    /**
+     * Removes a piece of work that its caller gave up.
+     *
+     * @param queued the work
+     * @return whether it was still queued
+     */
+    public boolean remove(Queued<T> queued) {
+        return queueOf(queued.request().requestClass()).remove(queued);
+    }
+
+    /**
+     * Drops the work that can no longer be in time.
+     *
+     * @param nowNanos the present time
+     * @return what was dropped
+     */
+    public List<Dropped<T>> dropHopeless(long nowNanos) {
+        List<Queued<T>> hopeless = new ArrayList<>();
+        for (ClassQueue<T> queue : classes.values()) {
+            queue.rate.roll(nowNanos);
+            double rate = queue.rate.isKnown() ? ratePerNano(queue) : Double.POSITIVE_INFINITY;
+            queue.dropHopeless(nowNanos, rate, hopeless);
+        }
+        return hopeless.stream()
+                .map(q -> new Dropped<>(q.item(), overloaded(q.request().requestClass(), 0)))
+                .toList();
+    }
+
+    /**
+     * Returns the number of pieces of work that wait.
+     *
+     * @return the number over all classes
+     */
+    public int size() {
+        return classes.values().stream().mapToInt(ClassQueue::size).sum();
+    }
+
+    private double ratePerNano(ClassQueue<T> queue) {
+        return Math.max(MIN_RATE_PER_NANO, queue.rate.ratePerNano());
+    }
+
+    private ClassQueue<T> queueOf(RequestClass requestClass) {
+        return classes.computeIfAbsent(requestClass, c -> new ClassQueue<>(c, weights));
+    }
+
+    private static Refusal tooShort() {
+        String detail = "the remaining time does not suffice for the stages that are left";
+        return new Refusal(ErrorCode.DEADLINE_TOO_SHORT, detail, 0);
+    }
+
+    private static Refusal overloaded(RequestClass requestClass, double waitNanos) {
+        long retryAfterMillis = Math.max(1, (long) Math.ceil(waitNanos / NANOS_PER_MILLI));
+        String detail = "the queue of class " + requestClass.name() + " is too long";
+        return new Refusal(ErrorCode.OVERLOADED, detail, retryAfterMillis);
+    }
+}
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/ClassQueue.java
@@ -0,0 +1,149 @@
+package org.bronzewheel.admission;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.ToIntFunction;
+import org.bronzewheel.rules.RequestClass;
+
+/** The queue of one request class, weighted fair between workspaces by start-time fair queueing. */
+final class ClassQueue<T> {
+    final RequestClass requestClass;
+    final RateMeter rate = new RateMeter();
+    double floorCredit;
+
+    private final ToIntFunction<String> weights;
+    private final Map<String, Flow<T>> flows = new HashMap<>();
+    private final TreeSet<Flow<T>> backlogged =
+            new TreeSet<>(
+                    Comparator.<Flow<T>>comparingDouble(f -> f.virtualStart)
+                            .thenComparingLong(f -> f.order));
+    private double virtualTime;
+    private double queuedCost;
+    private long backloggedWeight;
+    private int size;
+    private long nextOrder;
+
+    ClassQueue(RequestClass requestClass, ToIntFunction<String> weights) {
+        this.requestClass = requestClass;
+        this.weights = weights;
+    }
+
+    boolean isEmpty() {
+        return size == 0;
+    }
+
+    int size() {
+        return size;
+    }
+
+    double queuedCost() {
+        return queuedCost;
+    }
+
+    void add(Queued<T> queued, long nowNanos) {
+        String workspace = queued.request().workspace();
+        Flow<T> flow = flows.get(workspace);
+        if (flow == null) {
+            flow = new Flow<>(workspace, Math.max(1, weights.applyAsInt(workspace)));
+            flow.order = nextOrder++;
+            flows.put(workspace, flow);
+        }
+        if (size == 0) {
+            rate.begin(nowNanos);
+        }
+        flow.add(queued);
+        queuedCost += queued.request().cost();
+        size++;
+        if (flow.work.size() == 1) {
+            flow.virtualStart = Math.max(virtualTime, flow.virtualFinish);
+            backloggedWeight += flow.weight;
+            backlogged.add(flow);
+        }
+    }
+
+    /** Returns the piece of work that is next, or null. */
+    Queued<T> head() {
+        return backlogged.isEmpty() ? null : backlogged.first().work.first();
+    }
+
+    /** Removes a piece of work for dispatch and charges its workspace. */
+    boolean take(Queued<T> queued, long nowNanos) {
+        Flow<T> flow = flows.get(queued.request().workspace());
+        if (flow == null || !flow.work.contains(queued)) {
+            return false;
+        }
+        double cost = queued.request().cost();
+        rate.add(cost, nowNanos);
+        backlogged.remove(flow);
+        virtualTime = Math.max(virtualTime, flow.virtualStart);
+        flow.virtualFinish = flow.virtualStart + cost / flow.weight;
+        flow.virtualStart = flow.virtualFinish;
+        if (flow.work.size() > 1) {
+            backlogged.add(flow);
+        }
+        forget(flow, queued);
+        return true;
+    }
+
+    /** Removes a piece of work that will not be dispatched. */
+    boolean remove(Queued<T> queued) {
+        Flow<T> flow = flows.get(queued.request().workspace());
+        if (flow == null || !flow.work.contains(queued)) {
+            return false;
+        }
+        if (flow.work.size() == 1) {
+            backlogged.remove(flow);
+        }
+        forget(flow, queued);
+        return true;
+    }
+
+    /** Moves work that will not start in time to a list. */
+    void dropHopeless(long nowNanos, double ratePerNano, List<Queued<T>> dropped) {
+        for (Flow<T> flow : List.copyOf(backlogged)) {
+            while (!flow.work.isEmpty()
+                    && flow.work.first().request().latestStartNanos() < nowNanos) {
+                drop(flow.work.first(), dropped);
+            }
+            while (!flow.work.isEmpty() && lastIsHopeless(flow, nowNanos, ratePerNano)) {
+                drop(flow.work.last(), dropped);
+            }
+        }
+    }
+
+    /** Returns the time until new work of a workspace would start, in nanoseconds. */
+    double waitNanos(String workspace, double ratePerNano) {
+        Flow<T> flow = flows.get(workspace);
+        if (flow == null || flow.work.isEmpty()) {
+            return 0;
+        }
+        return flow.queuedCost * backloggedWeight / (flow.weight * ratePerNano);
+    }
+
+    private boolean lastIsHopeless(Flow<T> flow, long nowNanos, double ratePerNano) {
+        Queued<T> last = flow.work.last();
+        double ahead = flow.queuedCost - last.request().cost();
+        double wait = ahead * backloggedWeight / (flow.weight * ratePerNano);
+        return nowNanos + wait > last.request().latestStartNanos();
+    }
+
+    private void drop(Queued<T> queued, List<Queued<T>> dropped) {
+        remove(queued);
+        dropped.add(queued);
+    }
+
+    private void forget(Flow<T> flow, Queued<T> queued) {
+        flow.remove(queued);
+        size--;
+        queuedCost = size == 0 ? 0 : queuedCost - queued.request().cost();
+        if (flow.work.isEmpty()) {
+            backloggedWeight -= flow.weight;
+        }
+        if (size == 0) {
+            rate.end();
+        }
+    }
+}
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/TokenBucket.java
@@ -0,0 +1,76 @@
+package org.bronzewheel.admission;
+
+/** A token bucket that holds this router's share of a rate over the whole fleet. */
+public final class TokenBucket {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final double burstSeconds;
+    private double ratePerSecond;
+    private double tokens;
+    private long refilledNanos;
+
+    /**
+     * Creates a full bucket.
+     *
+     * @param ratePerSecond this router's share of the rate, in tokens a second
+     * @param burstSeconds the size of the bucket, in seconds of its rate; it holds at least 1 token
+     * @param nowNanos the present time
+     */
+    public TokenBucket(double ratePerSecond, double burstSeconds, long nowNanos) {
+        this.ratePerSecond = ratePerSecond;
+        this.burstSeconds = burstSeconds;
+        this.refilledNanos = nowNanos;
+        this.tokens = size();
+    }
+
+    /**
+     * Sets the share; tokens above the new size are lost.
+     *
+     * @param newRatePerSecond tokens a second
+     * @param nowNanos the present time
+     */
+    public void setRate(double newRatePerSecond, long nowNanos) {
+        refill(nowNanos);
+        ratePerSecond = newRatePerSecond;
+        tokens = Math.min(tokens, size());
+    }
+
+    /**
+     * Takes a token where there is one.
+     *
+     * @param nowNanos the present time
+     * @return whether a token was taken
+     */
+    public boolean tryTake(long nowNanos) {
+        refill(nowNanos);
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+
+    /**
+     * Returns when the next token will be there.
+     *
+     * @param nowNanos the present time
+     * @return nanoseconds from now, 0 where there is one
+     */
+    public long nextTokenInNanos(long nowNanos) {
+        refill(nowNanos);
+        if (tokens >= 1) {
+            return 0;
+        }
+        return (long) Math.ceil((1 - tokens) / ratePerSecond * NANOS_PER_SECOND);
+    }
+
+    private void refill(long nowNanos) {
+        long elapsedNanos = Math.max(0, nowNanos - refilledNanos);
+        tokens = Math.min(size(), tokens + elapsedNanos / NANOS_PER_SECOND * ratePerSecond);
+        refilledNanos = Math.max(refilledNanos, nowNanos);
+    }
+
+    private double size() {
+        return Math.max(1, ratePerSecond * burstSeconds);
+    }
+}
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/WorkspaceLimits.java
@@ -0,0 +1,79 @@
+package org.bronzewheel.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.bronzewheel.error.ErrorCode;
+import org.bronzewheel.inventory.Workspace;
+
+/**
+ * The limits of workspaces in requests a second over the whole fleet, of which this router keeps
+ * its share.
+ *
+ * <p>The share is one part of the number of routers; a router that is cut off keeps the last number
+ * it knew, so that both sides of a partition together stay within the limit.
+ */
+public final class WorkspaceLimits {
+    private static final double BURST_SECONDS = 1;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final Map<String, TokenBucket> buckets = new HashMap<>();
+    private final Map<String, Integer> limits = new HashMap<>();
+    private int routers;
+
+    /**
+     * Creates limits for no workspace.
+     *
+     * @param routers the number of routers that share the limits, at least 1
+     */
+    public WorkspaceLimits(int routers) {
+        this.routers = routers;
+    }
+
+    /**
+     * Sets the number of routers that share the limits.
+     *
+     * @param count the number, at least 1
+     * @param nowNanos the present time
+     */
+    public void setRouters(int count, long nowNanos) {
+        routers = count;
+        buckets.forEach((name, bucket) -> bucket.setRate(share(limits.get(name)), nowNanos));
+    }
+
+    /**
+     * Counts a request against the limit of its workspace.
+     *
+     * @param workspace the workspace
+     * @param nowNanos the present time
+     * @return the refusal, or empty where the request may go on
+     */
+    public Optional<Refusal> tryTake(Workspace workspace, long nowNanos) {
+        int limit = workspace.requestsPerSecondLimit();
+        if (limit == 0) {
+            return Optional.empty();
+        }
+        TokenBucket bucket = bucket(workspace.name(), limit, nowNanos);
+        if (bucket.tryTake(nowNanos)) {
+            return Optional.empty();
+        }
+        long waitMillis = bucket.nextTokenInNanos(nowNanos) / NANOS_PER_MILLI + 1;
+        String detail = "workspace " + workspace.name() + " is over its limit";
+        return Optional.of(new Refusal(ErrorCode.OVERLOADED, detail, waitMillis));
+    }
+
+    private TokenBucket bucket(String name, int limit, long nowNanos) {
+        TokenBucket bucket =
+                buckets.computeIfAbsent(
+                        name, n -> new TokenBucket(share(limit), BURST_SECONDS, nowNanos));
+        Integer known = limits.put(name, limit);
+        if (known != null && known != limit) {
+            bucket.setRate(share(limit), nowNanos);
+        }
+        return bucket;
+    }
+
+    private double share(int limit) {
+        return (double) limit / routers;
+    }
+}
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission of work: limits, fair queues and refusals. */
+package org.bronzewheel.admission;
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/budget/package-info.java
@@ -0,0 +1,2 @@
+/** Stage budgets within one deadline. */
+package org.bronzewheel.budget;
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/cost/package-info.java
@@ -0,0 +1,2 @@
+/** Cost by stage and workspace. */
+package org.bronzewheel.cost;
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/hedging/package-info.java
@@ -0,0 +1,2 @@
+/** Hedged calls and the budget of extra cost. */
+package org.bronzewheel.hedging;
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
@@ -0,0 +1,316 @@
+package org.bronzewheel.policy;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.bronzewheel.admission.AdmissionQueue;
+import org.bronzewheel.admission.AdmissionRequest;
+import org.bronzewheel.admission.Dropped;
+import org.bronzewheel.admission.Queued;
+import org.bronzewheel.admission.Refusal;
+import org.bronzewheel.admission.TokenBucket;
+import org.bronzewheel.budget.StageBudgets;
+import org.bronzewheel.inventory.Pool;
+import org.bronzewheel.inventory.Upstream;
+import org.bronzewheel.request.Outcome;
+import org.bronzewheel.routing.ChoiceContext;
+import org.bronzewheel.routing.OpenCall;
+import org.bronzewheel.routing.WorkerTable;
+
+/**
+ * The policy of one pool at one router: its queue, its workers, its hedges.
+ *
+ * <p>An executor offers work, polls after each event and at least every {@link
+ * #POLL_INTERVAL_NANOS} while work waits, sends what the poll dispatches, and reports the end of
+ * each call. Not safe for use by several threads.
+ *
+ * @param <T> the type of the work
+ */
+public final class PoolPolicy<T> {
+    /** The longest time between two polls while work waits, in nanoseconds. */
+    public static final long POLL_INTERVAL_NANOS = 10_000_000L;
+
+    private static final double UNKNOWN_COST_NANOS = 10e6;
+    private static final double MEDIAN = 0.5;
+    private static final double OVERDUE_QUANTILE = 0.99;
+    private static final double RATE_BURST_SECONDS = 0.1;
+
+    private record Work<T>(T item, StageRequest request) {}
+
+    private final PolicySettings settings;
+    private final String failureDomain;
+    private final StageBudgets budgets;
+    private final ExtraCostBudgets extraCost;
+    private final ChoiceRule rule;
+    private final WorkerTable workers;
+    private final AdmissionQueue<Work<T>> queue;
+    private final int callsPerSecondLimit;
+    private TokenBucket rateLimit;
+
+    PoolPolicy(
+            Pool pool,
+            RouterPolicy<T> router,
+            String failureDomain,
+            PolicySettings settings,
+            ChoiceRule rule,
+            long nowNanos) {
+        this.settings = settings;
+        this.failureDomain = failureDomain;
+        this.budgets = router.budgets();
+        this.extraCost = router.extraCostBudgets();
+        this.rule = rule;
+        this.callsPerSecondLimit = pool.callsPerSecondLimit();
+        this.workers =
+                new WorkerTable(
+                        pool.concurrencyPerUpstream(), router.routers(), settings.routing());
+        this.queue = new AdmissionQueue<>(settings.maxQueuedPerClass(), router::weightOf);
+        pool.upstreams().forEach(u -> workers.add(u, false, nowNanos));
+        setRouters(router.routers(), nowNanos);
+    }
+
+    /**
+     * Returns the workers, to be told of joins, leaves, load reports and cache events.
+     *
+     * @return the table
+     */
+    public WorkerTable workers() {
+        return workers;
+    }
+
+    /**
+     * Tells whether a stage would be refused now.
+     *
+     * @param request the stage
+     * @param nowNanos the present time
+     * @return the refusal, or empty
+     */
+    public Optional<Refusal> check(StageRequest request, long nowNanos) {
+        if (!settings.refusesHopeless()) {
+            return Optional.empty();
+        }
+        return queue.check(admission(request), nowNanos);
+    }
+
+    /**
+     * Returns the time until a stage that came now would be sent.
+     *
+     * @param request the stage
+     * @param nowNanos the present time
+     * @return the expected wait in nanoseconds
+     */
+    public double expectedWaitNanos(StageRequest request, long nowNanos) {
+        return queue.expectedWaitNanos(admission(request), nowNanos);
+    }
+
+    /**
+     * Takes a stage into the queue, or refuses it.
+     *
+     * @param item the work, returned by the poll that dispatches or drops it
+     * @param request what it asks
+     * @param nowNanos the present time
+     * @return the refusal, or empty where it is queued
+     */
+    public Optional<Refusal> offer(T item, StageRequest request, long nowNanos) {
+        Work<T> work = new Work<>(item, request);
+        if (settings.refusesHopeless()) {
+            return queue.offer(work, admission(request), nowNanos);
+        }
+        queue.force(work, admission(request), nowNanos);
+        return Optional.empty();
+    }
+
+    /**
+     * Decides what to send and what to drop now.
+     *
+     * @param nowNanos the present time
+     * @param random the source of randomness
+     * @return the decisions; each dispatched call is open
+     */
+    public Poll<T> poll(long nowNanos, RandomGenerator random) {
+        List<Dropped<T>> dropped = new ArrayList<>();
+        if (settings.refusesHopeless()) {
+            for (Dropped<Work<T>> work : queue.dropHopeless(nowNanos)) {
+                dropped.add(new Dropped<>(work.item().item(), work.refusal()));
+            }
+        }
+        List<Dispatch<T>> dispatches = new ArrayList<>();
+        Optional<Dispatch<T>> next = dispatchNext(nowNanos, random);
+        while (next.isPresent()) {
+            dispatches.add(next.get());
+            next = dispatchNext(nowNanos, random);
+        }
+        return new Poll<>(dispatches, dropped);
+    }
+
+    /**
+     * Tells whether work waits.
+     *
+     * @return whether a later poll may dispatch or drop
+     */
+    public boolean hasWaiting() {
+        return queue.size() > 0;
+    }
+
+    /**
+     * Returns the time after its start at which a call should be hedged.
+     *
+     * @param request the stage
+     * @return the delay in nanoseconds, or empty where it must not or cannot yet be hedged
+     */
+    public OptionalLong hedgeDelayNanos(StageRequest request) {
+        if (!request.idempotent() || request.requestClass().extraCostPercent() == 0) {
+            return OptionalLong.empty();
+        }
+        return budgets.quantileNanos(request.key(), settings.hedgeQuantile());
+    }
+
+    /**
+     * Returns the time after its start at which an open call should be reported as overdue.
+     *
+     * @param request the stage
+     * @return the delay in nanoseconds, or empty where nothing is known
+     */
+    public OptionalLong overdueDelayNanos(StageRequest request) {
+        OptionalLong median = budgets.quantileNanos(request.key(), MEDIAN);
+        OptionalLong high = budgets.quantileNanos(request.key(), OVERDUE_QUANTILE);
+        if (median.isEmpty() || high.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        double slow = (double) median.getAsLong() * settings.routing().slowCallRatio();
+        return OptionalLong.of((long) Math.max(slow, high.getAsLong()));
+    }
+
+    /**
+     * Starts a hedge of an open call where the extra cost is in budget and a worker has room.
+     *
+     * @param request the stage
+     * @param first the call that is late
+     * @param nowNanos the present time
+     * @param random the source of randomness
+     * @return the second call, open, or empty where none may be made
+     */
+    public Optional<OpenCall> hedge(
+            StageRequest request, OpenCall first, long nowNanos, RandomGenerator random) {
+        if (!request.idempotent() || request.deadlineNanos() <= nowNanos) {
+            return Optional.empty();
+        }
+        Set<String> excluded = new HashSet<>(request.excluded());
+        excluded.add(first.upstream().name());
+        ChoiceContext context = context(request.withExcluded(excluded), false);
+        Optional<Upstream> chosen = rule.choose(workers, context, nowNanos, random);
+        if (chosen.isEmpty() || !extraCost.of(request.requestClass()).tryWithdraw(cost(request))) {
+            return Optional.empty();
+        }
+        return chosen.map(upstream -> workers.onStart(upstream, nowNanos));
+    }
+
+    /**
+     * Reports that an open call is overdue; at most once for each call.
+     *
+     * @param call the call
+     * @param nowNanos the present time
+     */
+    public void onOverdue(OpenCall call, long nowNanos) {
+        workers.onOverdue(call, nowNanos);
+    }
+
+    /**
+     * Reports the end of a call by answer or failure.
+     *
+     * @param request the stage
+     * @param call the call
+     * @param outcome how it ended
+     * @param nowNanos the present time
+     */
+    public void onEnd(StageRequest request, OpenCall call, Outcome outcome, long nowNanos) {
+        boolean answered = outcome == Outcome.ANSWERED;
+        double slowness = answered ? slowness(request, call, nowNanos) : 0;
+        workers.onEnd(call, outcome, slowness, nowNanos);
+        if (answered) {
+            budgets.record(request.key(), nowNanos - call.startNanos());
+            extraCost.of(request.requestClass()).deposit(cost(request));
+        }
+    }
+
+    /**
+     * Reports that a call was cancelled, for example as the loser of a hedge.
+     *
+     * @param request the stage
+     * @param call the call
+     * @param nowNanos the present time
+     */
+    public void onCancelled(StageRequest request, OpenCall call, long nowNanos) {
+        workers.onCancelled(call, slowness(request, call, nowNanos), nowNanos);
+    }
+
+    void setRouters(int routers, long nowNanos) {
+        workers.setRouters(routers);
+        if (callsPerSecondLimit == 0) {
+            return;
+        }
+        double share = (double) callsPerSecondLimit / routers;
+        if (rateLimit == null) {
+            rateLimit = new TokenBucket(share, RATE_BURST_SECONDS, nowNanos);
+        } else {
+            rateLimit.setRate(share, nowNanos);
+        }
+    }
+
+    private Optional<Dispatch<T>> dispatchNext(long nowNanos, RandomGenerator random) {
+        if (rateLimit != null && rateLimit.nextTokenInNanos(nowNanos) > 0) {
+            return Optional.empty();
+        }
+        for (Queued<Work<T>> head : queue.heads()) {
+            StageRequest request = head.item().request();
+            ChoiceContext context = context(request, request.idempotent());
+            Optional<Upstream> chosen = rule.choose(workers, context, nowNanos, random);
+            if (chosen.isPresent()) {
+                queue.take(head, nowNanos);
+                return Optional.of(start(head, chosen.get(), nowNanos));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Dispatch<T> start(Queued<Work<T>> head, Upstream chosen, long nowNanos) {
+        if (rateLimit != null) {
+            rateLimit.tryTake(nowNanos);
+        }
+        OpenCall call = workers.onStart(chosen, nowNanos);
+        long queuedNanos = nowNanos - head.enqueuedNanos();
+        return new Dispatch<>(head.item().item(), head.item().request(), call, queuedNanos);
+    }
+
+    private ChoiceContext context(StageRequest request, boolean mayProbe) {
+        boolean first = request.requestClass().priority() == 0;
+        double headroom = first ? settings.firstPriorityHeadroom() : settings.headroom();
+        return new ChoiceContext(
+                request.excluded(), failureDomain, request.prefixHash(), mayProbe, headroom);
+    }
+
+    private AdmissionRequest admission(StageRequest request) {
+        return new AdmissionRequest(
+                request.requestClass(),
+                request.workspace(),
+                request.deadlineNanos(),
+                budgets.needNanos(request.remaining()),
+                cost(request));
+    }
+
+    private double cost(StageRequest request) {
+        OptionalLong median = budgets.quantileNanos(request.key(), MEDIAN);
+        return median.isPresent() ? median.getAsLong() : UNKNOWN_COST_NANOS;
+    }
+
+    private double slowness(StageRequest request, OpenCall call, long nowNanos) {
+        OptionalLong median = budgets.quantileNanos(request.key(), MEDIAN);
+        if (median.isEmpty()) {
+            return 0;
+        }
+        return (double) (nowNanos - call.startNanos()) / median.getAsLong();
+    }
+}
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/retry/RetryPolicy.java
@@ -0,0 +1,43 @@
+package org.bronzewheel.retry;
+
+import org.bronzewheel.request.Outcome;
+
+/** The rule by which a call that did not succeed is sent again. */
+public final class RetryPolicy {
+    private final int maxAttempts;
+    private final RetryBudget budget;
+
+    /**
+     * Creates the rule.
+     *
+     * @param maxAttempts the largest number of attempts of one stage
+     * @param budget shared by all stages
+     */
+    public RetryPolicy(int maxAttempts, RetryBudget budget) {
+        this.maxAttempts = maxAttempts;
+        this.budget = budget;
+    }
+
+    /**
+     * Decides on a retry and takes it from the budget.
+     *
+     * @param outcome the end of the last attempt
+     * @param idempotent whether running the stage twice does no harm
+     * @param attempts attempts made
+     * @param remainingNanos the time until the deadline
+     * @param needNanos the time that the remaining stages usually need
+     * @return whether the stage may be sent again
+     */
+    public boolean tryRetry(
+            Outcome outcome,
+            boolean idempotent,
+            int attempts,
+            long remainingNanos,
+            long needNanos) {
+        boolean allowed =
+                outcome.mayBeRetried(idempotent)
+                        && attempts < maxAttempts
+                        && remainingNanos > Math.max(0, needNanos);
+        return allowed && budget.tryTake();
+    }
+}
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/retry/package-info.java
@@ -0,0 +1,2 @@
+/** Retries and their shared budget. */
+package org.bronzewheel.retry;
--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of a worker within a pool. */
+package org.bronzewheel.routing;
