--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
@@ -181,7 +181,7 @@
             return OptionalLong.empty();
         }
         double slow = (double) median.getAsLong() * settings.routing().slowCallRatio();
-        return OptionalLong.of((long) Math.max(slow, high.getAsLong()));
+        return OptionalLong.of((long) Math.max(slow, (double) high.getAsLong()));
     }
 
     /**
