--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PolicySettings.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PolicySettings.java
@@ -47,4 +47,104 @@
                 50,
                 10 * NANOS_PER_SECOND);
     }
+
+    /**
+     * Returns the same constants but one.
+     *
+     * @param value constants of the choice of a worker
+     * @return the constants
+     */
+    public PolicySettings withRouting(RoutingSettings value) {
+        return new PolicySettings(
+                value,
+                maxQueuedPerClass,
+                refusesHopeless,
+                headroom,
+                firstPriorityHeadroom,
+                hedgeQuantile,
+                maxAttempts,
+                retriesPerSuccess,
+                maxSavedRetries,
+                maxSavedExtraCostNanos);
+    }
+
+    /**
+     * Returns the same constants but one.
+     *
+     * @param value whether work that cannot be in time is refused and dropped
+     * @return the constants
+     */
+    public PolicySettings withRefusesHopeless(boolean value) {
+        return new PolicySettings(
+                routing,
+                maxQueuedPerClass,
+                value,
+                headroom,
+                firstPriorityHeadroom,
+                hedgeQuantile,
+                maxAttempts,
+                retriesPerSuccess,
+                maxSavedRetries,
+                maxSavedExtraCostNanos);
+    }
+
+    /**
+     * Returns the same constants but one.
+     *
+     * @param value the load that a worker may be given relative to its concurrency
+     * @return the constants
+     */
+    public PolicySettings withHeadroom(double value) {
+        return new PolicySettings(
+                routing,
+                maxQueuedPerClass,
+                refusesHopeless,
+                value,
+                firstPriorityHeadroom,
+                hedgeQuantile,
+                maxAttempts,
+                retriesPerSuccess,
+                maxSavedRetries,
+                maxSavedExtraCostNanos);
+    }
+
+    /**
+     * Returns the same constants but one.
+     *
+     * @param value the same for work of priority 0
+     * @return the constants
+     */
+    public PolicySettings withFirstPriorityHeadroom(double value) {
+        return new PolicySettings(
+                routing,
+                maxQueuedPerClass,
+                refusesHopeless,
+                headroom,
+                value,
+                hedgeQuantile,
+                maxAttempts,
+                retriesPerSuccess,
+                maxSavedRetries,
+                maxSavedExtraCostNanos);
+    }
+
+    /**
+     * Returns the same constants but one.
+     *
+     * @param value the largest number of attempts of one stage
+     * @return the constants
+     */
+    public PolicySettings withMaxAttempts(int value) {
+        return new PolicySettings(
+                routing,
+                maxQueuedPerClass,
+                refusesHopeless,
+                headroom,
+                firstPriorityHeadroom,
+                hedgeQuantile,
+                value,
+                retriesPerSuccess,
+                maxSavedRetries,
+                maxSavedExtraCostNanos);
+    }
 }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/StageRequest.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/StageRequest.java
@@ -43,4 +43,15 @@
         return new StageRequest(
                 remaining, requestClass, workspace, deadlineNanos, idempotent, names, prefixHash);
     }
+
+    /**
+     * Returns the same request with another prefix.
+     *
+     * @param hash the hash of the prompt's prefix, 0 for none
+     * @return the request
+     */
+    public StageRequest withPrefixHash(long hash) {
+        return new StageRequest(
+                remaining, requestClass, workspace, deadlineNanos, idempotent, excluded, hash);
+    }
 }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/RoutingSettings.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/RoutingSettings.java
@@ -42,4 +42,61 @@
                 0.25,
                 0.02);
     }
+
+    /**
+     * Returns the same constants but one.
+     *
+     * @param value the part of a pool that may be ejected, in percent
+     * @return the constants
+     */
+    public RoutingSettings withMaxEjectedPercent(int value) {
+        return new RoutingSettings(
+                reportHalfLifeNanos,
+                slowStartNanos,
+                ejectAfterBadCalls,
+                slowCallRatio,
+                value,
+                ejectionNanos,
+                maxEjectionNanos,
+                prefixBonus,
+                localityBonus);
+    }
+
+    /**
+     * Returns the same constants but one.
+     *
+     * @param value how long a new worker gets less than its share, in nanoseconds
+     * @return the constants
+     */
+    public RoutingSettings withSlowStart(long value) {
+        return new RoutingSettings(
+                reportHalfLifeNanos,
+                value,
+                ejectAfterBadCalls,
+                slowCallRatio,
+                maxEjectedPercent,
+                ejectionNanos,
+                maxEjectionNanos,
+                prefixBonus,
+                localityBonus);
+    }
+
+    /**
+     * Returns the same constants but one.
+     *
+     * @param value the load that the own failure domain outweighs
+     * @return the constants
+     */
+    public RoutingSettings withLocalityBonus(double value) {
+        return new RoutingSettings(
+                reportHalfLifeNanos,
+                slowStartNanos,
+                ejectAfterBadCalls,
+                slowCallRatio,
+                maxEjectedPercent,
+                ejectionNanos,
+                maxEjectionNanos,
+                prefixBonus,
+                value);
+    }
 }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -248,6 +248,42 @@
         }
     }
 
+    /**
+     * Returns the workers that are not leaving, ejected ones included.
+     *
+     * @return the workers in no particular order
+     */
+    public List<Upstream> members() {
+        List<Upstream> members = new ArrayList<>(active.size() + ejected.size());
+        active.forEach(w -> members.add(w.upstream));
+        ejected.forEach(w -> members.add(w.upstream));
+        return members;
+    }
+
+    /**
+     * Tells whether a worker has room for a call.
+     *
+     * @param upstream its name
+     * @param context what the call asks
+     * @param nowNanos the present time
+     * @return false also for an unknown, an excluded and a leaving worker
+     */
+    public boolean hasRoom(String upstream, ChoiceContext context, long nowNanos) {
+        Worker worker = workers.get(upstream);
+        return worker != null && !worker.leaving && hasRoom(worker, context, nowNanos);
+    }
+
+    /**
+     * Returns the number of own calls in flight at one worker.
+     *
+     * @param upstream its name
+     * @return the number, 0 for an unknown worker
+     */
+    public int ownInFlight(String upstream) {
+        Worker worker = workers.get(upstream);
+        return worker == null ? 0 : worker.ownInFlight;
+    }
+
     /**
      * Returns the number of own calls in flight.
      *
--- /dev/null
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments on the serving policies in virtual time. */
+package org.bronzewheel.measure;
