Estimate waits from the rate of the whole pool and keep a router's own share open

Cause: each class measured its own rate over 100 ms windows, so that a few dispatches a second gave a noisy rate and refused work that had room; reports with the worker's queue closed a router's own share; classes of one priority were served by name. Now waits come from the pool's rate less what earlier classes take, a worker has room by the report or by the equal share, and classes of one priority share evenly.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/admission/AdmissionQueue.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/AdmissionQueue.java
@@ -24,13 +24,21 @@
     private static final double PERCENT = 100;
     private static final double MIN_RATE_PER_NANO = 1e-6;
 
+    private static final Comparator<ClassQueue<?>> ORDER_OF_SERVICE =
+            Comparator.<ClassQueue<?>>comparingInt(q -> q.floorCredit > 0 ? 0 : 1)
+                    .thenComparingInt(q -> q.requestClass.priority())
+                    .thenComparingDouble(q -> q.virtualStart);
+
     private final int maxQueuedPerClass;
     private final ToIntFunction<String> weights;
     private final TreeMap<RequestClass, ClassQueue<T>> classes =
             new TreeMap<>(
                     Comparator.comparingInt(RequestClass::priority)
                             .thenComparing(RequestClass::name));
+    private final RateMeter poolRate = new RateMeter();
+    private double virtualTime;
     private long nextSequence;
+    private int size;
 
     /**
      * Creates an empty queue.
@@ -68,7 +76,15 @@
      */
     public void force(T item, AdmissionRequest request, long nowNanos) {
         Queued<T> queued = new Queued<>(item, request, nextSequence++, nowNanos);
-        queueOf(request.requestClass()).add(queued, nowNanos);
+        ClassQueue<T> queue = queueOf(request.requestClass());
+        if (queue.isEmpty()) {
+            queue.virtualStart = Math.max(queue.virtualStart, virtualTime);
+        }
+        if (size == 0) {
+            poolRate.begin(nowNanos);
+        }
+        queue.add(queued);
+        size++;
     }
 
     /**
@@ -103,8 +119,8 @@
      */
     public double expectedWaitNanos(AdmissionRequest request, long nowNanos) {
         ClassQueue<T> queue = queueOf(request.requestClass());
-        queue.rate.roll(nowNanos);
-        if (!queue.rate.isKnown()) {
+        rollWindow(nowNanos);
+        if (!poolRate.isKnown()) {
             return 0;
         }
         return queue.waitNanos(request.workspace(), ratePerNano(queue));
@@ -117,16 +133,10 @@
      */
     public List<Queued<T>> heads() {
         List<Queued<T>> heads = new ArrayList<>(classes.size());
-        for (ClassQueue<T> queue : classes.values()) {
-            if (!queue.isEmpty() && queue.floorCredit > 0) {
-                heads.add(queue.head());
-            }
-        }
-        for (ClassQueue<T> queue : classes.values()) {
-            if (!queue.isEmpty() && queue.floorCredit <= 0) {
-                heads.add(queue.head());
-            }
-        }
+        classes.values().stream()
+                .filter(queue -> !queue.isEmpty())
+                .sorted(ORDER_OF_SERVICE)
+                .forEach(queue -> heads.add(queue.head()));
         return heads;
     }
 
@@ -138,10 +148,16 @@
      */
     public void take(Queued<T> queued, long nowNanos) {
         ClassQueue<T> own = queueOf(queued.request().requestClass());
-        if (!own.take(queued, nowNanos)) {
+        if (!own.take(queued)) {
             return;
         }
         double cost = queued.request().cost();
+        if (poolRate.isMeasuring(nowNanos)) {
+            own.takenInWindow += cost;
+        }
+        shrink(nowNanos);
+        virtualTime = Math.max(virtualTime, own.virtualStart);
+        own.virtualStart += cost;
         for (ClassQueue<T> queue : classes.values()) {
             queue.floorCredit += cost * queue.requestClass.floorPercent() / PERCENT;
             if (queue == own) {
@@ -157,10 +173,15 @@
      * Removes a piece of work that its caller gave up.
      *
      * @param queued the work
+     * @param nowNanos the present time
      * @return whether it was still queued
      */
-    public boolean remove(Queued<T> queued) {
-        return queueOf(queued.request().requestClass()).remove(queued);
+    public boolean remove(Queued<T> queued, long nowNanos) {
+        boolean removed = queueOf(queued.request().requestClass()).remove(queued);
+        if (removed) {
+            shrink(nowNanos);
+        }
+        return removed;
     }
 
     /**
@@ -171,11 +192,12 @@
      */
     public List<Dropped<T>> dropHopeless(long nowNanos) {
         List<Queued<T>> hopeless = new ArrayList<>();
+        rollWindow(nowNanos);
         for (ClassQueue<T> queue : classes.values()) {
-            queue.rate.roll(nowNanos);
-            double rate = queue.rate.isKnown() ? ratePerNano(queue) : Double.POSITIVE_INFINITY;
+            double rate = poolRate.isKnown() ? ratePerNano(queue) : Double.POSITIVE_INFINITY;
             queue.dropHopeless(nowNanos, rate, hopeless);
         }
+        hopeless.forEach(q -> shrink(nowNanos));
         return hopeless.stream()
                 .map(q -> new Dropped<>(q.item(), overloaded(q.request().requestClass(), 0)))
                 .toList();
@@ -187,11 +209,46 @@
      * @return the number over all classes
      */
     public int size() {
-        return classes.values().stream().mapToInt(ClassQueue::size).sum();
+        return size;
     }
 
-    private double ratePerNano(ClassQueue<T> queue) {
-        return Math.max(MIN_RATE_PER_NANO, queue.rate.ratePerNano());
+    /** Returns what a class gets: what earlier classes and the floors of later ones leave. */
+    private double ratePerNano(ClassQueue<T> own) {
+        double left = poolRate.ratePerNano();
+        double floor = left * own.requestClass.floorPercent() / PERCENT;
+        int peers = 1;
+        for (ClassQueue<T> queue : classes.values()) {
+            int order = Integer.compare(queue.requestClass.priority(), own.requestClass.priority());
+            if (order < 0) {
+                left -= queue.takenPerNano;
+            } else if (order > 0 && !queue.isEmpty()) {
+                left -= poolRate.ratePerNano() * queue.requestClass.floorPercent() / PERCENT;
+            } else if (order == 0 && queue != own && !queue.isEmpty()) {
+                peers++;
+            }
+        }
+        return Math.max(MIN_RATE_PER_NANO, Math.max(floor, left / peers));
+    }
+
+    private void shrink(long nowNanos) {
+        size--;
+        if (size == 0) {
+            poolRate.end(nowNanos);
+        }
+    }
+
+    private void rollWindow(long nowNanos) {
+        if (!poolRate.isDue(nowNanos)) {
+            return;
+        }
+        double total = 0;
+        for (ClassQueue<T> queue : classes.values()) {
+            double cost = queue.takenInWindow;
+            queue.takenPerNano = poolRate.smoothPart(queue.takenPerNano, cost, nowNanos);
+            queue.takenInWindow = 0;
+            total += cost;
+        }
+        poolRate.close(total, nowNanos);
     }
 
     private ClassQueue<T> queueOf(RequestClass requestClass) {
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/admission/ClassQueue.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/ClassQueue.java
@@ -11,8 +11,10 @@
 /** The queue of one request class, weighted fair between workspaces by start-time fair queueing. */
 final class ClassQueue<T> {
     final RequestClass requestClass;
-    final RateMeter rate = new RateMeter();
     double floorCredit;
+    double virtualStart;
+    double takenInWindow;
+    double takenPerNano;
 
     private final ToIntFunction<String> weights;
     private final Map<String, Flow<T>> flows = new HashMap<>();
@@ -43,7 +45,7 @@
         return queuedCost;
     }
 
-    void add(Queued<T> queued, long nowNanos) {
+    void add(Queued<T> queued) {
         String workspace = queued.request().workspace();
         Flow<T> flow = flows.get(workspace);
         if (flow == null) {
@@ -51,9 +53,6 @@
             flow.order = nextOrder++;
             flows.put(workspace, flow);
         }
-        if (size == 0) {
-            rate.begin(nowNanos);
-        }
         flow.add(queued);
         queuedCost += queued.request().cost();
         size++;
@@ -70,13 +69,12 @@
     }
 
     /** Removes a piece of work for dispatch and charges its workspace. */
-    boolean take(Queued<T> queued, long nowNanos) {
+    boolean take(Queued<T> queued) {
         Flow<T> flow = flows.get(queued.request().workspace());
         if (flow == null || !flow.work.contains(queued)) {
             return false;
         }
         double cost = queued.request().cost();
-        rate.add(cost, nowNanos);
         backlogged.remove(flow);
         virtualTime = Math.max(virtualTime, flow.virtualStart);
         flow.virtualFinish = flow.virtualStart + cost / flow.weight;
@@ -142,8 +140,5 @@
         if (flow.work.isEmpty()) {
             backloggedWeight -= flow.weight;
         }
-        if (size == 0) {
-            rate.end();
-        }
     }
 }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/admission/RateMeter.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/RateMeter.java
@@ -1,43 +1,49 @@
 package org.bronzewheel.admission;
 
-/** A meter of the rate at which work leaves a queue while the queue is not empty. */
+/** A meter of the rate at which a pool takes work while work waits for it. */
 final class RateMeter {
-    private static final long WINDOW_NANOS = 100_000_000L;
+    private static final long WINDOW_NANOS = 500_000_000L;
     private static final double SMOOTHING = 0.3;
 
     private double ratePerNano;
     private boolean known;
-    private long windowStartNanos;
-    private double windowCost;
     private boolean running;
+    private long startNanos;
+    private long waitedNanos;
 
-    /** Starts measuring; called when the queue gets its first piece of work. */
+    /** Goes on measuring; called when the first piece of work waits. */
     void begin(long nowNanos) {
         running = true;
-        windowStartNanos = nowNanos;
-        windowCost = 0;
+        startNanos = nowNanos;
     }
 
-    /** Stops measuring; called when the queue runs empty. */
-    void end() {
+    /** Pauses measuring; called when no work waits any more. */
+    void end(long nowNanos) {
+        waitedNanos += nowNanos - startNanos;
         running = false;
     }
 
-    void add(double cost, long nowNanos) {
-        roll(nowNanos);
-        windowCost += cost;
+    /** Tells whether work has waited up to now. */
+    boolean isMeasuring(long nowNanos) {
+        return running && nowNanos > startNanos;
     }
 
-    void roll(long nowNanos) {
-        long elapsedNanos = nowNanos - windowStartNanos;
-        if (!running || elapsedNanos < WINDOW_NANOS) {
-            return;
-        }
-        double measured = windowCost / elapsedNanos;
-        ratePerNano = known ? ratePerNano + SMOOTHING * (measured - ratePerNano) : measured;
+    /** Tells whether work has waited for a whole window; then {@link #close} is due. */
+    boolean isDue(long nowNanos) {
+        return waited(nowNanos) >= WINDOW_NANOS;
+    }
+
+    /** Closes a window in which work of some cost was taken. */
+    void close(double cost, long nowNanos) {
+        ratePerNano = smooth(ratePerNano, cost / waited(nowNanos));
         known = true;
-        windowStartNanos = nowNanos;
-        windowCost = 0;
+        waitedNanos = 0;
+        startNanos = nowNanos;
+    }
+
+    /** Smooths the rate of a part of the work; called before {@link #close} of the window. */
+    double smoothPart(double partPerNano, double cost, long nowNanos) {
+        return smooth(partPerNano, cost / waited(nowNanos));
     }
 
     boolean isKnown() {
@@ -48,4 +54,12 @@
     double ratePerNano() {
         return ratePerNano;
     }
+
+    private long waited(long nowNanos) {
+        return waitedNanos + (running ? nowNanos - startNanos : 0);
+    }
+
+    private double smooth(double old, double measured) {
+        return known ? old + SMOOTHING * (measured - old) : measured;
+    }
 }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/budget/ObservedStageBudgets.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/budget/ObservedStageBudgets.java
@@ -12,7 +12,7 @@
  * so that a cold start admits. Not safe for use by several threads.
  */
 public final class ObservedStageBudgets implements StageBudgets {
-    private static final int MIN_OBSERVATIONS = 20;
+    private static final int MIN_OBSERVATIONS = 8;
     private static final double NEED_QUANTILE = 0.5;
     private static final double SPLIT_QUANTILE = 0.95;
 
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -28,6 +28,7 @@
     private final PrefixTable prefixes = new PrefixTable();
     private int routers;
     private int ownInFlight;
+    private int ownAtActive;
 
     /**
      * Creates an empty table.
@@ -68,7 +69,7 @@
         long rampFrom = slowStart ? nowNanos : nowNanos - settings.slowStartNanos();
         Worker worker = new Worker(upstream, rampFrom);
         workers.put(upstream.name(), worker);
-        append(active, worker);
+        activate(worker);
     }
 
     /**
@@ -100,7 +101,7 @@
         detach(worker);
         worker.ejected = false;
         if (!leaving) {
-            append(active, worker);
+            activate(worker);
         }
     }
 
@@ -180,8 +181,7 @@
         if (worker == null) {
             return new OpenCall(upstream, nowNanos, false);
         }
-        worker.addOwn(1, nowNanos);
-        ownInFlight++;
+        addOwn(worker, 1, nowNanos);
         if (worker.ejected) {
             worker.probing = true;
         }
@@ -202,8 +202,7 @@
         if (worker == null || !worker.upstream.equals(call.upstream())) {
             return;
         }
-        worker.addOwn(-1, nowNanos);
-        ownInFlight--;
+        addOwn(worker, -1, nowNanos);
         boolean bad = outcome != Outcome.ANSWERED || slowness >= settings.slowCallRatio();
         if (slowness > 0) {
             worker.observeSlowness(slowness);
@@ -223,8 +222,7 @@
         if (worker == null || !worker.upstream.equals(call.upstream())) {
             return;
         }
-        worker.addOwn(-1, nowNanos);
-        ownInFlight--;
+        addOwn(worker, -1, nowNanos);
         boolean slow = slowness >= settings.slowCallRatio();
         if (slow) {
             worker.observeSlowness(slowness);
@@ -340,7 +338,8 @@
             return false;
         }
         double ramp = worker.ramp(settings.slowStartNanos(), nowNanos);
-        return load(worker, nowNanos) < concurrencyPerUpstream * context.headroom() * ramp;
+        double room = concurrencyPerUpstream * context.headroom() * ramp;
+        return worker.ownInFlight + usualOthers() < room || load(worker, nowNanos) < room;
     }
 
     private double score(Worker worker, ChoiceContext context, long nowNanos) {
@@ -356,8 +355,24 @@
     }
 
     private double load(Worker worker, long nowNanos) {
-        double usualOthers = (routers - 1) * (double) ownInFlight / Math.max(1, workers.size());
-        return worker.estimatedLoad(usualOthers, settings.reportHalfLifeNanos(), nowNanos);
+        return worker.estimatedLoad(usualOthers(), settings.reportHalfLifeNanos(), nowNanos);
+    }
+
+    /** Estimates the calls of other routers at one worker, as if each sent as much as this one. */
+    private double usualOthers() {
+        return (routers - 1) * (double) ownAtActive / Math.max(1, active.size());
+    }
+
+    private void addOwn(Worker worker, int change, long nowNanos) {
+        worker.addOwn(change, nowNanos);
+        ownInFlight += change;
+        if (isActive(worker)) {
+            ownAtActive += change;
+        }
+    }
+
+    private static boolean isActive(Worker worker) {
+        return worker.position >= 0 && !worker.ejected;
     }
 
     private Worker holderOf(ChoiceContext context, long nowNanos) {
@@ -417,7 +432,12 @@
         worker.badCallsInRow = 0;
         worker.slowness = 1;
         worker.rampFromNanos = nowNanos;
+        activate(worker);
+    }
+
+    private void activate(Worker worker) {
         append(active, worker);
+        ownAtActive += worker.ownInFlight;
     }
 
     private static void append(List<Worker> list, Worker worker) {
@@ -430,6 +450,9 @@
             return;
         }
         List<Worker> list = worker.ejected ? ejected : active;
+        if (!worker.ejected) {
+            ownAtActive -= worker.ownInFlight;
+        }
         Worker last = list.remove(list.size() - 1);
         if (last != worker) {
             list.set(worker.position, last);
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -252,6 +252,9 @@
             String name = kind.requestClass().name();
             figures.put(name, tally.attainment(name));
         }
+        for (End end : List.of(End.REFUSED, End.FAILED, End.LATE, End.LOST)) {
+            figures.put("u" + end, (double) tally.ended(URGENT, end));
+        }
         figures.put("all", tally.attainment());
         figures.put("workPerSec", tally.attainedWorkMillis() / 40_000);
         figures.put("cost", tally.costFactor());
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Job.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Job.java
@@ -10,7 +10,8 @@
     final double workMillis;
     final double prefillMillis;
     final DoubleConsumer onDone;
-    double startedNanos = -1;
+    long startedNanos = -1;
+    double speed;
     double doneMillis;
     boolean ended;
 
