Probe ejected workers sooner and let calls that did not run be sent more often

Cause: after the fault ended, ejected workers stayed out up to 16 s; three refused connections used up the attempts.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/retry/RetryPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/retry/RetryPolicy.java
@@ -4,13 +4,16 @@
 
 /** The rule by which a call that did not succeed is sent again. */
 public final class RetryPolicy {
+    /** Attempts that did not run cost little, so that more of them may be made. */
+    private static final int MAX_ATTEMPTS_NOT_RUN = 8;
+
     private final int maxAttempts;
     private final RetryBudget budget;
 
     /**
      * Creates the rule.
      *
-     * @param maxAttempts the largest number of attempts of one stage
+     * @param maxAttempts the largest number of attempts of one stage after one may have run
      * @param budget shared by all stages
      */
     public RetryPolicy(int maxAttempts, RetryBudget budget) {
@@ -34,9 +37,10 @@
             int attempts,
             long remainingNanos,
             long needNanos) {
+        int maxOfKind = outcome == Outcome.NOT_RUN ? MAX_ATTEMPTS_NOT_RUN : maxAttempts;
         boolean allowed =
                 outcome.mayBeRetried(idempotent)
-                        && attempts < maxAttempts
+                        && attempts < maxOfKind
                         && remainingNanos > Math.max(0, needNanos);
         return allowed && budget.tryTake();
     }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/RoutingSettings.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/RoutingSettings.java
@@ -33,12 +33,12 @@
     public static RoutingSettings defaults() {
         return new RoutingSettings(
                 500 * NANOS_PER_MILLI,
-                5_000 * NANOS_PER_MILLI,
+                3_000 * NANOS_PER_MILLI,
                 3,
                 3.0,
                 50,
-                2_000 * NANOS_PER_MILLI,
-                30_000 * NANOS_PER_MILLI,
+                1_000 * NANOS_PER_MILLI,
+                4_000 * NANOS_PER_MILLI,
                 0.25,
                 0.02);
     }
