Report the position and the value of each refused field

Cause: a value of the wrong type was reported at the position where the parser stood after it and without its text (three table rows of the new test failed: line 8 for 7, an empty value for 'soon').

--- a/bronzewheel-model/src/main/java/org/bronzewheel/configuration/Violation.java
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/configuration/Violation.java
@@ -12,6 +12,10 @@
  */
 public record Violation(
         String file, int line, int column, String field, String value, String expected) {
+    Violation withValue(String offendingValue) {
+        return new Violation(file, line, column, field, offendingValue, expected);
+    }
+
     @Override
     public String toString() {
         return "%s:%d:%d: %s is '%s', expected %s"
