Carry frames and calls between routers over Netty

A silent peer is asked for a sign of life, since TCP alone notices a lost VM only after minutes. A peer that the list does not name is answered through the connection it opened.

--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/FrameHandler.java
@@ -0,0 +1,68 @@
+package org.bronzewheel.transport;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.bronzewheel.wire.PeerFrame;
+
+/** The end of a pipeline: hands frames to their receivers and answers pings. */
+abstract class FrameHandler extends SimpleChannelInboundHandler<PeerFrame> {
+    /** The channel number of pings, which is not one of {@link Channel}. */
+    static final int PING = 0;
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final Peer self;
+    private final FrameDispatcher dispatcher;
+    private final TransportMeter meter;
+
+    FrameHandler(Peer self, FrameDispatcher dispatcher, TransportMeter meter) {
+        this.self = self;
+        this.dispatcher = dispatcher;
+        this.meter = meter;
+    }
+
+    /** Takes the reply to a call. */
+    abstract void receiveReply(PeerFrame frame);
+
+    /** Notes that the peer has sent something. */
+    abstract void noteFrame(ChannelHandlerContext context, PeerFrame frame);
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, PeerFrame frame) {
+        noteFrame(context, frame);
+        if (frame.getChannel() == PING) {
+            answerPing(context, frame);
+        } else if (frame.getReply()) {
+            receiveReply(frame);
+        } else if (frame.getCallId() != 0) {
+            dispatcher.serveCall(
+                    self, frame, reply -> NettyChannels.write(context.channel(), reply));
+        } else {
+            Peer from = new Peer(frame.getFromVmId(), frame.getFromIncarnation());
+            dispatcher.message(from, frame.getChannel(), frame.getPayload().toByteArray());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        logger.atFine().withCause(cause).log("closing the connection of a peer");
+        meter.connectionBroken();
+        NettyChannels.close(context.channel());
+    }
+
+    static PeerFrame ping(Peer self, boolean reply) {
+        return PeerFrame.newBuilder()
+                .setFromVmId(self.vmId())
+                .setFromIncarnation(self.incarnation())
+                .setChannel(PING)
+                .setReply(reply)
+                .build();
+    }
+
+    private void answerPing(ChannelHandlerContext context, PeerFrame frame) {
+        if (!frame.getReply()) {
+            NettyChannels.write(context.channel(), ping(self, true));
+        }
+    }
+}
--- a/bronzewheel-model/src/main/java/org/bronzewheel/error/ErrorCode.java
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/error/ErrorCode.java
@@ -42,6 +42,8 @@
     UPSTREAM_BROKEN(502),
     /** The answer of the upstream was incomplete or belonged to another attempt. */
     UPSTREAM_ANSWER_INVALID(502),
+    /** Another router could not be reached, or the connection to it broke. */
+    PEER_UNREACHABLE(503),
     /** The caller cancelled the request. */
     CANCELLED(499),
     /** The router is stopping and takes no new requests. */
