Claim keys among routers and keep answers in a bounded, copied memory

A claim needs a majority of the seats of the key's group under each list that may have been in use when the key was made. That interval of lists follows from evidence about which routers used which list since when, compared with the key's own time, so voters need no list. Losers of a split vote pass their votes to the earliest claim.

Answers are copied to two routers of other failure domains by rendezvous on the request id, with a substitute for each holder that is down.

--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/answer/KeptAnswer.java
@@ -0,0 +1,15 @@
+package org.bronzewheel.answer;
+
+/**
+ * An answer in memory.
+ *
+ * @param answer the answer
+ * @param bytes its encoded size, in bytes
+ * @param keptNanos when it was kept, in nanoseconds
+ * @param needsCopy whether no peer has confirmed a copy of this own answer yet
+ */
+record KeptAnswer(StoredAnswer answer, int bytes, long keptNanos, boolean needsCopy) {
+    KeptAnswer copied() {
+        return new KeptAnswer(answer, bytes, keptNanos, false);
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/answer/PeerAnswerService.java
@@ -0,0 +1,233 @@
+package org.bronzewheel.answer;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.reactivex.rxjava3.core.Completable;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.core.Maybe;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.bronzewheel.membership.MembershipService;
+import org.bronzewheel.request.RequestId;
+import org.bronzewheel.transport.Channel;
+import org.bronzewheel.transport.Peer;
+import org.bronzewheel.transport.PeerTransport;
+import org.bronzewheel.wire.AnswerCall;
+import org.bronzewheel.wire.AnswerCopy;
+
+/**
+ * An answer memory whose copies go over a {@link PeerTransport}.
+ *
+ * <p>One lock guards the table; no call leaves with it held.
+ */
+public final class PeerAnswerService implements AnswerService {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final byte[] EMPTY_REPLY = new byte[0];
+    private static final int HAND_OVER_CALLS = 16;
+
+    private final PeerTransport transport;
+    private final MembershipService membership;
+    private final AnswerSettings settings;
+    private final Scheduler scheduler;
+    private final LongSupplier nanoClock;
+    private final CompositeDisposable subscriptions = new CompositeDisposable();
+    private final Object lock = new Object();
+    private final AnswerTable table;
+
+    /**
+     * Creates an empty memory.
+     *
+     * @param transport carries the copies; must not be started before this constructor ran
+     * @param membership tells the routers
+     * @param settings bounds
+     * @param scheduler runs the timeouts and the clean-up
+     * @param nanoClock the monotonic clock, in nanoseconds
+     */
+    public PeerAnswerService(
+            PeerTransport transport,
+            MembershipService membership,
+            AnswerSettings settings,
+            Scheduler scheduler,
+            LongSupplier nanoClock) {
+        this.transport = transport;
+        this.membership = membership;
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.nanoClock = nanoClock;
+        this.table = new AnswerTable(settings);
+        transport.serve(Channel.ANSWER, this::serve);
+    }
+
+    @Override
+    public void start() {
+        subscriptions.add(
+                scheduler.schedulePeriodicallyDirect(this::prune, 1, 1, TimeUnit.SECONDS));
+    }
+
+    @Override
+    public void stop() {
+        subscriptions.dispose();
+    }
+
+    @Override
+    public Completable keep(StoredAnswer answer, long timeoutMillis) {
+        return Completable.defer(
+                () -> {
+                    store(answer, true);
+                    return copy(answer, timeoutMillis);
+                });
+    }
+
+    @Override
+    public Maybe<StoredAnswer> find(RequestId requestId, long timeoutMillis) {
+        return Maybe.defer(
+                () -> {
+                    Optional<StoredAnswer> own = lookUp(requestId);
+                    return own.isPresent()
+                            ? Maybe.just(own.get())
+                            : askPeers(requestId, timeoutMillis);
+                });
+    }
+
+    @Override
+    public Completable handOver(long timeoutMillis) {
+        return Flowable.defer(() -> Flowable.fromIterable(withoutCopy()))
+                .flatMapCompletable(answer -> copy(answer, timeoutMillis), false, HAND_OVER_CALLS)
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
+                .onErrorComplete();
+    }
+
+    /**
+     * Returns the memory in use.
+     *
+     * @return the encoded size of all answers kept here, in bytes
+     */
+    public long usedBytes() {
+        synchronized (lock) {
+            return table.usedBytes();
+        }
+    }
+
+    private Completable copy(StoredAnswer answer, long timeoutMillis) {
+        List<String> holders = CopyHolders.inOrder(answer.requestId(), membership.current().list());
+        byte[] call = AnswerCodec.keepCall(answer);
+        List<Completable> copies = new ArrayList<>();
+        for (int i = 0; i < Math.min(settings.copies(), holders.size()); i++) {
+            copies.add(copyToOneOf(answer, call, holders, i, timeoutMillis));
+        }
+        return Completable.merge(copies)
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
+                .onErrorComplete();
+    }
+
+    /** Tries a holder and, where that fails, the one that stands in for it. */
+    private Completable copyToOneOf(
+            StoredAnswer answer, byte[] call, List<String> holders, int index, long timeoutMillis) {
+        Single<byte[]> first =
+                transport.call(holders.get(index), Channel.ANSWER, call, timeoutMillis / 2);
+        int substitute = index + settings.copies();
+        if (substitute < holders.size()) {
+            first =
+                    first.onErrorResumeNext(
+                            error ->
+                                    transport.call(
+                                            holders.get(substitute),
+                                            Channel.ANSWER,
+                                            call,
+                                            timeoutMillis / 2));
+        }
+        return first.doOnSuccess(reply -> markCopied(answer.requestId()))
+                .ignoreElement()
+                .onErrorComplete();
+    }
+
+    private Maybe<StoredAnswer> askPeers(RequestId requestId, long timeoutMillis) {
+        byte[] call = AnswerCodec.findCall(requestId);
+        List<Maybe<StoredAnswer>> questions = new ArrayList<>();
+        for (String vmId : placesOf(requestId)) {
+            questions.add(
+                    transport
+                            .call(vmId, Channel.ANSWER, call, timeoutMillis)
+                            .flatMapMaybe(PeerAnswerService::decodeFound)
+                            .onErrorComplete());
+        }
+        return Maybe.merge(questions)
+                .firstElement()
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
+                .onErrorComplete();
+    }
+
+    /** Returns the router that took the request and those that may hold copies. */
+    private List<String> placesOf(RequestId requestId) {
+        List<String> places = new ArrayList<>();
+        places.add(requestId.vmId());
+        CopyHolders.inOrder(requestId, membership.current().list()).stream()
+                .limit(2L * settings.copies())
+                .forEach(places::add);
+        places.remove(transport.self().vmId());
+        return places;
+    }
+
+    private static Maybe<StoredAnswer> decodeFound(byte[] reply)
+            throws InvalidProtocolBufferException {
+        return AnswerCodec.decode(AnswerCopy.parseFrom(reply))
+                .map(Maybe::just)
+                .orElse(Maybe.empty());
+    }
+
+    private Single<byte[]> serve(Peer from, byte[] payload) {
+        return Single.fromCallable(() -> answer(AnswerCall.parseFrom(payload)))
+                .doOnError(
+                        error ->
+                                logger.atWarning().withCause(error).log(
+                                        "unreadable answer call from %s", from.vmId()));
+    }
+
+    private byte[] answer(AnswerCall call) {
+        if (call.hasKeep()) {
+            AnswerCodec.decode(call.getKeep()).ifPresent(answer -> store(answer, false));
+            return EMPTY_REPLY;
+        }
+        return RequestId.parse(call.getFind())
+                .flatMap(this::lookUp)
+                .map(found -> AnswerCodec.encode(found).toByteArray())
+                .orElse(EMPTY_REPLY);
+    }
+
+    private void store(StoredAnswer answer, boolean needsCopy) {
+        int bytes = AnswerCodec.encode(answer).getSerializedSize();
+        synchronized (lock) {
+            table.keep(answer, bytes, needsCopy, nanoClock.getAsLong());
+        }
+    }
+
+    private Optional<StoredAnswer> lookUp(RequestId requestId) {
+        synchronized (lock) {
+            return table.find(requestId);
+        }
+    }
+
+    private void markCopied(RequestId requestId) {
+        synchronized (lock) {
+            table.markCopied(requestId);
+        }
+    }
+
+    private List<StoredAnswer> withoutCopy() {
+        synchronized (lock) {
+            return table.withoutCopy();
+        }
+    }
+
+    private void prune() {
+        synchronized (lock) {
+            table.prune(nanoClock.getAsLong());
+        }
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMachine.java
@@ -0,0 +1,445 @@
+package org.bronzewheel.claim;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bronzewheel.claim.ClaimMessage.ListOffer;
+import org.bronzewheel.claim.ClaimMessage.ListQuery;
+import org.bronzewheel.claim.ClaimMessage.Ping;
+import org.bronzewheel.claim.ClaimMessage.Pong;
+import org.bronzewheel.claim.ClaimMessage.VoteReply;
+import org.bronzewheel.claim.ClaimMessage.VoteRequest;
+import org.bronzewheel.claim.ClaimMessage.Withdrawal;
+import org.bronzewheel.error.ErrorCode;
+import org.bronzewheel.machine.Machine;
+import org.bronzewheel.machine.Step;
+import org.bronzewheel.request.IdempotencyKey;
+import org.bronzewheel.request.RequestId;
+import org.bronzewheel.transport.Peer;
+
+/**
+ * The claim protocol of one router as a deterministic state machine: it claims keys for the own
+ * requests and votes on the claims of all routers.
+ *
+ * <p>The wall clock enters by {@link #setWallClock} only and serves only to compare the own time of
+ * keys with the times of this router.
+ */
+public final class ClaimMachine implements Machine<ClaimMessage, ClaimEvent> {
+    private final ClaimSettings settings;
+    private final ClaimRules rules;
+    private final Peer self;
+    private final ListEvidence lists;
+    private final VoteTable ownSeat;
+    private final Map<RequestId, Claim> claims;
+    private final LinkedHashMap<RequestId, Grant> grants;
+    private final Map<IdempotencyKey, RequestId> ownRequests;
+    private long epochMillisAtZero;
+
+    /**
+     * Creates a machine without memory.
+     *
+     * @param settings times and bounds
+     * @param self the own VM and incarnation
+     * @param nowNanos the monotonic time of the start of the process, in nanoseconds
+     * @throws org.bronzewheel.error.BronzewheelException with INVALID_SETTING where the settings
+     *     contradict each other
+     */
+    public ClaimMachine(ClaimSettings settings, Peer self, long nowNanos) {
+        this(settings, ClaimRules.ALL, self, nowNanos);
+    }
+
+    ClaimMachine(ClaimSettings settings, ClaimRules rules, Peer self, long nowNanos) {
+        settings.check();
+        this.settings = settings;
+        this.rules = rules;
+        this.self = self;
+        this.lists = new ListEvidence(settings, rules, self, nowNanos);
+        this.ownSeat = new VoteTable(settings, rules, self.vmId(), nowNanos, Long.MAX_VALUE);
+        this.claims = new LinkedHashMap<>();
+        this.grants = new LinkedHashMap<>();
+        this.ownRequests = new HashMap<>();
+    }
+
+    private ClaimMachine(ClaimMachine other) {
+        this.settings = other.settings;
+        this.rules = other.rules;
+        this.self = other.self;
+        this.lists = other.lists.copy();
+        this.ownSeat = other.ownSeat.copy();
+        this.claims = new LinkedHashMap<>(other.claims);
+        this.grants = new LinkedHashMap<>(other.grants);
+        this.ownRequests = new HashMap<>(other.ownRequests);
+        this.epochMillisAtZero = other.epochMillisAtZero;
+    }
+
+    /** Returns an independent machine in the same state. */
+    ClaimMachine copy() {
+        return new ClaimMachine(this);
+    }
+
+    /**
+     * Sets the wall clock.
+     *
+     * @param epochMillis the time in milliseconds since the epoch
+     * @param nowNanos the monotonic time at the same moment, in nanoseconds
+     */
+    public void setWallClock(long epochMillis, long nowNanos) {
+        epochMillisAtZero = epochMillis - nowNanos / KeyClock.NANOS_PER_MILLI;
+    }
+
+    /**
+     * Takes a VM list, from the platform or from a peer.
+     *
+     * @param list its routers
+     * @param nowNanos the monotonic time, in nanoseconds
+     * @return what to send and what was decided
+     */
+    public Step<ClaimMessage, ClaimEvent> updateList(VoterList list, long nowNanos) {
+        StepBuilder step = new StepBuilder();
+        lists.add(list, nowNanos);
+        step.sendAll(lists.pingIfDue(nowNanos));
+        advanceAll(step, nowNanos);
+        return step.build();
+    }
+
+    /**
+     * Begins a claim; its end comes as an event, at once or later.
+     *
+     * @param request the wish
+     * @param nowNanos the monotonic time, in nanoseconds
+     * @return what to send and what was decided
+     */
+    public Step<ClaimMessage, ClaimEvent> claim(ClaimRequest request, long nowNanos) {
+        StepBuilder step = new StepBuilder();
+        Optional<ClaimDecision> early = decideWithoutVotes(request, nowNanos);
+        if (early.isPresent()) {
+            step.emit(new ClaimEvent.Decided(request.requestId(), early.get()));
+            return step.build();
+        }
+        begin(request, nowNanos);
+        advance(request.requestId(), step, nowNanos);
+        return step.build();
+    }
+
+    /**
+     * Checks whether a granted request may still be sent.
+     *
+     * @param requestId the request
+     * @param nowNanos the monotonic time, in nanoseconds
+     * @return true while the grant is valid
+     */
+    public boolean isStillGranted(RequestId requestId, long nowNanos) {
+        Grant grant = grants.get(requestId);
+        if (grant == null) {
+            return false;
+        }
+        long validNanos = settings.grantMillis() * KeyClock.NANOS_PER_MILLI;
+        return nowNanos - grant.startedNanos() < validNanos || !rules.grantsExpire();
+    }
+
+    @Override
+    public Step<ClaimMessage, ClaimEvent> receive(Peer from, ClaimMessage message, long nowNanos) {
+        StepBuilder step = new StepBuilder();
+        if (message instanceof VoteRequest request) {
+            answerVoteRequest(from, request, step, nowNanos);
+        } else if (message instanceof VoteReply reply) {
+            takeReply(reply, step, nowNanos);
+        } else if (message instanceof Withdrawal withdrawal) {
+            takeWithdrawal(from, withdrawal, step, nowNanos);
+        } else if (message instanceof Ping ping) {
+            step.send(from.vmId(), lists.answer(ping, List.of(), false, nowNanos));
+        } else if (message instanceof Pong pong) {
+            step.sendAll(lists.take(from, pong, nowNanos));
+            advanceAll(step, nowNanos);
+        } else if (message instanceof ListQuery query) {
+            lists.answer(query).ifPresent(offer -> step.send(from.vmId(), offer));
+        } else if (message instanceof ListOffer offer) {
+            lists.add(offer.list(), nowNanos);
+            advanceAll(step, nowNanos);
+        }
+        return step.build();
+    }
+
+    @Override
+    public Step<ClaimMessage, ClaimEvent> tick(long nowNanos) {
+        StepBuilder step = new StepBuilder();
+        lists.prune(nowNanos);
+        ownSeat.prune(nowNanos);
+        pruneGrants(nowNanos);
+        step.sendAll(lists.pingIfDue(nowNanos));
+        advanceAll(step, nowNanos);
+        return step.build();
+    }
+
+    /**
+     * Returns the number of remembered votes.
+     *
+     * @return the number of keys that this router's seat has voted on
+     */
+    public int voteCount() {
+        return ownSeat.size();
+    }
+
+    @Override
+    public String toString() {
+        return self + " " + lists + ownSeat + claims + grants;
+    }
+
+    private Optional<ClaimDecision> decideWithoutVotes(ClaimRequest request, long nowNanos) {
+        KeyClock clock = clock(nowNanos);
+        RequestId own = ownRequests.get(request.key());
+        if (own != null) {
+            return Optional.of(joinOwn(own, request.fingerprint()));
+        }
+        if (rules.keysExpire() && clock.isExpired(request.key(), settings)) {
+            return Optional.of(refused(ErrorCode.KEY_EXPIRED));
+        }
+        if (rules.futureKeysWait() && clock.isAhead(request.key(), settings)) {
+            return Optional.of(
+                    new ClaimDecision.Refused(
+                            ErrorCode.KEY_NOT_REMEMBERED, settings.evidenceMillis()));
+        }
+        return Optional.empty();
+    }
+
+    private ClaimDecision joinOwn(RequestId own, String fingerprint) {
+        Claim claim = claims.get(own);
+        String held = claim == null ? grants.get(own).fingerprint() : claim.request().fingerprint();
+        return join(own, held, fingerprint);
+    }
+
+    private static ClaimDecision join(RequestId holder, String held, String fingerprint) {
+        return held.equals(fingerprint)
+                ? new ClaimDecision.HeldBy(holder)
+                : refused(ErrorCode.KEY_REUSED);
+    }
+
+    private static ClaimDecision refused(ErrorCode code) {
+        return new ClaimDecision.Refused(code, 0);
+    }
+
+    private void begin(ClaimRequest request, long nowNanos) {
+        long waitMillis = Math.min(request.deadlineMillis(), settings.claimMillis());
+        Claim claim =
+                new Claim(
+                        request,
+                        clock(nowNanos).timeOf(request.key(), settings),
+                        nowNanos,
+                        nowNanos + waitMillis * KeyClock.NANOS_PER_MILLI,
+                        nowNanos,
+                        List.of(),
+                        Map.of());
+        claims.put(request.requestId(), claim);
+        ownRequests.put(request.key(), request.requestId());
+    }
+
+    private void advanceAll(StepBuilder step, long nowNanos) {
+        for (RequestId requestId : List.copyOf(claims.keySet())) {
+            advance(requestId, step, nowNanos);
+        }
+    }
+
+    private void advance(RequestId requestId, StepBuilder step, long nowNanos) {
+        Claim claim = claims.get(requestId);
+        if (claim == null) {
+            return;
+        }
+        if (claim.groups().isEmpty()) {
+            open(claim, step, nowNanos);
+        } else if (nowNanos - claim.askedNanos() >= nanos(settings.resendMillis())) {
+            claims.put(requestId, claim.withAsked(nowNanos));
+            askOpenSeats(claim, step, nowNanos);
+        }
+        decide(requestId, step, nowNanos);
+    }
+
+    private void open(Claim claim, StepBuilder step, long nowNanos) {
+        Optional<List<List<String>>> groups =
+                lists.groups(claim.request().key(), claim.time(), nowNanos);
+        if (groups.isPresent()) {
+            Claim opened = claim.withGroups(groups.get()).withAsked(nowNanos);
+            claims.put(claim.request().requestId(), opened);
+            askOpenSeats(opened, step, nowNanos);
+        }
+    }
+
+    private void askOpenSeats(Claim claim, StepBuilder step, long nowNanos) {
+        for (String seat : Tally.seats(claim)) {
+            if (!claim.replies().containsKey(seat)) {
+                askSeat(claim.request(), seat, step, nowNanos);
+            }
+        }
+    }
+
+    private void askSeat(ClaimRequest request, String seat, StepBuilder step, long nowNanos) {
+        VoteRequest message =
+                new VoteRequest(request.key(), request.requestId(), request.fingerprint(), seat);
+        for (String place : lists.placesOf(seat)) {
+            if (place.equals(self.vmId())) {
+                store(ownSeat.vote(message, clock(nowNanos)));
+            } else {
+                step.send(place, message);
+            }
+        }
+    }
+
+    private void answerVoteRequest(
+            Peer from, VoteRequest request, StepBuilder step, long nowNanos) {
+        if (request.seatVmId().equals(self.vmId())) {
+            step.send(from.vmId(), ownSeat.vote(request, clock(nowNanos)));
+        }
+    }
+
+    private void takeReply(VoteReply reply, StepBuilder step, long nowNanos) {
+        store(reply);
+        decide(reply.requestId(), step, nowNanos);
+    }
+
+    private void store(VoteReply reply) {
+        claims.computeIfPresent(reply.requestId(), (requestId, claim) -> claim.withReply(reply));
+    }
+
+    private void takeWithdrawal(Peer from, Withdrawal withdrawal, StepBuilder step, long nowNanos) {
+        RequestId requestId = withdrawal.requestId();
+        boolean isOwner =
+                from.vmId().equals(requestId.vmId())
+                        && from.incarnation() == requestId.incarnation();
+        if (!isOwner && rules.onlyOwnerWithdraws()) {
+            return;
+        }
+        if (!withdrawal.seatVmId().equals(self.vmId())) {
+            return;
+        }
+        Optional<VoteReply> passedOn = ownSeat.withdraw(withdrawal, clock(nowNanos));
+        passedOn.ifPresent(reply -> tell(reply, step, nowNanos));
+    }
+
+    /** Tells a claim of a vote that passed to it. */
+    private void tell(VoteReply reply, StepBuilder step, long nowNanos) {
+        String claimant = reply.requestId().vmId();
+        if (claimant.equals(self.vmId())) {
+            takeReply(reply, step, nowNanos);
+        } else {
+            step.send(claimant, reply);
+        }
+    }
+
+    private void decide(RequestId requestId, StepBuilder step, long nowNanos) {
+        Claim claim = claims.get(requestId);
+        if (claim == null) {
+            return;
+        }
+        Tally tally = new Tally(claim);
+        if (nowNanos - claim.deadlineNanos() >= 0) {
+            giveUpAtDeadline(claim, tally, step, nowNanos);
+        } else if (tally.hasWon(requestId) || (!rules.majorityGrants() && tally.hasAnyVote())) {
+            grant(claim, step);
+        } else if (tally.winner().isPresent()) {
+            yieldTo(tally.winner().get(), claim, tally, step, nowNanos);
+        } else if (shouldYield(claim, tally, nowNanos)) {
+            yieldTo(tally.earlierRival().orElseThrow(), claim, tally, step, nowNanos);
+        } else if (tally.isLost() && !tally.hasRivals()) {
+            giveUp(claim, refused(codeWithoutRivals(tally)), step, nowNanos);
+        }
+    }
+
+    private boolean shouldYield(Claim claim, Tally tally, long nowNanos) {
+        boolean waited = nowNanos - claim.startedNanos() >= nanos(settings.yieldMillis());
+        return tally.earlierRival().isPresent() && (waited || tally.isLost());
+    }
+
+    private void grant(Claim claim, StepBuilder step) {
+        ClaimRequest request = claim.request();
+        claims.remove(request.requestId());
+        grants.put(
+                request.requestId(),
+                new Grant(request.key(), request.fingerprint(), claim.startedNanos()));
+        step.emit(
+                new ClaimEvent.Decided(
+                        request.requestId(), new ClaimDecision.Granted(request.requestId())));
+    }
+
+    private void giveUpAtDeadline(Claim claim, Tally tally, StepBuilder step, long nowNanos) {
+        if (tally.leader().isPresent()) {
+            yieldTo(tally.leader().get(), claim, tally, step, nowNanos);
+        } else if (tally.hasRivals()) {
+            giveUp(claim, refused(ErrorCode.CLAIM_SPLIT), step, nowNanos);
+        } else {
+            giveUp(claim, refused(codeWithoutRivals(tally)), step, nowNanos);
+        }
+    }
+
+    private static ErrorCode codeWithoutRivals(Tally tally) {
+        if (tally.hasResult(VoteResult.EXPIRED)) {
+            return ErrorCode.KEY_EXPIRED;
+        }
+        return tally.hasResult(VoteResult.NOT_REMEMBERED)
+                ? ErrorCode.KEY_NOT_REMEMBERED
+                : ErrorCode.CLAIM_UNAVAILABLE;
+    }
+
+    private void yieldTo(
+            RequestId rival, Claim claim, Tally tally, StepBuilder step, long nowNanos) {
+        String fingerprint = tally.fingerprintOf(rival);
+        end(claim, join(rival, fingerprint, claim.request().fingerprint()), step);
+        withdraw(claim, Optional.of(rival), fingerprint, step, nowNanos);
+    }
+
+    private void giveUp(Claim claim, ClaimDecision decision, StepBuilder step, long nowNanos) {
+        end(claim, decision, step);
+        withdraw(claim, Optional.empty(), "", step, nowNanos);
+    }
+
+    private void end(Claim claim, ClaimDecision decision, StepBuilder step) {
+        ClaimRequest request = claim.request();
+        if (rules.withdrawalIsFinal()) {
+            claims.remove(request.requestId());
+            ownRequests.remove(request.key());
+        }
+        step.emit(new ClaimEvent.Decided(request.requestId(), decision));
+    }
+
+    private void withdraw(
+            Claim claim,
+            Optional<RequestId> successor,
+            String fingerprint,
+            StepBuilder step,
+            long nowNanos) {
+        ClaimRequest request = claim.request();
+        for (String seat : Tally.seats(claim)) {
+            Withdrawal message =
+                    new Withdrawal(
+                            request.key(), request.requestId(), seat, successor, fingerprint);
+            for (String place : lists.placesOf(seat)) {
+                if (place.equals(self.vmId())) {
+                    takeWithdrawal(self, message, step, nowNanos);
+                } else {
+                    step.send(place, message);
+                }
+            }
+        }
+    }
+
+    private void pruneGrants(long nowNanos) {
+        long keepNanos = nanos(settings.retentionMillis());
+        grants.values()
+                .removeIf(
+                        grant -> {
+                            boolean old = nowNanos - grant.startedNanos() > keepNanos;
+                            if (old) {
+                                ownRequests.remove(grant.key());
+                            }
+                            return old;
+                        });
+    }
+
+    private KeyClock clock(long nowNanos) {
+        return new KeyClock(nowNanos, epochMillisAtZero + nowNanos / KeyClock.NANOS_PER_MILLI);
+    }
+
+    private static long nanos(long millis) {
+        return millis * KeyClock.NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimRules.java
@@ -0,0 +1,40 @@
+package org.bronzewheel.claim;
+
+/**
+ * The safety rules of the protocol, each of which tests can switch off to show that the model check
+ * notices.
+ *
+ * @param firstVoteStays a voter answers every later claim with the first one
+ * @param majorityGrants a claim is granted only by a majority of seats
+ * @param freshVoterAbstains a voter abstains from keys that may be older than its memory
+ * @param allListsVote a claim needs a majority under each list that may be in use
+ * @param evidenceOfOldLists a router claims only with evidence that a majority is not on a newer
+ *     list
+ * @param listsSettle a list votes alone only for keys younger than its use
+ * @param restartedEvidenceIsVoid evidence of routers that restarted after the key is not counted
+ * @param withdrawalIsFinal a claim that withdrew is never granted
+ * @param onlyOwnerWithdraws only the claimant's own process can withdraw a claim
+ * @param grantsExpire a grant ends long before the votes are forgotten
+ * @param keysExpire a key older than the retention is refused
+ * @param futureKeysWait a key whose time lies ahead is refused
+ * @param frozenSeatsAbstain a seat that was handed over votes no more at its old place
+ */
+record ClaimRules(
+        boolean firstVoteStays,
+        boolean majorityGrants,
+        boolean freshVoterAbstains,
+        boolean allListsVote,
+        boolean evidenceOfOldLists,
+        boolean listsSettle,
+        boolean restartedEvidenceIsVoid,
+        boolean withdrawalIsFinal,
+        boolean onlyOwnerWithdraws,
+        boolean grantsExpire,
+        boolean keysExpire,
+        boolean futureKeysWait,
+        boolean frozenSeatsAbstain) {
+    /** Every rule is in force. */
+    static final ClaimRules ALL =
+            new ClaimRules(
+                    true, true, true, true, true, true, true, true, true, true, true, true, true);
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/Tally.java
@@ -0,0 +1,106 @@
+package org.bronzewheel.claim;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.bronzewheel.claim.ClaimMessage.VoteReply;
+import org.bronzewheel.request.RequestId;
+
+/** A count of the votes that a claim has heard of. */
+final class Tally {
+    private static final Comparator<RequestId> ORDER =
+            Comparator.comparing(RequestId::vmId)
+                    .thenComparingLong(RequestId::incarnation)
+                    .thenComparingLong(RequestId::sequence);
+
+    private final Claim claim;
+    private final RequestId self;
+    private final Map<RequestId, String> rivals = new TreeMap<>(ORDER);
+
+    Tally(Claim claim) {
+        this.claim = claim;
+        this.self = claim.request().requestId();
+        for (VoteReply reply : claim.replies().values()) {
+            reply.holder()
+                    .filter(holder -> !holder.equals(self))
+                    .ifPresent(holder -> rivals.put(holder, reply.holderFingerprint()));
+        }
+    }
+
+    /** Tells whether a request has a majority of each group. */
+    boolean hasWon(RequestId requestId) {
+        return !claim.groups().isEmpty()
+                && claim.groups().stream()
+                        .allMatch(group -> votes(group, requestId) >= majority(group));
+    }
+
+    /** Tells whether some seat has voted for the claim itself. */
+    boolean hasAnyVote() {
+        return claim.replies().values().stream()
+                .anyMatch(reply -> reply.holder().equals(Optional.of(self)));
+    }
+
+    /** Tells whether the claim cannot get a majority of some group any more. */
+    boolean isLost() {
+        return claim.groups().stream()
+                .anyMatch(group -> votes(group, self) + open(group) < majority(group));
+    }
+
+    /** Returns another request that has a majority of each group. */
+    Optional<RequestId> winner() {
+        return rivals.keySet().stream().filter(this::hasWon).findFirst();
+    }
+
+    /** Returns another request that has a majority of some group. */
+    Optional<RequestId> leader() {
+        return rivals.keySet().stream()
+                .filter(
+                        rival ->
+                                claim.groups().stream()
+                                        .anyMatch(group -> votes(group, rival) >= majority(group)))
+                .findFirst();
+    }
+
+    /** Returns the first request with votes in the order of requests, where it is another one. */
+    Optional<RequestId> earlierRival() {
+        return rivals.keySet().stream().findFirst().filter(rival -> ORDER.compare(rival, self) < 0);
+    }
+
+    boolean hasRivals() {
+        return !rivals.isEmpty();
+    }
+
+    String fingerprintOf(RequestId rival) {
+        return rivals.get(rival);
+    }
+
+    boolean hasResult(VoteResult result) {
+        return claim.replies().values().stream().anyMatch(reply -> reply.result() == result);
+    }
+
+    /** Returns the seats of all groups in order of VM ids. */
+    static Set<String> seats(Claim claim) {
+        Set<String> seats = new TreeSet<>();
+        claim.groups().forEach(seats::addAll);
+        return seats;
+    }
+
+    private long votes(List<String> group, RequestId requestId) {
+        return group.stream()
+                .map(claim.replies()::get)
+                .filter(reply -> reply != null && reply.holder().equals(Optional.of(requestId)))
+                .count();
+    }
+
+    private long open(List<String> group) {
+        return group.stream().filter(seat -> !claim.replies().containsKey(seat)).count();
+    }
+
+    private static int majority(List<String> group) {
+        return group.size() / 2 + 1;
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/VoteTable.java
@@ -0,0 +1,216 @@
+package org.bronzewheel.claim;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bronzewheel.claim.ClaimMessage.VoteReply;
+import org.bronzewheel.claim.ClaimMessage.VoteRequest;
+import org.bronzewheel.claim.ClaimMessage.Withdrawal;
+import org.bronzewheel.request.IdempotencyKey;
+import org.bronzewheel.request.RequestId;
+
+/** The memory of one seat: for each key the one claim that the seat voted for. */
+final class VoteTable {
+    private final ClaimSettings settings;
+    private final ClaimRules rules;
+    private final String seatVmId;
+    private final long memoryStartNanos;
+
+    /** Keys made after this time belong to a later voter of the same seat. */
+    private final long lastKeyEpochMillis;
+
+    private final LinkedHashMap<IdempotencyKey, Vote> votes;
+    private boolean frozen;
+
+    VoteTable(
+            ClaimSettings settings,
+            ClaimRules rules,
+            String seatVmId,
+            long memoryStartNanos,
+            long lastKeyEpochMillis) {
+        this.settings = settings;
+        this.rules = rules;
+        this.seatVmId = seatVmId;
+        this.memoryStartNanos = memoryStartNanos;
+        this.lastKeyEpochMillis = lastKeyEpochMillis;
+        this.votes = new LinkedHashMap<>();
+    }
+
+    private VoteTable(VoteTable other) {
+        this.settings = other.settings;
+        this.rules = other.rules;
+        this.seatVmId = other.seatVmId;
+        this.memoryStartNanos = other.memoryStartNanos;
+        this.lastKeyEpochMillis = other.lastKeyEpochMillis;
+        this.votes = new LinkedHashMap<>(other.votes);
+        this.frozen = other.frozen;
+    }
+
+    VoteTable copy() {
+        return new VoteTable(this);
+    }
+
+    /** Answers a claim with the vote of this seat, which it casts where it has not voted yet. */
+    VoteReply vote(VoteRequest request, KeyClock clock) {
+        IdempotencyKey key = request.key();
+        if (rules.keysExpire() && clock.isExpired(key, settings)) {
+            return reply(request, VoteResult.EXPIRED);
+        }
+        if (rules.futureKeysWait() && clock.isAhead(key, settings)) {
+            return reply(request, VoteResult.NOT_REMEMBERED);
+        }
+        Vote vote = votes.get(key);
+        if (vote != null && vote.holder().isPresent() && rules.firstVoteStays()) {
+            return held(request, vote);
+        }
+        VoteResult obstacle = obstacle(request, vote, clock);
+        if (obstacle != VoteResult.HELD) {
+            return reply(request, obstacle);
+        }
+        return held(request, cast(key, request.requestId(), request.fingerprint(), vote, clock));
+    }
+
+    /** Takes the vote for a claim back, which will never be granted, and passes it on. */
+    Optional<VoteReply> withdraw(Withdrawal withdrawal, KeyClock clock) {
+        Vote vote = votes.get(withdrawal.key());
+        if (vote != null && !vote.holder().equals(Optional.of(withdrawal.requestId()))) {
+            return Optional.empty();
+        }
+        long atNanos = vote == null ? clock.nowNanos() : vote.atNanos();
+        Optional<RequestId> withdrawn = Optional.of(withdrawal.requestId());
+        votes.put(withdrawal.key(), new Vote(Optional.empty(), "", withdrawn, atNanos));
+        return withdrawal
+                .successor()
+                .map(
+                        successor ->
+                                vote(
+                                        new VoteRequest(
+                                                withdrawal.key(),
+                                                successor,
+                                                withdrawal.successorFingerprint(),
+                                                seatVmId),
+                                        clock));
+    }
+
+    /** Forgets votes on keys that are refused as expired everywhere. */
+    void prune(long nowNanos) {
+        long keepMillis =
+                settings.retentionMillis()
+                        + 2 * settings.maxClockSkewMillis()
+                        + settings.evidenceMillis();
+        Iterator<Vote> oldestFirst = votes.values().iterator();
+        while (oldestFirst.hasNext()
+                && nowNanos - oldestFirst.next().atNanos()
+                        > keepMillis * KeyClock.NANOS_PER_MILLI) {
+            oldestFirst.remove();
+        }
+    }
+
+    /** Ends voting for good, before the votes are handed over. */
+    void freeze() {
+        frozen = true;
+    }
+
+    /** Takes votes over from the previous voter of the seat. */
+    void inherit(List<TransferredVote> transferred, long nowNanos) {
+        for (TransferredVote vote : transferred) {
+            votes.put(
+                    vote.key(),
+                    new Vote(
+                            Optional.of(vote.holder()),
+                            vote.fingerprint(),
+                            Optional.empty(),
+                            nowNanos - vote.ageNanos()));
+        }
+    }
+
+    /** Returns the votes for the heir of this seat, oldest first. */
+    List<TransferredVote> transferable(long nowNanos) {
+        List<TransferredVote> result = new ArrayList<>(votes.size());
+        for (Map.Entry<IdempotencyKey, Vote> entry : votes.entrySet()) {
+            Vote vote = entry.getValue();
+            vote.holder()
+                    .ifPresent(
+                            holder ->
+                                    result.add(
+                                            new TransferredVote(
+                                                    entry.getKey(),
+                                                    holder,
+                                                    vote.fingerprint(),
+                                                    nowNanos - vote.atNanos())));
+        }
+        return result;
+    }
+
+    long memoryStartNanos() {
+        return memoryStartNanos;
+    }
+
+    long lastKeyEpochMillis() {
+        return lastKeyEpochMillis;
+    }
+
+    int size() {
+        return votes.size();
+    }
+
+    @Override
+    public String toString() {
+        return seatVmId + memoryStartNanos + votes + frozen;
+    }
+
+    private VoteResult obstacle(VoteRequest request, Vote vote, KeyClock clock) {
+        if (rules.freshVoterAbstains() && !remembers(request.key(), clock)) {
+            return VoteResult.NOT_REMEMBERED;
+        }
+        boolean stopped = frozen && rules.frozenSeatsAbstain();
+        boolean withdrawn =
+                vote != null && vote.withdrawn().equals(Optional.of(request.requestId()));
+        boolean full = vote == null && votes.size() >= settings.maxVotes();
+        return stopped || withdrawn || full ? VoteResult.ABSTAINED : VoteResult.HELD;
+    }
+
+    private boolean remembers(IdempotencyKey key, KeyClock clock) {
+        long marginNanos = settings.warmUpMillis() * KeyClock.NANOS_PER_MILLI;
+        KeyTime time = clock.timeOf(key, settings);
+        return memoryStartNanos - (time.earliestNanos() - marginNanos) < 0
+                && isOfThisVoter(key, clock);
+    }
+
+    private boolean isOfThisVoter(IdempotencyKey key, KeyClock clock) {
+        if (lastKeyEpochMillis == Long.MAX_VALUE) {
+            return true;
+        }
+        if (key.createdAtEpochMillis().isPresent()) {
+            return key.createdAtEpochMillis().getAsLong() <= lastKeyEpochMillis;
+        }
+        return clock.epochMillis() - settings.opaqueKeyAgeMillis() <= lastKeyEpochMillis;
+    }
+
+    private Vote cast(
+            IdempotencyKey key, RequestId holder, String fingerprint, Vote old, KeyClock clock) {
+        Optional<RequestId> withdrawn = old == null ? Optional.empty() : old.withdrawn();
+        Vote vote = new Vote(Optional.of(holder), fingerprint, withdrawn, clock.nowNanos());
+        votes.remove(key);
+        votes.put(key, vote);
+        return vote;
+    }
+
+    private VoteReply held(VoteRequest request, Vote vote) {
+        return new VoteReply(
+                request.key(),
+                request.requestId(),
+                seatVmId,
+                VoteResult.HELD,
+                vote.holder(),
+                vote.fingerprint());
+    }
+
+    private VoteReply reply(VoteRequest request, VoteResult result) {
+        return new VoteReply(
+                request.key(), request.requestId(), seatVmId, result, Optional.empty(), "");
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/VoterList.java
@@ -0,0 +1,35 @@
+package org.bronzewheel.claim;
+
+import java.util.List;
+import org.bronzewheel.vm.VmList;
+
+/**
+ * The routers of a VM list, as far as claims need them.
+ *
+ * @param revision the revision of the VM list
+ * @param voters its live and leaving routers
+ */
+public record VoterList(long revision, List<Voter> voters) {
+    /**
+     * Takes the routers from a VM list.
+     *
+     * @param list the list
+     * @return its routers
+     */
+    public static VoterList of(VmList list) {
+        return new VoterList(
+                list.revision(),
+                list.routers().stream()
+                        .map(vm -> new Voter(vm.vmId(), vm.failureDomain()))
+                        .toList());
+    }
+
+    /**
+     * Returns how many routers are a majority.
+     *
+     * @return the number, at least 1
+     */
+    int majority() {
+        return voters.size() / 2 + 1;
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/Keys.java
@@ -0,0 +1,18 @@
+package org.bronzewheel.claim;
+
+import org.bronzewheel.request.IdempotencyKey;
+
+/** A maker of keys that are UUIDs of version 7. */
+final class Keys {
+    private Keys() {}
+
+    static IdempotencyKey at(long epochMillis, long number) {
+        String hex = String.format("%012x", epochMillis);
+        return new IdempotencyKey(
+                "w",
+                hex.substring(0, 8)
+                        + "-"
+                        + hex.substring(8)
+                        + String.format("-7000-8000-%012x", number));
+    }
+}
