Relay documents and watch members between routers

One relay machine serves the VM list and the configuration: few readers watch the platform, all others fetch from the neighbour that announced. Both are pure machines behind a small host.

--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/document/DocumentRelay.java
@@ -0,0 +1,200 @@
+package org.bronzewheel.document;
+
+import com.google.common.flogger.FluentLogger;
+import io.reactivex.rxjava3.core.Maybe;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.bronzewheel.machine.MachineHost;
+import org.bronzewheel.machine.Outgoing;
+import org.bronzewheel.service.Service;
+import org.bronzewheel.transport.Peer;
+
+/**
+ * A running relay of one published document: hosts a {@link RelayMachine}, reads the platform and
+ * checks documents for it.
+ *
+ * @param <T> the meaning of the document
+ */
+public final class DocumentRelay<T> implements Service {
+    /** A reader of the platform. */
+    @FunctionalInterface
+    public interface Reader {
+        /**
+         * Reads the document, waiting for one that is newer.
+         *
+         * @param afterRevision the revision already known, 0 for none
+         * @param waitMillis the longest wait, in milliseconds
+         * @return a document with a higher revision, empty where there is none, or an error
+         */
+        Maybe<RevisionedDocument> read(long afterRevision, long waitMillis);
+    }
+
+    /**
+     * The receiver of decisions.
+     *
+     * @param <T> the meaning of the document
+     */
+    public interface Listener<T> {
+        /**
+         * Takes a document that comes into force; must not block.
+         *
+         * @param version its version, with a revision above that of any before
+         * @param value its meaning
+         */
+        void accepted(DocumentVersion version, T value);
+
+        /**
+         * Takes a refusal; must not block.
+         *
+         * @param version the refused version
+         * @param reason why, a line for each violation
+         */
+        void refused(DocumentVersion version, String reason);
+    }
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    // The time that a read may take beyond its wait.
+    private static final long READ_TIMEOUT_MILLIS = 5_000;
+
+    private final RelayMachine machine;
+    private final MachineHost<RelayMessage, RelayEvent> host;
+    private final Reader reader;
+    private final Function<RevisionedDocument, CheckedDocument<T>> checker;
+    private final Listener<T> listener;
+    private final Scheduler scheduler;
+    private final Map<DocumentVersion, T> checkedValues = new ConcurrentHashMap<>();
+    private final CompositeDisposable work = new CompositeDisposable();
+
+    /**
+     * Creates a relay that is not yet started.
+     *
+     * @param sender sends messages to peers; must not block
+     * @param reader reads the platform
+     * @param checker checks a document and tells its meaning; runs on the scheduler
+     * @param listener takes the decisions
+     * @param settings the times and limits
+     * @param scheduler runs ticks and checks
+     * @param nanoClock the monotonic time, in nanoseconds
+     * @param random the source of jitter
+     */
+    public DocumentRelay(
+            Consumer<Outgoing<RelayMessage>> sender,
+            Reader reader,
+            Function<RevisionedDocument, CheckedDocument<T>> checker,
+            Listener<T> listener,
+            RelaySettings settings,
+            Scheduler scheduler,
+            LongSupplier nanoClock,
+            RandomGenerator random) {
+        this.reader = reader;
+        this.checker = checker;
+        this.listener = listener;
+        this.scheduler = scheduler;
+        // Another machine may use the given source at the same time.
+        machine = new RelayMachine(settings, new SplittableRandom(random.nextLong()));
+        host =
+                new MachineHost<>(
+                        machine, sender, this::handle, scheduler, nanoClock, settings.tickMillis());
+    }
+
+    @Override
+    public void start() {
+        host.start();
+    }
+
+    @Override
+    public void stop() {
+        host.stop();
+        work.dispose();
+    }
+
+    /**
+     * Takes a message.
+     *
+     * @param from the sender
+     * @param message the message
+     */
+    public void receive(Peer from, RelayMessage message) {
+        host.receive(from, message);
+    }
+
+    /**
+     * Sets the part of the fleet to work with.
+     *
+     * @param peers the neighbours and the own duty
+     */
+    public void setPeers(RelayPeers peers) {
+        host.apply(nowNanos -> machine.setPeers(peers, nowNanos));
+    }
+
+    private void handle(RelayEvent event) {
+        if (event instanceof RelayEvent.Read read) {
+            read(read);
+        } else if (event instanceof RelayEvent.Check check) {
+            check(check.document());
+        } else if (event instanceof RelayEvent.Accepted accepted) {
+            accept(accepted.version());
+        } else if (event instanceof RelayEvent.Refused refused) {
+            logger.atWarning().log("refused %s: %s", refused.version(), refused.reason());
+            listener.refused(refused.version(), refused.reason());
+        }
+    }
+
+    private void read(RelayEvent.Read read) {
+        long timeoutMillis = read.waitMillis() + READ_TIMEOUT_MILLIS;
+        Maybe.defer(() -> reader.read(read.afterRevision(), read.waitMillis()))
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
+                .subscribe(
+                        document -> completeRead(Optional.of(document)),
+                        this::failRead,
+                        () -> completeRead(Optional.empty()),
+                        work);
+    }
+
+    private void completeRead(Optional<RevisionedDocument> document) {
+        host.apply(nowNanos -> machine.readCompleted(document, nowNanos));
+    }
+
+    private void failRead(Throwable error) {
+        logger.atFine().withCause(error).log("a read of the platform failed");
+        host.apply(machine::readFailed);
+    }
+
+    private void check(RevisionedDocument document) {
+        Single.fromCallable(() -> checker.apply(document))
+                .subscribeOn(scheduler)
+                .subscribe(
+                        checked -> completeCheck(document, checked),
+                        error -> failCheck(document, error),
+                        work);
+    }
+
+    private void completeCheck(RevisionedDocument document, CheckedDocument<T> checked) {
+        checked.value().ifPresent(value -> checkedValues.put(document.version(), value));
+        host.apply(nowNanos -> machine.checked(document, checked.verdict(), nowNanos));
+    }
+
+    private void failCheck(RevisionedDocument document, Throwable error) {
+        logger.atSevere().withCause(error).log("the check of %s failed", document.version());
+        Verdict verdict = new Verdict.Invalid("the check failed: " + error);
+        host.apply(nowNanos -> machine.checked(document, verdict, nowNanos));
+    }
+
+    private void accept(DocumentVersion version) {
+        T value = checkedValues.get(version);
+        checkedValues.keySet().removeIf(known -> known.revision() <= version.revision());
+        logger.atInfo().log("accepted %s", version);
+        listener.accepted(version, value);
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/document/Offers.java
@@ -0,0 +1,60 @@
+package org.bronzewheel.document;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+
+/** The versions that peers have announced and this relay lacks, each with those peers. */
+final class Offers {
+    private static final int MAX_PEERS_PER_VERSION = 16;
+    private static final int MAX_VERSIONS = 16;
+
+    private final TreeMap<DocumentVersion, TreeSet<String>> peersByVersion =
+            new TreeMap<>(
+                    Comparator.comparingLong(DocumentVersion::revision)
+                            .thenComparing(DocumentVersion::digest));
+
+    void add(DocumentVersion version, String vmId) {
+        TreeSet<String> peers = peersByVersion.computeIfAbsent(version, v -> new TreeSet<>());
+        if (peers.size() < MAX_PEERS_PER_VERSION) {
+            peers.add(vmId);
+        }
+        if (peersByVersion.size() > MAX_VERSIONS) {
+            peersByVersion.pollFirstEntry();
+        }
+    }
+
+    void remove(DocumentVersion version) {
+        peersByVersion.remove(version);
+    }
+
+    void remove(DocumentVersion version, String vmId) {
+        TreeSet<String> peers = peersByVersion.get(version);
+        if (peers == null) {
+            return;
+        }
+        peers.remove(vmId);
+        if (peers.isEmpty()) {
+            peersByVersion.remove(version);
+        }
+    }
+
+    void removeUpTo(long revision) {
+        peersByVersion.keySet().removeIf(version -> version.revision() <= revision);
+    }
+
+    /** The newest version on offer. */
+    Optional<DocumentVersion> newest() {
+        return peersByVersion.isEmpty() ? Optional.empty() : Optional.of(peersByVersion.lastKey());
+    }
+
+    /** One of the peers that offer a version. */
+    String pickPeer(DocumentVersion version, RandomGenerator random) {
+        List<String> peers = new ArrayList<>(peersByVersion.get(version));
+        return peers.get(random.nextInt(peers.size()));
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
@@ -0,0 +1,433 @@
+package org.bronzewheel.membership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.bronzewheel.machine.Machine;
+import org.bronzewheel.machine.Outgoing;
+import org.bronzewheel.machine.Step;
+import org.bronzewheel.transport.Peer;
+import org.bronzewheel.vm.Vm;
+import org.bronzewheel.vm.VmList;
+import org.bronzewheel.vm.VmRole;
+import org.bronzewheel.vm.VmState;
+
+/**
+ * A failure detector over a partial view, as a state machine.
+ *
+ * <p>Each router probes a few others and asks further routers to probe a target that does not
+ * acknowledge. Only a target that nobody reaches for several probes becomes a suspect, and it stops
+ * being one when it has heard of the suspicion and refuted it, which shows that both ways to it
+ * work. A router that was paused itself, or that hears nobody, suspects none in public.
+ */
+final class DetectorMachine implements Machine<DetectorMessage, MembershipView> {
+    private static final int HELPERS = 3;
+    private static final long NEWS_INTERVAL_MILLIS = 200;
+    private static final int PAUSE_TICKS = 10;
+
+    private record HelpDuty(String requester, long sequence, String target, long deadlineNanos) {}
+
+    private final MembershipSettings settings;
+    private final RandomGenerator random;
+    private final MemberTable table;
+    private final String selfVmId;
+    private final Map<String, ProbeTarget> targets = new LinkedHashMap<>();
+    private final Map<Long, HelpDuty> duties = new HashMap<>();
+    private final Map<String, Long> lastHeardNanos = new HashMap<>();
+    private VmList list = VmList.EMPTY;
+    private List<Vm> routers = List.of();
+    private RingOverlay overlay = new RingOverlay(List.of(), List.of());
+    private MembershipView view = MembershipView.EMPTY;
+    private long nextSequence = 1;
+    private boolean started;
+    private long startedNanos;
+    private long lastTimeNanos;
+    private long roundStartNanos;
+    private long nextRoundNanos;
+    private long nextSignOfLifeNanos;
+    private long nextNewsNanos;
+    private boolean newsDue;
+    private boolean viewChanged;
+    private boolean viewChangedUrgently;
+    private List<Outgoing<DetectorMessage>> messages = new ArrayList<>();
+
+    DetectorMachine(Peer self, MembershipSettings settings, RandomGenerator random) {
+        this.settings = settings;
+        this.random = random;
+        selfVmId = self.vmId();
+        table = new MemberTable(MemberState.started(self.vmId(), self.incarnation()));
+    }
+
+    MembershipView view() {
+        return view;
+    }
+
+    /** Takes a list; one whose revision is not higher changes nothing. */
+    Step<DetectorMessage, MembershipView> setList(VmList newList, long nowNanos) {
+        observeTime(nowNanos);
+        if (newList.revision() <= list.revision()) {
+            return flush(nowNanos);
+        }
+        list = newList;
+        routers = newList.routers();
+        List<String> others =
+                routers.stream().map(Vm::vmId).filter(id -> !id.equals(selfVmId)).toList();
+        table.setListed(others, nowNanos);
+        lastHeardNanos.keySet().retainAll(others);
+        overlay = RingOverlay.of(selfVm(), routers);
+        targets.keySet().retainAll(overlay.targets());
+        overlay.targets().forEach(id -> targets.computeIfAbsent(id, ProbeTarget::new));
+        MemberState own = table.own();
+        table.setOwn(own.withOwnWord(own.leaving(), list.revision(), own.configurationRevision()));
+        viewChangedUrgently = true;
+        return flush(nowNanos);
+    }
+
+    Step<DetectorMessage, MembershipView> setConfigurationRevision(long revision, long nowNanos) {
+        observeTime(nowNanos);
+        MemberState own = table.own();
+        table.setOwn(own.withOwnWord(own.leaving(), own.listRevision(), revision));
+        viewChanged = true;
+        return flush(nowNanos);
+    }
+
+    /** Tells all routers, not only the neighbours, that this one is leaving. */
+    Step<DetectorMessage, MembershipView> announceLeaving(long nowNanos) {
+        observeTime(nowNanos);
+        MemberState own = table.own();
+        table.setOwn(own.withOwnWord(true, own.listRevision(), own.configurationRevision()));
+        viewChangedUrgently = true;
+        for (Vm router : routers) {
+            if (!router.vmId().equals(selfVmId)) {
+                send(router.vmId(), new DetectorMessage.News(List.of(table.own())));
+            }
+        }
+        return flush(nowNanos);
+    }
+
+    @Override
+    public Step<DetectorMessage, MembershipView> receive(
+            Peer from, DetectorMessage message, long nowNanos) {
+        observeTime(nowNanos);
+        lastHeardNanos.put(from.vmId(), nowNanos);
+        message.states().forEach(state -> merge(state, nowNanos));
+        if (message instanceof DetectorMessage.Probe probe) {
+            send(
+                    from.vmId(),
+                    new DetectorMessage.Ack(probe.sequence(), selfVmId, states(from.vmId())));
+        } else if (message instanceof DetectorMessage.Ack ack) {
+            acknowledge(ack);
+        } else if (message instanceof DetectorMessage.ProbeRequest request) {
+            probeFor(from.vmId(), request, nowNanos);
+        }
+        return flush(nowNanos);
+    }
+
+    @Override
+    public Step<DetectorMessage, MembershipView> tick(long nowNanos) {
+        observeTime(nowNanos);
+        expireDuties(nowNanos);
+        if (nowNanos - nextSignOfLifeNanos >= 0) {
+            giveSignOfLife(nowNanos);
+        }
+        if (nowNanos - nextRoundNanos >= 0) {
+            endRound(nowNanos);
+            beginRound(nowNanos);
+        } else if (nowNanos - roundStartNanos >= nanos(settings.probeTimeoutMillis())) {
+            askForHelp();
+        }
+        if (newsDue && nowNanos - nextNewsNanos >= 0) {
+            sendNews(nowNanos);
+        }
+        if (viewChanged) {
+            viewChanged = false;
+            viewChangedUrgently = true;
+        }
+        return flush(nowNanos);
+    }
+
+    /** Notes the time; a gap since the last one means that this router itself stood still. */
+    private void observeTime(long nowNanos) {
+        if (!started) {
+            started = true;
+            startedNanos = nowNanos;
+            nextRoundNanos = nowNanos + (long) (random.nextDouble() * interval());
+            roundStartNanos = nowNanos;
+            nextSignOfLifeNanos = nowNanos;
+            nextNewsNanos = nowNanos;
+            lastTimeNanos = nowNanos;
+        }
+        long gapNanos = nowNanos - lastTimeNanos;
+        if (gapNanos > PAUSE_TICKS * nanos(settings.tickMillis())) {
+            targets.values().forEach(ProbeTarget::reset);
+            duties.clear();
+            table.forgive(gapNanos);
+            startedNanos = nowNanos;
+        }
+        lastTimeNanos = nowNanos;
+    }
+
+    private void merge(MemberState state, long nowNanos) {
+        if (state.vmId().equals(selfVmId)) {
+            refuteIfSuspected(state);
+            return;
+        }
+        MemberState before = table.merge(state, nowNanos);
+        if (before == null) {
+            return;
+        }
+        MemberState after = table.get(state.vmId());
+        if (after.differsUrgently(before)) {
+            viewChangedUrgently = true;
+            newsDue = true;
+            if (!after.suspect() && targets.containsKey(state.vmId())) {
+                targets.get(state.vmId()).reset();
+            }
+        } else if (after.listRevision() != before.listRevision()
+                || after.configurationRevision() != before.configurationRevision()) {
+            viewChanged = true;
+        }
+    }
+
+    private void refuteIfSuspected(MemberState state) {
+        MemberState own = table.own();
+        boolean current =
+                state.incarnation() == own.incarnation() && state.refutation() >= own.refutation();
+        if (current && state.suspect()) {
+            table.setOwn(own.refuted(state.refutation() + 1));
+            newsDue = true;
+        }
+    }
+
+    private void acknowledge(DetectorMessage.Ack ack) {
+        HelpDuty duty = duties.remove(ack.sequence());
+        if (duty != null) {
+            send(
+                    duty.requester(),
+                    new DetectorMessage.Ack(
+                            duty.sequence(), duty.target(), states(duty.requester())));
+            return;
+        }
+        ProbeTarget target = targets.get(ack.target());
+        if (target != null) {
+            target.acknowledge(ack.sequence());
+        }
+    }
+
+    private void probeFor(String requester, DetectorMessage.ProbeRequest request, long nowNanos) {
+        long sequence = nextSequence++;
+        long deadlineNanos = nowNanos + nanos(settings.probeTimeoutMillis());
+        duties.put(
+                sequence,
+                new HelpDuty(requester, request.sequence(), request.target(), deadlineNanos));
+        send(request.target(), new DetectorMessage.Probe(sequence, states(request.target())));
+    }
+
+    private void expireDuties(long nowNanos) {
+        Iterator<HelpDuty> open = duties.values().iterator();
+        while (open.hasNext()) {
+            HelpDuty duty = open.next();
+            if (nowNanos - duty.deadlineNanos() >= 0) {
+                open.remove();
+                send(
+                        duty.requester(),
+                        new DetectorMessage.ProbeFailed(
+                                duty.sequence(), duty.target(), List.of(table.own())));
+            }
+        }
+    }
+
+    private void giveSignOfLife(long nowNanos) {
+        nextSignOfLifeNanos = nowNanos + nanos(settings.signOfLifeMillis());
+        MemberState own = table.own();
+        table.setOwn(
+                own.withOwnWord(own.leaving(), own.listRevision(), own.configurationRevision()));
+        // Members that have fallen silent show in the view only as time passes.
+        viewChanged = true;
+    }
+
+    private void beginRound(long nowNanos) {
+        roundStartNanos = nowNanos;
+        nextRoundNanos = nowNanos + (long) interval();
+        for (ProbeTarget target : targets.values()) {
+            target.begin(nextSequence++);
+            send(
+                    target.vmId(),
+                    new DetectorMessage.Probe(target.sequence(), states(target.vmId())));
+        }
+    }
+
+    private void endRound(long nowNanos) {
+        for (ProbeTarget target : targets.values()) {
+            boolean missing = target.end(settings.missedProbes(), roundStartNanos, nowNanos);
+            if (missing && heardAnother(target)) {
+                suspect(target, nowNanos);
+            }
+        }
+        if (isIsolated(nowNanos)) {
+            viewChanged = true;
+        }
+    }
+
+    /** A router that hears nobody at all has reason to doubt itself. */
+    private boolean heardAnother(ProbeTarget target) {
+        return lastHeardNanos.entrySet().stream()
+                .anyMatch(
+                        heard ->
+                                !heard.getKey().equals(target.vmId())
+                                        && heard.getValue() - target.missedSinceNanos() > 0);
+    }
+
+    private void suspect(ProbeTarget target, long nowNanos) {
+        MemberState state = table.get(target.vmId());
+        if (state.suspect()) {
+            return;
+        }
+        target.noteSuspected(nowNanos);
+        merge(state.withSuspect(), nowNanos);
+    }
+
+    private void askForHelp() {
+        for (ProbeTarget target : targets.values()) {
+            if (target.needsHelp()) {
+                for (String helper : helpers(target.vmId())) {
+                    send(
+                            helper,
+                            new DetectorMessage.ProbeRequest(
+                                    target.sequence(), target.vmId(), states(helper)));
+                }
+            }
+        }
+    }
+
+    /** Picks reachable routers of different failure domains, that of the target first. */
+    private List<String> helpers(String targetVmId) {
+        List<Vm> candidates = new ArrayList<>();
+        String targetDomain = "";
+        for (Vm router : routers) {
+            if (router.vmId().equals(targetVmId)) {
+                targetDomain = router.failureDomain();
+            } else if (!router.vmId().equals(selfVmId) && !table.get(router.vmId()).suspect()) {
+                candidates.add(router);
+            }
+        }
+        Collections.shuffle(candidates, new Random(random.nextLong()));
+        String first = targetDomain;
+        candidates.sort((a, b) -> rank(a, first) - rank(b, first));
+        Set<String> domains = new HashSet<>();
+        List<String> chosen = new ArrayList<>();
+        candidates.stream()
+                .filter(vm -> domains.add(vm.failureDomain()))
+                .limit(HELPERS)
+                .forEach(vm -> chosen.add(vm.vmId()));
+        candidates.stream()
+                .map(Vm::vmId)
+                .filter(id -> !chosen.contains(id))
+                .limit(HELPERS - (long) chosen.size())
+                .toList()
+                .forEach(chosen::add);
+        return chosen;
+    }
+
+    private static int rank(Vm vm, String firstDomain) {
+        return vm.failureDomain().equals(firstDomain) ? 0 : 1;
+    }
+
+    private void sendNews(long nowNanos) {
+        newsDue = false;
+        nextNewsNanos = nowNanos + nanos(NEWS_INTERVAL_MILLIS);
+        for (String neighbour : overlay.neighbours()) {
+            send(neighbour, new DetectorMessage.News(states(neighbour)));
+        }
+    }
+
+    private boolean isIsolated(long nowNanos) {
+        long lastNanos = startedNanos;
+        for (long heard : lastHeardNanos.values()) {
+            lastNanos = heard - lastNanos > 0 ? heard : lastNanos;
+        }
+        return !targets.isEmpty()
+                && nowNanos - lastNanos > (long) ((settings.missedProbes() + 1) * interval());
+    }
+
+    private MemberHealth health(Vm vm, boolean isolated, long nowNanos) {
+        MemberState state = table.get(vm.vmId());
+        if (vm.state() == VmState.LEAVING || state.leaving()) {
+            return MemberHealth.LEAVING;
+        }
+        if (vm.vmId().equals(selfVmId)) {
+            return MemberHealth.ALIVE;
+        }
+        long silentNanos = nowNanos - table.lastChangeNanos(vm.vmId());
+        boolean suspect = state.suspect() || isolated || silentNanos > staleNanos();
+        return suspect ? MemberHealth.SUSPECT : MemberHealth.ALIVE;
+    }
+
+    private long staleNanos() {
+        return nanos(settings.staleBaseMillis() + settings.stalePerRouterMillis() * routers.size());
+    }
+
+    private MembershipView buildView(long nowNanos) {
+        boolean isolated = isIsolated(nowNanos);
+        List<Member> members = new ArrayList<>(routers.size());
+        for (Vm vm : routers) {
+            MemberState state = table.get(vm.vmId());
+            members.add(
+                    new Member(
+                            vm,
+                            health(vm, isolated, nowNanos),
+                            state.incarnation(),
+                            state.listRevision(),
+                            state.configurationRevision()));
+        }
+        return new MembershipView(list, members);
+    }
+
+    private Vm selfVm() {
+        return list.find(selfVmId)
+                .orElse(new Vm(selfVmId, VmRole.ROUTER, VmState.LIVE, "", "", ""));
+    }
+
+    private List<MemberState> states(String receiver) {
+        return table.select(receiver, settings.statesPerMessage());
+    }
+
+    private void send(String toVmId, DetectorMessage message) {
+        messages.add(new Outgoing<>(toVmId, message));
+    }
+
+    private double interval() {
+        return nanos(settings.probeIntervalMillis());
+    }
+
+    private static long nanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private Step<DetectorMessage, MembershipView> flush(long nowNanos) {
+        List<MembershipView> events = List.of();
+        if (viewChangedUrgently) {
+            viewChangedUrgently = false;
+            MembershipView next = buildView(nowNanos);
+            if (!next.equals(view)) {
+                view = next;
+                events = List.of(next);
+            }
+        }
+        if (messages.isEmpty() && events.isEmpty()) {
+            return Step.none();
+        }
+        Step<DetectorMessage, MembershipView> step = new Step<>(messages, events);
+        messages = new ArrayList<>();
+        return step;
+    }
+}
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/MembershipService.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/MembershipService.java
@@ -21,4 +21,11 @@
 
     /** Tells the peers that this router is leaving; part of a planned stop. */
     void announceLeaving();
+
+    /**
+     * Tells the peers which configuration this router uses; the default does nothing.
+     *
+     * @param revision its revision
+     */
+    default void advertiseConfiguration(long revision) {}
 }
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/MembershipView.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/MembershipView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.bronzewheel.vm.VmList;
+import org.bronzewheel.vm.VmState;
 
 /**
  * The routers and upstream VMs as this router sees them now.
@@ -23,4 +24,19 @@
     public Optional<Member> find(String vmId) {
         return members.stream().filter(m -> m.vm().vmId().equals(vmId)).findFirst();
     }
+
+    /**
+     * Tells whether a VM, router or upstream, may get new work by the newest list.
+     *
+     * @param vmId the VM
+     * @return whether it is live, leaving or not listed; UNKNOWN before the first list
+     */
+    public VmPresence presence(String vmId) {
+        if (list.revision() == 0) {
+            return VmPresence.UNKNOWN;
+        }
+        return list.find(vmId)
+                .map(vm -> vm.state() == VmState.LIVE ? VmPresence.LIVE : VmPresence.LEAVING)
+                .orElse(VmPresence.ABSENT);
+    }
 }
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/RelayDuties.java
@@ -0,0 +1,56 @@
+package org.bronzewheel.membership;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.bronzewheel.document.RelayPeers;
+import org.bronzewheel.vm.Vm;
+
+/** The choice of the readers of published documents and of the neighbours in their relay. */
+public final class RelayDuties {
+    private static final int READERS_PER_FAILURE_DOMAIN = 2;
+    private static final String KEY = "reader";
+
+    private RelayDuties() {}
+
+    /**
+     * Returns the duties of a router.
+     *
+     * @param view the membership as it sees it
+     * @param vmId its VM
+     * @return its neighbours among the reachable routers, and whether it is a reader: one of the
+     *     first two live routers of its failure domain by rendezvous
+     */
+    public static RelayPeers of(MembershipView view, String vmId) {
+        Optional<Member> self = view.find(vmId);
+        List<Vm> reachable =
+                view.members().stream()
+                        .filter(member -> member.health() != MemberHealth.SUSPECT)
+                        .map(Member::vm)
+                        .toList();
+        if (self.isEmpty()) {
+            return ofUnlisted(reachable);
+        }
+        RingOverlay overlay = RingOverlay.of(self.get().vm(), reachable);
+        return new RelayPeers(
+                overlay.neighbours(), isReader(view, self.get()), view.members().size());
+    }
+
+    /** A router that is not listed yet keeps in touch with a few others, and reads by itself. */
+    private static RelayPeers ofUnlisted(List<Vm> reachable) {
+        List<String> some =
+                reachable.stream().map(Vm::vmId).limit(READERS_PER_FAILURE_DOMAIN).toList();
+        return new RelayPeers(some, true, reachable.size() + 1);
+    }
+
+    private static boolean isReader(MembershipView view, Member self) {
+        String domain = self.vm().failureDomain();
+        return view.members().stream()
+                .filter(member -> member.health() == MemberHealth.ALIVE)
+                .map(Member::vm)
+                .filter(vm -> vm.failureDomain().equals(domain))
+                .sorted(Comparator.comparingLong((Vm vm) -> RendezvousHash.score(KEY, vm.vmId())))
+                .limit(READERS_PER_FAILURE_DOMAIN)
+                .anyMatch(vm -> vm.vmId().equals(self.vm().vmId()));
+    }
+}
