Add clients of upstreams and the platform

The clients tell apart what never left from what may have arrived: the permit of an attempt is asked on the open connection immediately before its bytes leave, so that a paused process refuses instead of sending.

--- /dev/null
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/SseDecoder.java
@@ -0,0 +1,50 @@
+package org.bronzewheel.upstream;
+
+import io.vertx.core.buffer.Buffer;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+
+/** An incremental decoder of server-sent events, which reads their data only. */
+final class SseDecoder {
+    private static final String DATA = "data:";
+
+    private final Consumer<String> events;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final StringBuilder data = new StringBuilder();
+
+    SseDecoder(Consumer<String> events) {
+        this.events = events;
+    }
+
+    void decode(Buffer chunk) {
+        for (byte b : chunk.getBytes()) {
+            if (b == '\n') {
+                endLine(line.toString(StandardCharsets.UTF_8));
+                line.reset();
+            } else if (b != '\r') {
+                line.write(b);
+            }
+        }
+    }
+
+    private void endLine(String text) {
+        if (text.isEmpty()) {
+            endEvent();
+        } else if (text.startsWith(DATA)) {
+            if (data.length() > 0) {
+                data.append('\n');
+            }
+            data.append(text.substring(DATA.length()).strip());
+        }
+    }
+
+    private void endEvent() {
+        if (data.length() == 0) {
+            return;
+        }
+        String event = data.toString();
+        data.setLength(0);
+        events.accept(event);
+    }
+}
--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/StageCall.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/StageCall.java
@@ -18,7 +18,7 @@
  * @param priority the priority of the request class, 0 first
  * @param idempotencyKey the key under which an upstream that checks keys runs the call once, empty
  *     for none
- * @param remainingMillis time until the deadline of the request, in milliseconds
+ * @param permit asked immediately before the bytes leave
  * @param input the output of the previous stage, or the caller's input
  * @param headers trace context to pass on
  */
@@ -30,6 +30,6 @@
         String workspace,
         int priority,
         String idempotencyKey,
-        long remainingMillis,
+        SendPermit permit,
         JsonNode input,
         Map<String, String> headers) {}
