--- /dev/null
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RunLedger.java
@@ -0,0 +1,39 @@
+package org.bronzewheel.execution;
+
+import org.bronzewheel.request.Outcome;
+
+/** A record of what of a request has run, from which its outcome follows. */
+final class RunLedger {
+    private boolean stageAnswered;
+    private int open;
+    private boolean failed;
+    private boolean unknown;
+
+    /** An attempt may have left this process from now on. */
+    synchronized void sent() {
+        open++;
+    }
+
+    /** A sent attempt ended. */
+    synchronized void ended(Outcome outcome) {
+        open = Math.max(0, open - 1);
+        failed |= outcome == Outcome.FAILED;
+        unknown |= outcome == Outcome.UNKNOWN;
+    }
+
+    /** A stage has its answer, whatever became of its other attempts. */
+    synchronized void stageAnswered() {
+        stageAnswered = true;
+        open = 0;
+        unknown = false;
+        failed = false;
+    }
+
+    /** Returns the outcome of the request where it ends now without its answer. */
+    synchronized Outcome outcomeWithoutAnswer() {
+        if (open > 0 || unknown) {
+            return Outcome.UNKNOWN;
+        }
+        return stageAnswered || failed ? Outcome.FAILED : Outcome.NOT_RUN;
+    }
+}
--- /dev/null
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/package-info.java
@@ -0,0 +1,2 @@
+/** The way of a request through the stages of its pipeline. */
+package org.bronzewheel.execution;
--- /dev/null
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface for callers and operators. */
+package org.bronzewheel.frontdoor;
--- /dev/null
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Logs, metrics and traces of a router. */
+package org.bronzewheel.telemetry;
