--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptRun.java
@@ -19,6 +19,7 @@
 import org.bronzewheel.upstream.StageCall;
 import org.bronzewheel.upstream.StageClient;
 import org.bronzewheel.upstream.TokenListener;
+import org.bronzewheel.upstream.UpstreamStatusException;
 
 /**
  * One attempt of one stage. Disposing of it supersedes it: it is cancelled at its upstream, and an
@@ -41,6 +42,7 @@
     private boolean sent;
     private boolean ended;
     private boolean superseded;
+    private volatile boolean hedged;
     private Disposable exchange = Disposable.empty();
 
     AttemptRun(
@@ -82,6 +84,11 @@
                 services.tracing().inject(run.trace().with(span)));
     }
 
+    /** Notes that the attempt races with another one. */
+    void markHedged() {
+        hedged = true;
+    }
+
     String upstreamName() {
         return placement.upstream().name();
     }
@@ -120,28 +127,32 @@
     }
 
     /** Checks immediately before the bytes leave that the attempt may still be sent. */
-    private synchronized long permit() {
-        long remainingMillis = run.deadline().remainingMillis();
-        if (superseded) {
-            throw new BronzewheelException(ErrorCode.CANCELLED, "the attempt was given up");
-        }
-        if (remainingMillis < 1) {
-            throw new BronzewheelException(
-                    ErrorCode.DEADLINE_EXCEEDED, "the deadline passed before the call left");
-        }
-        boolean claimLost =
-                !run.stage(stageIndex).idempotent()
-                        && run.claim().isPresent()
-                        && !services.claims().stillGranted(run.claim().get());
-        if (claimLost) {
+    private long permit() {
+        if (claimIsLost()) {
             throw new BronzewheelException(
                     ErrorCode.CLAIM_UNAVAILABLE, "the claim of the key is no longer valid");
         }
-        if (!sent) {
-            sent = true;
-            ledger.sent();
+        synchronized (this) {
+            long remainingMillis = run.deadline().remainingMillis();
+            if (superseded) {
+                throw new BronzewheelException(ErrorCode.CANCELLED, "the attempt was given up");
+            }
+            if (remainingMillis < 1) {
+                throw new BronzewheelException(
+                        ErrorCode.DEADLINE_EXCEEDED, "the deadline passed before the call left");
+            }
+            if (!sent) {
+                sent = true;
+                ledger.sent();
+            }
+            return remainingMillis;
         }
-        return remainingMillis;
+    }
+
+    private boolean claimIsLost() {
+        return !run.stage(stageIndex).idempotent()
+                && run.claim().isPresent()
+                && !services.claims().stillGranted(run.claim().get());
     }
 
     private StageAnswer checkEcho(StageAnswer answer) {
@@ -158,9 +169,11 @@
     private void succeed(SingleEmitter<StageAnswer> emitter, StageAnswer answer) {
         if (!end(Outcome.ANSWERED)) {
             services.metrics().lateAnswer(run.pool(stageIndex).name());
-            book(CostKind.LATE, answer);
+            book(hedged ? CostKind.HEDGE : CostKind.LATE, answer);
             return;
         }
+        placement.end(Outcome.ANSWERED);
+        report(Outcome.ANSWERED);
         book(CostKind.PRIMARY, answer);
         emitter.onSuccess(answer);
     }
@@ -170,6 +183,12 @@
         if (!end(known.outcome())) {
             return;
         }
+        if (blamesWorker(known)) {
+            placement.end(known.outcome());
+        } else {
+            placement.cancel();
+        }
+        report(known.outcome());
         logger.atInfo()
                 .with(LogKeys.REQUEST_ID, run.id().toString())
                 .with(LogKeys.TRACE_ID, span.getSpanContext().getTraceId())
@@ -179,6 +198,17 @@
         emitter.tryOnError(known);
     }
 
+    private static boolean blamesWorker(BronzewheelException error) {
+        if (error instanceof UpstreamStatusException status) {
+            return !status.blamesRequest();
+        }
+        return switch (error.code()) {
+            case UPSTREAM_REFUSED, UPSTREAM_FAILED, UPSTREAM_BROKEN, UPSTREAM_ANSWER_INVALID ->
+                    true;
+            default -> false;
+        };
+    }
+
     /** Books the end; false where the attempt was superseded before. */
     private boolean end(Outcome outcome) {
         boolean wasSent;
@@ -189,15 +219,16 @@
             ended = true;
             wasSent = sent;
         }
-        if (wasSent) {
+        if (!wasSent && outcome != Outcome.NOT_RUN) {
+            ledger.sent();
+        }
+        if (wasSent || outcome != Outcome.NOT_RUN) {
             ledger.ended(outcome);
         }
-        release(outcome, elapsedNanos());
         return true;
     }
 
-    private void release(Outcome outcome, long latencyNanos) {
-        placement.end(outcome, latencyNanos);
+    private void report(Outcome outcome) {
         services.metrics().attemptEnded(run.pool(stageIndex).name(), outcome, elapsedNanos());
         span.setAttribute("bronzewheel.outcome", outcome.name());
         if (outcome != Outcome.ANSWERED) {
@@ -218,7 +249,8 @@
             wasSent = sent;
             subscription = exchange;
         }
-        release(wasSent ? Outcome.UNKNOWN : Outcome.NOT_RUN, Placement.UNKNOWN_LATENCY);
+        placement.cancel();
+        report(wasSent ? Outcome.UNKNOWN : Outcome.NOT_RUN);
         if (!wasSent) {
             subscription.dispose();
             return;
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/Placement.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/Placement.java
@@ -3,18 +3,15 @@
 import org.bronzewheel.inventory.Upstream;
 import org.bronzewheel.request.Outcome;
 
-/** The place of one attempt at a worker. */
+/** The place of one attempt at a worker; only the first call that ends it counts. */
 interface Placement {
-    /** The latency of an attempt that tells nothing of the worker's speed. */
-    long UNKNOWN_LATENCY = -1;
-
     Upstream upstream();
 
+    /** Gives the place back after an answer, or after a failure that the worker is to blame for. */
+    void end(Outcome outcome);
+
     /**
-     * Gives the place back; only the first call counts.
-     *
-     * @param outcome how the attempt ended
-     * @param latencyNanos its latency, or {@link #UNKNOWN_LATENCY}
+     * Gives the place back of an attempt whose end tells nothing of the worker but its slowness.
      */
-    void end(Outcome outcome, long latencyNanos);
+    void cancel();
 }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
@@ -2,14 +2,21 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.reactivex.rxjava3.core.Single;
-import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.bronzewheel.error.BronzewheelException;
 import org.bronzewheel.error.ErrorCode;
+import org.bronzewheel.inventory.PoolKind;
 import org.bronzewheel.request.AttemptId;
+import org.bronzewheel.request.Outcome;
 import org.bronzewheel.upstream.StageAnswer;
 import org.bronzewheel.upstream.TokenListener;
+import org.bronzewheel.upstream.UpstreamStatusException;
 
 /** One stage of a request with all its attempts. */
 final class StageRun {
@@ -22,8 +29,8 @@
     private final int index;
     private final JsonNode input;
     private final long beginNanos;
-    private final Set<String> tried = new HashSet<>();
-    private int attempts;
+    private final Set<String> tried = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger attempts = new AtomicInteger();
 
     StageRun(
             ExecutionServices services,
@@ -66,11 +73,19 @@
     }
 
     private Single<Result> send(Placement placement) {
-        attempts++;
         tried.add(placement.upstream().name());
-        AttemptId attemptId = new AttemptId(run.id(), index, attempts);
-        AttemptRun attempt = new AttemptRun(services, run, ledger, attemptId, placement, input);
-        return attempt.start(textListener()).map(answer -> result(answer, attempt));
+        AttemptRun attempt = newAttempt(placement);
+        Single<Result> first = start(attempt, textListener());
+        return withTimeout(withHedge(first, attempt, placement));
+    }
+
+    private AttemptRun newAttempt(Placement placement) {
+        AttemptId attemptId = new AttemptId(run.id(), index, attempts.incrementAndGet());
+        return new AttemptRun(services, run, ledger, attemptId, placement, input);
+    }
+
+    private Single<Result> start(AttemptRun attempt, TokenListener text) {
+        return attempt.start(text).map(answer -> result(answer, attempt));
     }
 
     private TokenListener textListener() {
@@ -78,13 +93,58 @@
         return last ? new AttemptText(held) : TokenListener.NONE;
     }
 
+    /** Gives an attempt of an idempotent stage up once it took the stage's part of the deadline. */
+    private Single<Result> withTimeout(Single<Result> attempt) {
+        long timeoutNanos = services.workers().attemptTimeoutNanos(run, index);
+        if (!run.stage(index).idempotent() || timeoutNanos >= run.deadline().remainingNanos()) {
+            return attempt;
+        }
+        return attempt.timeout(
+                timeoutNanos,
+                TimeUnit.NANOSECONDS,
+                services.scheduler(),
+                Single.error(StageRun::tooSlow));
+    }
+
+    /** Races an attempt that takes long with a second one; the first answer counts. */
+    private Single<Result> withHedge(
+            Single<Result> first, AttemptRun attempt, Placement placement) {
+        OptionalLong delayNanos = services.workers().hedgeDelayNanos(run, index);
+        if (delayNanos.isEmpty() || generatesStream()) {
+            return first;
+        }
+        AtomicBoolean begun = new AtomicBoolean();
+        Single<Result> hedge =
+                Single.timer(delayNanos.getAsLong(), TimeUnit.NANOSECONDS, services.scheduler())
+                        .flatMap(tick -> hedge(attempt, placement, begun));
+        return Race.firstAnswer(first, new HedgeSide<>(hedge, begun));
+    }
+
+    private Single<Result> hedge(AttemptRun first, Placement placement, AtomicBoolean begun) {
+        Optional<Placement> second =
+                services.workers().hedge(run, index, placement, Set.copyOf(tried));
+        if (second.isEmpty()) {
+            return Single.never();
+        }
+        begun.set(true);
+        AttemptRun attempt = newAttempt(second.get());
+        first.markHedged();
+        attempt.markHedged();
+        return start(attempt, TokenListener.NONE);
+    }
+
+    /** Tells whether a caller reads the text of this stage while it is generated. */
+    private boolean generatesStream() {
+        return run.request().streamed() && run.pool(index).kind() == PoolKind.MODEL_ENGINE;
+    }
+
     private Result result(StageAnswer answer, AttemptRun attempt) {
         long elapsedNanos = services.nanoClock().getAsLong() - beginNanos;
         StageReport report =
                 new StageReport(
                         run.stage(index).name(),
                         attempt.upstreamName(),
-                        attempts,
+                        attempts.get(),
                         TimeUnit.NANOSECONDS.toMillis(elapsedNanos),
                         answer.usage());
         return new Result(answer.output(), report);
@@ -95,13 +155,16 @@
         if (isFinal(known) || !mayRetry(known)) {
             return Single.error(known);
         }
-        long delayMillis = RETRY_DELAY_MILLIS * (attempts - 1);
+        long delayMillis = RETRY_DELAY_MILLIS * (attempts.get() - 1);
         return Single.timer(delayMillis, TimeUnit.MILLISECONDS, services.scheduler())
                 .flatMap(tick -> attempt());
     }
 
-    /** Tells whether the error is not that of an attempt, so that a further one cannot help. */
+    /** Tells whether the error is not that of a worker, so that a further attempt cannot help. */
     private static boolean isFinal(BronzewheelException error) {
+        if (error instanceof UpstreamStatusException status && status.blamesRequest()) {
+            return true;
+        }
         return switch (error.code()) {
             case UPSTREAM_REFUSED, UPSTREAM_FAILED, UPSTREAM_BROKEN, UPSTREAM_ANSWER_INVALID ->
                     false;
@@ -113,6 +176,14 @@
         boolean keyChecked =
                 !run.upstreamKey(index).isEmpty() && error.code() != ErrorCode.UPSTREAM_FAILED;
         boolean repeatable = run.stage(index).idempotent() || keyChecked;
-        return services.retries().tryRetry(error.outcome(), repeatable, attempts, run, index);
+        return services.retries().tryRetry(error.outcome(), repeatable, attempts.get(), run, index);
+    }
+
+    private static BronzewheelException tooSlow() {
+        return new BronzewheelException(
+                ErrorCode.UPSTREAM_BROKEN,
+                Outcome.UNKNOWN,
+                "the attempt took longer than its part of the deadline",
+                null);
     }
 }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/CallerRoutes.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/CallerRoutes.java
@@ -78,7 +78,8 @@
         HttpServerResponse response = context.response();
         PipelineRequest request;
         try {
-            request = parser.parse(context.pathParam("pipeline"), context.request().headers(), body);
+            request =
+                    parser.parse(context.pathParam("pipeline"), context.request().headers(), body);
         } catch (BronzewheelException e) {
             Responses.problem(response, id, e);
             return;
@@ -196,8 +197,7 @@
                                         error -> Responses.problem(context.response(), id, error)));
     }
 
-    private void withId(
-            RoutingContext context, java.util.function.Consumer<RequestId> action) {
+    private void withId(RoutingContext context, java.util.function.Consumer<RequestId> action) {
         Optional<RequestId> id = RequestId.parse(context.pathParam("id"));
         if (id.isEmpty()) {
             Responses.problem(
--- a/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/FrontDoor.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/FrontDoor.java
@@ -65,12 +65,7 @@
         this.host = host;
         this.port = port;
         this.router = Router.router(vertx);
-        new CallerRoutes(
-                        requests,
-                        configurations,
-                        new RequestParser(tracing),
-                        exchanges,
-                        scheduler)
+        new CallerRoutes(requests, configurations, new RequestParser(tracing), exchanges, scheduler)
                 .addTo(router);
         new OperatorRoutes(ready, status, metrics).addTo(router);
         router.route().failureHandler(context -> fail(requests, context));
--- a/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/OperatorRoutes.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/OperatorRoutes.java
@@ -29,7 +29,9 @@
                         c -> {
                             boolean now = ready.getAsBoolean();
                             Responses.json(
-                                    c.response(), now ? OK : UNAVAILABLE, "{\"ready\":" + now + "}");
+                                    c.response(),
+                                    now ? OK : UNAVAILABLE,
+                                    "{\"ready\":" + now + "}");
                         });
         router.get("/metrics")
                 .handler(
--- a/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/RequestParser.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/RequestParser.java
@@ -66,7 +66,9 @@
         }
         if (values.size() > 1 || !IdempotencyKey.isValid(values.get(0))) {
             throw malformed(
-                    "header " + IDEMPOTENCY_KEY + " takes one value of 1 to 128 printable characters");
+                    "header "
+                            + IDEMPOTENCY_KEY
+                            + " takes one value of 1 to 128 printable characters");
         }
         return values.get(0);
     }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/RouterMetrics.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/RouterMetrics.java
@@ -176,9 +176,9 @@
      */
     public void cost(String pipeline, String stage, String kind, Usage usage) {
         String[] tags = {PIPELINE, pipeline, STAGE, stage, KIND, kind};
-        registry.counter(COST_WORKER, tags).increment(usage.workerMillis());
+        registry.counter(COST_WORKER, tags).increment((double) usage.workerMillis());
         registry.counter(COST_TOKENS, tags)
-                .increment(usage.promptTokens() + usage.completionTokens());
+                .increment((double) (usage.promptTokens() + usage.completionTokens()));
     }
 
     private void counter(String name, String... tags) {
--- a/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/Tracing.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/Tracing.java
@@ -15,14 +15,14 @@
 import io.opentelemetry.sdk.trace.SpanProcessor;
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.UnaryOperator;
 import org.bronzewheel.service.Service;
 
 /** A source of spans that takes over and hands on the W3C trace context. */
 public final class Tracing implements Service {
-    private static final TextMapGetter<UnaryOperator<String>> GETTER = new HeaderGetter();
+    private static final TextMapGetter<UnaryOperator<String>> GETTER =
+            (headers, name) -> headers == null ? null : headers.apply(name);
 
     private final SdkTracerProvider provider;
     private final Tracer tracer;
@@ -112,17 +112,4 @@
         W3CTraceContextPropagator.getInstance().inject(context, headers, Map::put);
         return headers;
     }
-
-    /** Reads headers through a function. */
-    private static final class HeaderGetter implements TextMapGetter<UnaryOperator<String>> {
-        @Override
-        public Iterable<String> keys(UnaryOperator<String> headers) {
-            return List.of();
-        }
-
-        @Override
-        public String get(UnaryOperator<String> headers, String name) {
-            return headers == null ? null : headers.apply(name);
-        }
-    }
 }
--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/Failures.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/Failures.java
@@ -42,11 +42,12 @@
         String message = "upstream " + call.upstream().name() + " answered status " + status;
         if (status == REFUSED_STATUS) {
             Outcome outcome = call.pool().refusalProvesNotRun() ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-            return new BronzewheelException(ErrorCode.UPSTREAM_REFUSED, outcome, message, null);
+            return new UpstreamStatusException(
+                    ErrorCode.UPSTREAM_REFUSED, outcome, message, status);
         }
         if (status >= FIRST_ERROR_STATUS) {
-            return new BronzewheelException(
-                    ErrorCode.UPSTREAM_FAILED, Outcome.FAILED, message, null);
+            return new UpstreamStatusException(
+                    ErrorCode.UPSTREAM_FAILED, Outcome.FAILED, message, status);
         }
         return invalid(call, "status " + status, null);
     }
