--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
@@ -78,13 +78,25 @@
      * @return the id of the request to read, or an error with outcome NOT_RUN
      */
     public Single<RequestId> submit(RequestId id, PipelineRequest request) {
-        return Single.defer(
-                () -> {
-                    if (!gate.tryEnter()) {
-                        return Single.error(draining());
-                    }
-                    return Single.defer(() -> admit(id, request)).doOnError(e -> gate.exit());
-                });
+        return Single.<RequestId>defer(
+                        () -> {
+                            if (!gate.tryEnter()) {
+                                return Single.error(draining());
+                            }
+                            return Single.defer(() -> admit(id, request))
+                                    .doOnError(e -> gate.exit());
+                        })
+                .doOnError(error -> countRefusal(request, error));
+    }
+
+    private void countRefusal(PipelineRequest request, Throwable error) {
+        boolean known =
+                configurations
+                        .current()
+                        .flatMap(c -> c.rules().requestClass(request.requestClass()))
+                        .isPresent();
+        services.metrics()
+                .requestRefused(known ? request.requestClass() : "", Bodies.known(error).code());
     }
 
     private Single<RequestId> admit(RequestId id, PipelineRequest request) {
@@ -123,11 +135,12 @@
         HeldRequest held = table.open(run.id());
         new RequestRun(services, answers, run, held, span)
                 .start()
-                .subscribe(
+                .doOnComplete(
                         () -> {
                             table.close(held);
                             gate.exit();
-                        });
+                        })
+                .subscribe();
         return run.id();
     }
 
--- a/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/CallerRoutes.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/CallerRoutes.java
@@ -2,15 +2,18 @@
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.bronzewheel.answer.StoredAnswer;
 import org.bronzewheel.configuration.Configuration;
 import org.bronzewheel.error.BronzewheelException;
@@ -97,10 +100,10 @@
                                 error -> Responses.problem(response, id, error)));
     }
 
-    private io.reactivex.rxjava3.disposables.Disposable answer(
+    private Disposable answer(
             HttpServerResponse response, RequestId own, RequestId holder, PipelineRequest request) {
         if (request.streamed()) {
-            return write(response, holder, 0);
+            return follow(holder, 0, new EventStream(response)).subscribe();
         }
         Flowable<ReadResult> results = requests.follow(holder, ReadResult.NO_TOKENS);
         if (!own.equals(holder)) {
@@ -128,27 +131,20 @@
                         .flatMap(tick -> Flowable.error(deadlineExceeded())));
     }
 
-    private io.reactivex.rxjava3.disposables.Disposable write(
-            HttpServerResponse response, RequestId id, long offset) {
-        EventStream stream = new EventStream(response);
-        stream.open(id);
-        return requests.follow(id, offset)
-                .concatMapCompletable(stream::write, 1)
-                .subscribe(stream::end, error -> stream.fail(Bodies.problem(id, error)));
-    }
-
     private void show(RoutingContext context) {
         withId(
                 context,
                 id ->
                         requests.read(id, ReadResult.NO_TOKENS, 0)
                                 .subscribe(
-                                        result ->
-                                                Responses.json(
-                                                        context.response(), OK, state(id, result)),
+                                        result -> endWithState(context, id, result),
                                         error -> Responses.problem(context.response(), id, error)));
     }
 
+    private static void endWithState(RoutingContext context, RequestId id, ReadResult result) {
+        Responses.json(context.response(), OK, state(id, result));
+    }
+
     private static String state(RequestId id, ReadResult result) {
         ObjectNode body = MAPPER.createObjectNode().put("requestId", id.toString());
         if (!result.ended()) {
@@ -165,20 +161,23 @@
     private void stream(RoutingContext context) {
         exchanges.enter();
         context.addEndHandler(end -> exchanges.exit());
-        withId(
-                context,
-                id -> {
-                    long offset = offset(context);
-                    HttpServerResponse response = context.response();
-                    CompositeDisposable reading = new CompositeDisposable();
-                    response.closeHandler(closed -> reading.dispose());
-                    // A first read tells an unknown request before the stream is opened.
-                    reading.add(
-                            requests.read(id, ReadResult.NO_TOKENS, 0)
-                                    .subscribe(
-                                            known -> reading.add(write(response, id, offset)),
-                                            error -> Responses.problem(response, id, error)));
-                });
+        withId(context, id -> stream(context.response(), id, offset(context)));
+    }
+
+    /** Opens the stream once a first read has told that the request is known. */
+    private Disposable stream(HttpServerResponse response, RequestId id, long offset) {
+        return requests.read(id, ReadResult.NO_TOKENS, 0)
+                .flatMapCompletable(known -> follow(id, offset, new EventStream(response)))
+                .subscribe(() -> {}, error -> Responses.problem(response, id, error));
+    }
+
+    private Completable follow(RequestId id, long offset, EventStream stream) {
+        stream.open(id);
+        return requests.follow(id, offset)
+                .concatMapCompletable(stream::write, 1)
+                .doOnComplete(stream::end)
+                .doOnError(error -> stream.fail(Bodies.problem(id, error)))
+                .onErrorComplete();
     }
 
     private void cancel(RoutingContext context) {
@@ -187,17 +186,17 @@
                 id ->
                         requests.cancel(id)
                                 .subscribe(
-                                        running ->
-                                                Responses.json(
-                                                        context.response(),
-                                                        running ? ACCEPTED : OK,
-                                                        MAPPER.createObjectNode()
-                                                                .put("cancelled", running)
-                                                                .toString()),
+                                        running -> endWithCancellation(context, running),
                                         error -> Responses.problem(context.response(), id, error)));
     }
 
-    private void withId(RoutingContext context, java.util.function.Consumer<RequestId> action) {
+    private static void endWithCancellation(RoutingContext context, boolean running) {
+        String body = MAPPER.createObjectNode().put("cancelled", running).toString();
+        Responses.json(context.response(), running ? ACCEPTED : OK, body);
+    }
+
+    /** Acts on the request that the path names; its work ends where the caller goes. */
+    private void withId(RoutingContext context, Function<RequestId, Disposable> action) {
         Optional<RequestId> id = RequestId.parse(context.pathParam("id"));
         if (id.isEmpty()) {
             Responses.problem(
@@ -208,7 +207,8 @@
             return;
         }
         try {
-            action.accept(id.get());
+            Disposable work = action.apply(id.get());
+            context.response().closeHandler(closed -> work.dispose());
         } catch (BronzewheelException e) {
             Responses.problem(context.response(), id.get(), e);
         }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/LoadPoller.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/LoadPoller.java
@@ -106,8 +106,7 @@
                                         report.sequence(),
                                         askedNanos))
                 // Without a report the policies go by the own calls.
-                .subscribe(
-                        report -> execution.onLoadReport(target.pool(), report), error -> {});
+                .subscribe(report -> execution.onLoadReport(target.pool(), report), error -> {});
     }
 
     private void readCacheEvents(Target target) {
@@ -117,7 +116,10 @@
             after = lastCacheEvent.getOrDefault(name, 0L);
         }
         client.readCacheEvents(target.upstream(), after)
-                .subscribe(events -> take(target, events), error -> {});
+                .doOnSuccess(events -> take(target, events))
+                .ignoreElement()
+                .onErrorComplete()
+                .subscribe();
     }
 
     private void take(Target target, CacheEvents events) {
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterFlags.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterFlags.java
@@ -12,6 +12,7 @@
 final class RouterFlags {
     private static final int MAX_PORT = 65_535;
     private static final long MAX_MILLIS = 3_600_000;
+    private static final long MAX_KEY_AGE_MILLIS = 600_000;
     private static final int MAX_COUNT = 1_000_000;
     private static final Pattern VM_ID = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
     private static final Pattern IP_NUMBER =
@@ -80,6 +81,13 @@
             description = "memory for answers kept for repeated sends, megabytes")
     int answerMegabytes = 16;
 
+    @Parameter(
+            names = "--opaque-key-age-millis",
+            description =
+                    "oldest age in milliseconds of a key that is no UUID of version 7; a router"
+                            + " that started later does not vote for such keys")
+    long opaqueKeyAgeMillis = 600_000;
+
     @Parameter(names = "--event-loops", description = "threads that serve connections")
     int eventLoops = 2;
 
@@ -113,6 +121,7 @@
         range("--connect-timeout-millis", connectTimeoutMillis, 1, MAX_MILLIS);
         range("--max-answer-bytes", maxAnswerBytes, 1, 1 << 30);
         range("--answer-megabytes", answerMegabytes, 1, 1 << 20);
+        range("--opaque-key-age-millis", opaqueKeyAgeMillis, 0, MAX_KEY_AGE_MILLIS);
         range("--event-loops", eventLoops, 1, 1 << 10);
         String level = logLevel.toUpperCase(Locale.ROOT);
         require("--log-level", logLevel, LEVELS.contains(level), "one of " + LEVELS);
@@ -132,6 +141,7 @@
                 connectTimeoutMillis,
                 maxAnswerBytes,
                 answerMegabytes,
+                opaqueKeyAgeMillis,
                 eventLoops,
                 otlpEndpoint,
                 Level.parse(level));
@@ -152,8 +162,7 @@
     private static void require(String flag, String value, boolean holds, String expected) {
         if (!holds) {
             throw new BronzewheelException(
-                    ErrorCode.INVALID_SETTING,
-                    flag + " is '" + value + "', expected " + expected);
+                    ErrorCode.INVALID_SETTING, flag + " is '" + value + "', expected " + expected);
         }
     }
 }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterSettings.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterSettings.java
@@ -22,6 +22,8 @@
  * @param connectTimeoutMillis the longest wait for a connection to an upstream, in milliseconds
  * @param maxAnswerBytes the largest answer of an upstream, in bytes
  * @param answerMegabytes memory for answers that are kept for repeated sends, in megabytes
+ * @param opaqueKeyAgeMillis how old a key without its own time may be, in milliseconds; a router
+ *     that started later does not vote for such keys
  * @param eventLoops threads that serve connections
  * @param otlpEndpoint the URL that takes spans by OTLP over HTTP, empty for none
  * @param logLevel the least level that is logged
@@ -42,6 +44,7 @@
         int connectTimeoutMillis,
         int maxAnswerBytes,
         int answerMegabytes,
+        long opaqueKeyAgeMillis,
         int eventLoops,
         String otlpEndpoint,
         Level logLevel) {
@@ -99,6 +102,7 @@
                 connectTimeoutMillis,
                 maxAnswerBytes,
                 answerMegabytes,
+                opaqueKeyAgeMillis,
                 eventLoops,
                 otlpEndpoint,
                 logLevel);
--- a/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/RouterMetrics.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/RouterMetrics.java
@@ -8,6 +8,8 @@
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.bronzewheel.error.ErrorCode;
@@ -19,6 +21,9 @@
     /** Requests that ended, by request class, pipeline, outcome and code. */
     public static final String REQUESTS = "bronzewheel.requests";
 
+    /** Requests that were refused before they ran, by request class and code. */
+    public static final String REFUSALS = "bronzewheel.requests.refused";
+
     /** Time from arrival to the end, by request class and outcome. */
     public static final String REQUEST_DURATION = "bronzewheel.request.duration";
 
@@ -63,6 +68,7 @@
     private static final String STAGE = "stage";
     private static final String OUTCOME = "outcome";
     private static final String POOL = "pool";
+    private static final String CODE = "code";
     private static final String KIND = "kind";
 
     private final PrometheusMeterRegistry registry =
@@ -120,7 +126,7 @@
                 pipeline,
                 OUTCOME,
                 outcome.name(),
-                "code",
+                CODE,
                 code == null ? "" : code.name());
         Timer.builder(REQUEST_DURATION)
                 .tags(CLASS, requestClass, OUTCOME, outcome.name())
@@ -132,6 +138,38 @@
         }
     }
 
+    /**
+     * Books a request that was refused before it ran.
+     *
+     * @param requestClass its request class, empty where it is not known
+     * @param code the reason
+     */
+    public void requestRefused(String requestClass, ErrorCode code) {
+        counter(REFUSALS, CLASS, requestClass, CODE, code.name());
+    }
+
+    /**
+     * Returns how requests ended, refused ones included.
+     *
+     * @return counts by outcome, by request class
+     */
+    public Map<String, Map<String, Long>> outcomes() {
+        Map<String, Map<String, Long>> outcomes = new TreeMap<>();
+        for (Counter counter : registry.find(REQUESTS).counters()) {
+            add(outcomes, counter, counter.getId().getTag(OUTCOME));
+        }
+        for (Counter counter : registry.find(REFUSALS).counters()) {
+            add(outcomes, counter, Outcome.NOT_RUN.name());
+        }
+        return outcomes;
+    }
+
+    private static void add(
+            Map<String, Map<String, Long>> outcomes, Counter counter, String outcome) {
+        outcomes.computeIfAbsent(counter.getId().getTag(CLASS), name -> new TreeMap<>())
+                .merge(outcome, (long) counter.count(), Long::sum);
+    }
+
     /**
      * Books the end of an attempt.
      *
