--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/Fleet.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/Fleet.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import org.bronzewheel.answer.AnswerService;
 import org.bronzewheel.answer.AnswerSettings;
@@ -12,10 +13,14 @@
 import org.bronzewheel.claim.ClaimService;
 import org.bronzewheel.claim.ClaimSettings;
 import org.bronzewheel.claim.PeerClaimService;
+import org.bronzewheel.document.RelaySettings;
 import org.bronzewheel.error.BronzewheelException;
 import org.bronzewheel.error.ErrorCode;
 import org.bronzewheel.membership.MembershipService;
+import org.bronzewheel.membership.MembershipSettings;
+import org.bronzewheel.membership.PeerMembershipService;
 import org.bronzewheel.relay.ConfigurationService;
+import org.bronzewheel.relay.RelayedConfigurationService;
 import org.bronzewheel.service.Service;
 import org.bronzewheel.transport.NettyPeerTransport;
 import org.bronzewheel.transport.Peer;
@@ -46,8 +51,24 @@
                         new InetSocketAddress(settings.host(), settings.peerPort()),
                         this::addressOf,
                         TransportSettings.DEFAULT);
-        this.membership = new DirectMembershipService(platform::readVmList);
-        this.configurations = new DirectConfigurationService(platform::readConfiguration);
+        SplittableRandom random = new SplittableRandom(self.incarnation());
+        this.membership =
+                new PeerMembershipService(
+                        transport,
+                        platform::readVmList,
+                        MembershipSettings.DEFAULT,
+                        scheduler,
+                        nanoClock,
+                        random.split());
+        this.configurations =
+                new RelayedConfigurationService(
+                        transport,
+                        membership,
+                        platform::readConfiguration,
+                        RelaySettings.DEFAULT,
+                        scheduler,
+                        nanoClock,
+                        random.split());
         this.claims =
                 new PeerClaimService(
                         transport,
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/LoadPoller.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/LoadPoller.java
@@ -106,7 +106,10 @@
                                         report.sequence(),
                                         askedNanos))
                 // Without a report the policies go by the own calls.
-                .subscribe(report -> execution.onLoadReport(target.pool(), report), error -> {});
+                .doOnSuccess(report -> execution.onLoadReport(target.pool(), report))
+                .ignoreElement()
+                .onErrorComplete()
+                .subscribe();
     }
 
     private void readCacheEvents(Target target) {
