--- /dev/null
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command. */
+package org.bronzewheel.ctl;
--- /dev/null
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/judge/package-info.java
@@ -0,0 +1,2 @@
+/** The comparison of what callers got with what upstreams ran. */
+package org.bronzewheel.judge;
