Send to an evenly covering part of a large pool

Cause: before 600 workers, 390 routers searched for room on reports a second old and all found the same few workers. Now a router sends to about 10 workers of a large pool, so that 6 or so routers share a worker and each knows a good part of its load.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
@@ -69,7 +69,7 @@
                         pool.concurrencyPerUpstream(), router.routers(), settings.routing());
         this.queue = new AdmissionQueue<>(settings.maxQueuedPerClass(), router::weightOf);
         pool.upstreams().forEach(u -> workers.add(u, false, nowNanos));
-        setRouters(router.routers(), nowNanos);
+        setRouters(router.routers(), router.position(), nowNanos);
     }
 
     /**
@@ -247,8 +247,8 @@
         workers.onCancelled(call, slowness(request, call, nowNanos), nowNanos);
     }
 
-    void setRouters(int routers, long nowNanos) {
-        workers.setRouters(routers);
+    void setRouters(int routers, int position, long nowNanos) {
+        workers.setRouters(routers, position);
         if (callsPerSecondLimit == 0) {
             return;
         }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/RouterPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/RouterPolicy.java
@@ -45,6 +45,7 @@
     private final Map<String, PoolPolicy<T>> pools = new HashMap<>();
     private final Map<String, Workspace> workspaces = new HashMap<>();
     private int routers;
+    private int position;
 
     /**
      * Creates the policies with the usual rules.
@@ -99,12 +100,25 @@
      * the last number known before, so that both sides together keep the limits.
      *
      * @param count the number, at least 1
+     * @param newPosition the position of this router in the order of all by name, from 0; it
+     *     decides which part of a large pool this router sends to
      * @param nowNanos the present time
      */
-    public void setRouters(int count, long nowNanos) {
+    public void setRouters(int count, int newPosition, long nowNanos) {
         routers = count;
+        position = newPosition;
         limits.setRouters(count, nowNanos);
-        pools.values().forEach(p -> p.setRouters(count, nowNanos));
+        pools.values().forEach(p -> p.setRouters(count, newPosition, nowNanos));
+    }
+
+    /**
+     * Sets the number of routers where the position of this one is unknown.
+     *
+     * @param count the number, at least 1
+     * @param nowNanos the present time
+     */
+    public void setRouters(int count, long nowNanos) {
+        setRouters(count, position, nowNanos);
     }
 
     /**
@@ -220,6 +234,10 @@
         return routers;
     }
 
+    int position() {
+        return position;
+    }
+
     int weightOf(String workspace) {
         Workspace known = workspaces.get(workspace);
         return known == null ? 1 : known.weight();
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/RoutingSettings.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/RoutingSettings.java
@@ -11,6 +11,7 @@
  * @param ejectionNanos the first ejection time; it doubles with each failed probe
  * @param maxEjectionNanos the longest ejection time
  * @param prefixBonus the load, relative to the concurrency, that a cached prefix outweighs
+ * @param subsetSize workers that one router sends to in a pool of twice as many or more
  * @param localityBonus the load, relative to the concurrency, that the own failure domain outweighs
  */
 public record RoutingSettings(
@@ -21,6 +22,7 @@
         int maxEjectedPercent,
         long ejectionNanos,
         long maxEjectionNanos,
+        int subsetSize,
         double prefixBonus,
         double localityBonus) {
     private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -39,6 +41,7 @@
                 50,
                 1_000 * NANOS_PER_MILLI,
                 4_000 * NANOS_PER_MILLI,
+                10,
                 0.25,
                 0.02);
     }
@@ -58,6 +61,7 @@
                 value,
                 ejectionNanos,
                 maxEjectionNanos,
+                subsetSize,
                 prefixBonus,
                 localityBonus);
     }
@@ -77,6 +81,7 @@
                 maxEjectedPercent,
                 ejectionNanos,
                 maxEjectionNanos,
+                subsetSize,
                 prefixBonus,
                 localityBonus);
     }
@@ -96,6 +101,7 @@
                 maxEjectedPercent,
                 ejectionNanos,
                 maxEjectionNanos,
+                subsetSize,
                 prefixBonus,
                 value);
     }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/Worker.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/Worker.java
@@ -20,6 +20,7 @@
     double slowness = 1;
     int badCallsInRow;
     boolean leaving;
+    boolean selected;
     boolean ejected;
     boolean probing;
     long ejectedUntilNanos;
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -1,10 +1,11 @@
 package org.bronzewheel.routing;
 
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bronzewheel.inventory.Upstream;
 import org.bronzewheel.request.Outcome;
@@ -22,11 +23,13 @@
 
     private final int concurrencyPerUpstream;
     private final RoutingSettings settings;
-    private final Map<String, Worker> workers = new HashMap<>();
+    private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final List<Worker> active = new ArrayList<>();
     private final List<Worker> ejected = new ArrayList<>();
     private final PrefixTable prefixes = new PrefixTable();
     private int routers;
+    private int routerPosition;
+    private boolean selectionDue;
     private int ownInFlight;
     private int ownAtActive;
 
@@ -44,12 +47,16 @@
     }
 
     /**
-     * Sets the number of routers that share the pool.
+     * Sets the routers that share the pool. In a large pool, the position decides which part of the
+     * pool this router sends to; routers at different positions cover the pool evenly.
      *
-     * @param count the number, at least 1
+     * @param count the number of routers, at least 1
+     * @param position the position of this router in the order of all, from 0
      */
-    public void setRouters(int count) {
+    public void setRouters(int count, int position) {
+        selectionDue |= count != routers || position != routerPosition;
         routers = count;
+        routerPosition = position;
     }
 
     /**
@@ -69,7 +76,7 @@
         long rampFrom = slowStart ? nowNanos : nowNanos - settings.slowStartNanos();
         Worker worker = new Worker(upstream, rampFrom);
         workers.put(upstream.name(), worker);
-        activate(worker);
+        selectionDue = true;
     }
 
     /**
@@ -83,6 +90,7 @@
             return;
         }
         ownInFlight -= worker.ownInFlight;
+        selectionDue = true;
         detach(worker);
     }
 
@@ -100,7 +108,7 @@
         worker.leaving = leaving;
         detach(worker);
         worker.ejected = false;
-        if (!leaving) {
+        if (!leaving && worker.selected) {
             activate(worker);
         }
     }
@@ -146,6 +154,7 @@
      * @return the worker, or empty where none has room
      */
     public Optional<Upstream> choose(ChoiceContext context, long nowNanos, RandomGenerator random) {
+        select();
         if (context.mayProbe()) {
             Worker due = dueForProbe(context, nowNanos);
             if (due != null) {
@@ -247,11 +256,12 @@
     }
 
     /**
-     * Returns the workers that are not leaving, ejected ones included.
+     * Returns the workers that this router sends to, ejected ones included.
      *
      * @return the workers in no particular order
      */
     public List<Upstream> members() {
+        select();
         List<Upstream> members = new ArrayList<>(active.size() + ejected.size());
         active.forEach(w -> members.add(w.upstream));
         ejected.forEach(w -> members.add(w.upstream));
@@ -268,7 +278,7 @@
      */
     public boolean hasRoom(String upstream, ChoiceContext context, long nowNanos) {
         Worker worker = workers.get(upstream);
-        return worker != null && !worker.leaving && hasRoom(worker, context, nowNanos);
+        return worker != null && worker.position >= 0 && hasRoom(worker, context, nowNanos);
     }
 
     /**
@@ -292,11 +302,12 @@
     }
 
     /**
-     * Returns the number of workers that get work.
+     * Returns the number of workers that get work of this router.
      *
-     * @return workers neither leaving nor ejected
+     * @return workers of its part of the pool that are neither leaving nor ejected
      */
     public int activeCount() {
+        select();
         return active.size();
     }
 
@@ -360,7 +371,33 @@
 
     /** Estimates the calls of other routers at one worker, as if each sent as much as this one. */
     private double usualOthers() {
-        return (routers - 1) * (double) ownAtActive / Math.max(1, active.size());
+        double sharers = (double) routers / Subset.parts(workers.size(), settings.subsetSize());
+        return Math.max(0, sharers - 1) * ownAtActive / Math.max(1, active.size());
+    }
+
+    /** Selects the part of the pool that this router sends to, where the lists changed. */
+    private void select() {
+        if (!selectionDue) {
+            return;
+        }
+        selectionDue = false;
+        List<Upstream> pool = workers.values().stream().map(w -> w.upstream).toList();
+        Set<String> names = Subset.of(pool, routerPosition, settings.subsetSize());
+        for (Worker worker : workers.values()) {
+            select(worker, names.contains(worker.upstream.name()));
+        }
+    }
+
+    private void select(Worker worker, boolean selected) {
+        if (worker.selected == selected) {
+            return;
+        }
+        worker.selected = selected;
+        detach(worker);
+        worker.ejected = false;
+        if (selected && !worker.leaving) {
+            activate(worker);
+        }
     }
 
     private void addOwn(Worker worker, int change, long nowNanos) {
@@ -378,7 +415,7 @@
     private Worker holderOf(ChoiceContext context, long nowNanos) {
         String name = prefixes.holder(context.prefixHash());
         Worker holder = name == null ? null : workers.get(name);
-        if (holder == null || holder.leaving || holder.ejected) {
+        if (holder == null || !isActive(holder)) {
             return null;
         }
         return hasRoom(holder, context, nowNanos) ? holder : null;
@@ -400,7 +437,7 @@
             return;
         }
         worker.badCallsInRow = bad ? worker.badCallsInRow + 1 : 0;
-        if (worker.badCallsInRow >= settings.ejectAfterBadCalls() && !worker.leaving) {
+        if (worker.badCallsInRow >= settings.ejectAfterBadCalls() && isActive(worker)) {
             eject(worker, nowNanos);
         }
     }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/HerdExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/HerdExperiment.java
@@ -1,30 +1,44 @@
 package org.bronzewheel.measure;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import org.bronzewheel.budget.ObservedStageBudgets;
 import org.bronzewheel.inventory.Pool;
 import org.bronzewheel.inventory.PoolKind;
 import org.bronzewheel.inventory.Upstream;
 import org.bronzewheel.policy.ChoiceRule;
+import org.bronzewheel.policy.Dispatch;
+import org.bronzewheel.policy.PolicySettings;
+import org.bronzewheel.policy.Poll;
+import org.bronzewheel.policy.PoolPolicy;
+import org.bronzewheel.policy.RouterPolicy;
+import org.bronzewheel.policy.StageRequest;
 import org.bronzewheel.request.Outcome;
 import org.bronzewheel.routing.ChoiceContext;
 import org.bronzewheel.routing.LoadReport;
-import org.bronzewheel.routing.OpenCall;
-import org.bronzewheel.routing.RoutingSettings;
 import org.bronzewheel.routing.WorkerTable;
+import org.bronzewheel.rules.Pipeline;
+import org.bronzewheel.rules.RequestClass;
+import org.bronzewheel.rules.Stage;
 
 /** An experiment on how 390 routers spread calls over 600 workers on stale reports. */
 final class HerdExperiment {
     private static final int ROUTERS = 390;
     private static final int WORKERS = 600;
     private static final int CONCURRENCY = 8;
+    private static final double WIDE_HEADROOM = 4;
+    private static final long DEADLINE_NANOS = 20_000_000_000L;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final Pipeline PIPELINE =
+            new Pipeline("answer", List.of(new Stage("engine", "engine", true, "", "", 0)));
+    private static final RequestClass CLASS = new RequestClass("standard", 1, 20_000, 0, 0);
     private static final double LOAD = 0.8;
     private static final double SERVICE_MILLIS = 600;
     private static final long REPORT_INTERVAL_NANOS = 1_000_000_000L;
@@ -36,49 +50,64 @@
 
     private final EventLoop loop = new EventLoop();
     private final SplittableRandom random;
-    private final ChoiceRule rule;
-    private final List<WorkerTable> routers = new ArrayList<>();
+    private final List<PoolPolicy<Integer>> routers = new ArrayList<>();
     private final Map<String, FakeWorker> workers = new LinkedHashMap<>();
     private long nextSequence;
     private double maxLoad;
     private double sumOfLoads;
     private double sumOfMaxToMean;
+    private final Set<Integer> pollPending = new HashSet<>();
+    private long refused;
+    private long sent;
+    private double waitedNanos;
     private long waiting;
     private int samples;
 
-    private HerdExperiment(ChoiceRule rule, long seed) {
-        this.rule = rule;
+    private HerdExperiment(PolicySettings settings, ChoiceRule rule, long seed) {
         this.random = new SplittableRandom(seed);
         Pool pool = Profile.pool(PoolKind.MODEL_ENGINE, "engine", CONCURRENCY, true, WORKERS, 5);
         for (Upstream upstream : pool.upstreams()) {
             workers.put(upstream.name(), new FakeWorker(upstream, CONCURRENCY, loop));
         }
         for (int i = 0; i < ROUTERS; i++) {
-            WorkerTable table = new WorkerTable(CONCURRENCY, ROUTERS, RoutingSettings.defaults());
-            pool.upstreams().forEach(u -> table.add(u, false, 0));
-            routers.add(table);
+            RouterPolicy<Integer> router =
+                    new RouterPolicy<>("", ROUTERS, settings, new ObservedStageBudgets(), rule);
+            router.setRouters(ROUTERS, i, 0);
+            routers.add(router.pool(pool, 0));
         }
     }
 
     static ExperimentResult run(long seed) {
-        List<Row> rows = new ArrayList<>();
-        rows.add(row("full", () -> WorkerTable::choose, seed));
-        rows.add(row("lowest-report", () -> HerdExperiment::lowestReport, seed));
-        rows.add(row("random", () -> HerdExperiment::anyWorker, seed));
-        double measured = rows.get(0).figures().get("maxToMean");
-        Target target =
-                Target.atMost("herd largest load relative to the mean", measured, MAX_TO_MEAN);
-        return new ExperimentResult("herd", seed, rows, List.of(target));
+        PolicySettings usual = PolicySettings.defaults();
+        PolicySettings wide = usual.withHeadroom(WIDE_HEADROOM).withRefusesHopeless(false);
+        List<Row> rows =
+                List.of(
+                        row("full", usual, WorkerTable::choose, seed),
+                        row("choice-alone", wide, WorkerTable::choose, seed),
+                        row("lowest-report", wide, HerdExperiment::lowestReport, seed),
+                        row("random", wide, HerdExperiment::anyWorker, seed));
+        List<Target> targets =
+                rows.subList(0, 2).stream()
+                        .map(
+                                row ->
+                                        Target.atMost(
+                                                "herd " + row.variant() + " largest load to mean",
+                                                row.figures().get("maxToMean"),
+                                                MAX_TO_MEAN))
+                        .toList();
+        return new ExperimentResult("herd", seed, rows, targets);
     }
 
-    private static Row row(String name, Supplier<ChoiceRule> rule, long seed) {
-        HerdExperiment experiment = new HerdExperiment(rule.get(), seed);
+    private static Row row(String name, PolicySettings settings, ChoiceRule rule, long seed) {
+        HerdExperiment experiment = new HerdExperiment(settings, rule, seed);
         experiment.run();
         Map<String, Double> figures = new LinkedHashMap<>();
         figures.put("meanLoad", experiment.sumOfLoads / experiment.samples);
         figures.put("maxLoad", experiment.maxLoad);
         figures.put("maxToMean", experiment.sumOfMaxToMean / experiment.samples);
         figures.put("queued", (double) experiment.waiting / experiment.samples);
+        figures.put("refused", (double) experiment.refused);
+        figures.put("waitMillis", experiment.waitedNanos / NANOS_PER_MILLI / experiment.sent);
         return new Row("390x600", name, LOAD, Fault.NONE.name(), figures);
     }
 
@@ -94,28 +123,48 @@
         loop.afterMillis(
                 -Math.log(1 - random.nextDouble()) / ratePerMilli,
                 () -> {
-                    arrive(routers.get(random.nextInt(ROUTERS)));
+                    arrive(random.nextInt(ROUTERS));
                     nextArrival();
                 });
     }
 
-    private void arrive(WorkerTable table) {
-        ChoiceContext wide = new ChoiceContext(Set.of(), "", 0, false, 4);
-        Optional<Upstream> chosen = rule.choose(table, wide, loop.nowNanos(), random);
-        if (chosen.isEmpty()) {
-            return;
+    private void arrive(int router) {
+        StageRequest request =
+                RouterPolicy.stageRequest(
+                        PIPELINE, 0, CLASS, "workspace", loop.nowNanos() + DEADLINE_NANOS);
+        if (routers.get(router).offer(router, request, loop.nowNanos()).isPresent()) {
+            refused++;
         }
-        OpenCall call = table.onStart(chosen.get(), loop.nowNanos());
+        poll(router);
+    }
+
+    private void poll(int router) {
+        PoolPolicy<Integer> policy = routers.get(router);
+        Poll<Integer> poll = policy.poll(loop.nowNanos(), random);
+        refused += poll.dropped().size();
+        poll.dispatches().forEach(d -> send(router, d));
+        if (policy.hasWaiting() && pollPending.add(router)) {
+            loop.after(
+                    PoolPolicy.POLL_INTERVAL_NANOS,
+                    () -> {
+                        pollPending.remove(router);
+                        poll(router);
+                    });
+        }
+    }
+
+    private void send(int router, Dispatch<Integer> dispatch) {
+        sent++;
+        waitedNanos += dispatch.queuedNanos();
         double millis = -Math.log(1 - random.nextDouble()) * SERVICE_MILLIS;
-        Job job =
-                new Job(
-                        0,
-                        nextSequence++,
-                        0,
-                        millis,
-                        0,
-                        done -> table.onEnd(call, Outcome.ANSWERED, 1, loop.nowNanos()));
-        workers.get(chosen.get().name()).submit(job);
+        Job job = new Job(0, nextSequence++, 0, millis, 0, done -> answer(router, dispatch));
+        workers.get(dispatch.call().upstream().name()).submit(job);
+    }
+
+    private void answer(int router, Dispatch<Integer> dispatch) {
+        PoolPolicy<Integer> policy = routers.get(router);
+        policy.onEnd(dispatch.request(), dispatch.call(), Outcome.ANSWERED, loop.nowNanos());
+        poll(router);
     }
 
     private void report() {
@@ -128,7 +177,8 @@
                             worker.queued(),
                             nextSequence++,
                             observed);
-            loop.after(REPORT_LAG_NANOS, () -> routers.forEach(r -> r.onLoadReport(report)));
+            loop.after(
+                    REPORT_LAG_NANOS, () -> routers.forEach(r -> r.workers().onLoadReport(report)));
         }
         loop.after(REPORT_INTERVAL_NANOS, this::report);
     }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/World.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/World.java
@@ -72,6 +72,7 @@
                             variant.settings(),
                             variant.budgets().get(),
                             variant.rule().get());
+            policy.setRouters(profile.routers(), i, 0);
             routers.add(new FakeRouter(this, domain, policy, root.split()));
         }
     }
