--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -19,7 +19,7 @@
  */
 public final class WorkerTable {
     private static final int MAX_SAMPLES = 8;
-    private static final int CHOICES = 2;
+    private static final int CHOICES = 4;
 
     private final int concurrencyPerUpstream;
     private final RoutingSettings settings;
