Let no later class overtake an earlier one that found no room

Cause: each waiting class drew its own sample of workers, so that bulk often found the worker that standard had missed. Conclusion: kept, with 16 samples instead of 8.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
@@ -264,14 +264,21 @@
         if (rateLimit != null && rateLimit.nextTokenInNanos(nowNanos) > 0) {
             return Optional.empty();
         }
+        double fullFromHeadroom = 0;
         for (Queued<Work<T>> head : queue.heads()) {
             StageRequest request = head.item().request();
             ChoiceContext context = context(request, request.idempotent());
+            if (context.headroom() <= fullFromHeadroom) {
+                continue;
+            }
             Optional<Upstream> chosen = rule.choose(workers, context, nowNanos, random);
             if (chosen.isPresent()) {
                 queue.take(head, nowNanos);
                 return Optional.of(start(head, chosen.get(), nowNanos));
             }
+            if (request.excluded().isEmpty()) {
+                fullFromHeadroom = Math.max(fullFromHeadroom, context.headroom());
+            }
         }
         return Optional.empty();
     }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -18,7 +18,7 @@
  * the other routers are taken to send as much as this one. Not safe for use by several threads.
  */
 public final class WorkerTable {
-    private static final int MAX_SAMPLES = 8;
+    private static final int MAX_SAMPLES = 16;
     private static final int CHOICES = 4;
 
     private final int concurrencyPerUpstream;
