--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
@@ -185,7 +185,9 @@
     }
 
     /**
-     * Starts a hedge of an open call where the extra cost is in budget and a worker has room.
+     * Starts a hedge of an open call where the extra cost is in budget and a worker has room. It
+     * may be asked again after half the delay, since there may have been no room, or the hedge may
+     * hang as well.
      *
      * @param request the stage
      * @param first the call that is late
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/FakeRouter.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/FakeRouter.java
@@ -13,6 +13,7 @@
 import org.bronzewheel.policy.Poll;
 import org.bronzewheel.policy.PoolPolicy;
 import org.bronzewheel.policy.RouterPolicy;
+import org.bronzewheel.policy.StageRequest;
 import org.bronzewheel.request.Outcome;
 import org.bronzewheel.request.Usage;
 import org.bronzewheel.routing.OpenCall;
@@ -20,6 +21,8 @@
 
 /** An executor of requests in virtual time that leaves each decision to the policies. */
 final class FakeRouter {
+    private static final int MAX_OPEN = 3;
+
     final String failureDomain;
     boolean dead;
 
@@ -234,12 +237,16 @@
     }
 
     private void hedge(String pool, Attempt first) {
-        if (dead || !first.open || first.running.open.size() > 1) {
+        if (dead || !first.open || first.running.open.size() >= MAX_OPEN) {
             return;
         }
+        StageRequest untried = first.stage.withExcluded(Set.copyOf(first.running.tried));
         Optional<OpenCall> call =
-                pools.get(pool).hedge(first.stage, first.call, loop.nowNanos(), random);
+                pools.get(pool).hedge(untried, first.call, loop.nowNanos(), random);
         call.ifPresent(c -> send(pool, first.running, c));
+        pools.get(pool)
+                .hedgeDelayNanos(first.stage)
+                .ifPresent(delay -> loop.after(delay / 2, () -> hedge(pool, first)));
     }
 
     private void overdue(String pool, Attempt attempt) {
