Refund hedges that cost less than planned and keep probes off the first priority

Cause: with a failure domain cut off, urgent calls carried the probes of ejected workers, and the budget of extra cost was empty because each hedge was booked with its whole cost although the loser is cancelled.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
@@ -14,6 +14,7 @@
 import org.bronzewheel.admission.Refusal;
 import org.bronzewheel.admission.TokenBucket;
 import org.bronzewheel.budget.StageBudgets;
+import org.bronzewheel.hedging.Races;
 import org.bronzewheel.inventory.Pool;
 import org.bronzewheel.inventory.Upstream;
 import org.bronzewheel.request.Outcome;
@@ -39,6 +40,8 @@
     private static final double OVERDUE_QUANTILE = 0.99;
     private static final double RATE_BURST_SECONDS = 0.1;
 
+    private static final long FIRST_PRIORITY_PROBE_PATIENCE_NANOS = 3_000_000_000L;
+
     private record Work<T>(T item, StageRequest request) {}
 
     private final PolicySettings settings;
@@ -48,6 +51,7 @@
     private final ChoiceRule rule;
     private final WorkerTable workers;
     private final AdmissionQueue<Work<T>> queue;
+    private final Races races = new Races();
     private final int callsPerSecondLimit;
     private TokenBucket rateLimit;
 
@@ -202,12 +206,14 @@
         }
         Set<String> excluded = new HashSet<>(request.excluded());
         excluded.add(first.upstream().name());
-        ChoiceContext context = context(request.withExcluded(excluded), false);
+        ChoiceContext context = context(request.withExcluded(excluded), ChoiceContext.NO_PROBE);
         Optional<Upstream> chosen = rule.choose(workers, context, nowNanos, random);
         if (chosen.isEmpty() || !extraCost.of(request.requestClass()).tryWithdraw(cost(request))) {
             return Optional.empty();
         }
-        return chosen.map(upstream -> workers.onStart(upstream, nowNanos));
+        OpenCall second = workers.onStart(chosen.get(), nowNanos);
+        races.start(first, second, cost(request));
+        return Optional.of(second);
     }
 
     /**
@@ -229,6 +235,7 @@
      * @param nowNanos the present time
      */
     public void onEnd(StageRequest request, OpenCall call, Outcome outcome, long nowNanos) {
+        races.remove(call);
         boolean answered = outcome == Outcome.ANSWERED;
         double slowness = answered ? slowness(request, call, nowNanos) : 0;
         workers.onEnd(call, outcome, slowness, nowNanos);
@@ -247,6 +254,8 @@
      */
     public void onCancelled(StageRequest request, OpenCall call, long nowNanos) {
         workers.onCancelled(call, slowness(request, call, nowNanos), nowNanos);
+        double spent = Math.min(cost(request), (double) (nowNanos - call.startNanos()));
+        extraCost.of(request.requestClass()).refund(races.lose(call, spent));
     }
 
     void setRouters(int routers, int position, long nowNanos) {
@@ -269,7 +278,7 @@
         double fullFromHeadroom = 0;
         for (Queued<Work<T>> head : queue.heads()) {
             StageRequest request = head.item().request();
-            ChoiceContext context = context(request, request.idempotent());
+            ChoiceContext context = context(request, probePatienceNanos(request));
             if (context.headroom() <= fullFromHeadroom) {
                 continue;
             }
@@ -294,11 +303,26 @@
         return new Dispatch<>(head.item().item(), head.item().request(), call, queuedNanos);
     }
 
-    private ChoiceContext context(StageRequest request, boolean mayProbe) {
+    /**
+     * Probes risk the deadline, so that work of the first priority probes only where none else
+     * does.
+     */
+    private static long probePatienceNanos(StageRequest request) {
+        if (!request.idempotent()) {
+            return ChoiceContext.NO_PROBE;
+        }
+        return request.requestClass().priority() == 0 ? FIRST_PRIORITY_PROBE_PATIENCE_NANOS : 0;
+    }
+
+    private ChoiceContext context(StageRequest request, long probePatienceNanos) {
         boolean first = request.requestClass().priority() == 0;
         double headroom = first ? settings.firstPriorityHeadroom() : settings.headroom();
         return new ChoiceContext(
-                request.excluded(), failureDomain, request.prefixHash(), mayProbe, headroom);
+                request.excluded(),
+                failureDomain,
+                request.prefixHash(),
+                probePatienceNanos,
+                headroom);
     }
 
     private AdmissionRequest admission(StageRequest request) {
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -155,7 +155,7 @@
      */
     public Optional<Upstream> choose(ChoiceContext context, long nowNanos, RandomGenerator random) {
         select();
-        if (context.mayProbe()) {
+        if (context.probePatienceNanos() != ChoiceContext.NO_PROBE) {
             Worker due = dueForProbe(context, nowNanos);
             if (due != null) {
                 return Optional.of(due.upstream);
@@ -422,9 +422,10 @@
     }
 
     private Worker dueForProbe(ChoiceContext context, long nowNanos) {
+        long dueNanos = nowNanos - context.probePatienceNanos();
         for (Worker worker : ejected) {
             boolean excluded = context.excluded().contains(worker.upstream.name());
-            if (!worker.probing && !excluded && worker.ejectedUntilNanos <= nowNanos) {
+            if (!worker.probing && !excluded && worker.ejectedUntilNanos <= dueNanos) {
                 return worker;
             }
         }
