Count tokens of pieces and format log messages; fix the help

A piece of a completion may hold several tokens. Pieces now tell their number; where one does not, the stream goes on but is not resumed.

--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/CommandLine.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/CommandLine.java
@@ -6,7 +6,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.function.UnaryOperator;
+import java.util.stream.Collectors;
 import org.bronzewheel.error.BronzewheelException;
 import org.bronzewheel.error.ErrorCode;
 
@@ -25,6 +27,7 @@
      * @throws BronzewheelException with code INVALID_SETTING and one line that names the flag
      */
     static RouterFlags parse(String[] arguments, UnaryOperator<String> environment) {
+        requireKnown(arguments);
         RouterFlags flags = new RouterFlags();
         JCommander commander = commander(flags);
         commander.setDefaultProvider(flag -> environment.apply(variable(flag)));
@@ -36,6 +39,19 @@
         return flags;
     }
 
+    private static void requireKnown(String[] arguments) {
+        Set<String> known =
+                parameters().stream()
+                        .map(ParameterDescription::getLongestName)
+                        .collect(Collectors.toSet());
+        for (String argument : arguments) {
+            if (argument.startsWith("--") && !known.contains(argument)) {
+                throw new BronzewheelException(
+                        ErrorCode.INVALID_SETTING, "unknown flag " + argument + ", see " + HELP);
+            }
+        }
+    }
+
     /** Returns the help: each flag with its unit, default and environment variable. */
     static String help() {
         StringBuilder text = new StringBuilder("Usage: " + PROGRAM + " [flags]\n\n");
@@ -57,7 +73,10 @@
 
     /** Returns the flags in the order of their names. */
     static List<ParameterDescription> parameters() {
-        return commander(new RouterFlags()).getParameters().stream()
+        JCommander commander = commander(new RouterFlags());
+        // Only parsing makes the descriptions.
+        commander.parse();
+        return commander.getParameters().stream()
                 .sorted(Comparator.comparing(ParameterDescription::getLongestName))
                 .toList();
     }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/JsonLogFormatter.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/JsonLogFormatter.java
@@ -2,9 +2,8 @@
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.flogger.backend.LogData;
+import com.google.common.flogger.backend.BaseMessageFormatter;
 import com.google.common.flogger.backend.Metadata;
-import com.google.common.flogger.backend.SimpleMessageFormatter;
 import com.google.common.flogger.backend.system.AbstractLogRecord;
 import java.io.PrintWriter;
 import java.io.StringWriter;
@@ -53,8 +52,9 @@
 
     private String message(LogRecord record) {
         if (record instanceof AbstractLogRecord flogged) {
-            LogData data = flogged.getLogData();
-            return SimpleMessageFormatter.getLiteralLogMessage(data);
+            return BaseMessageFormatter.appendFormattedMessage(
+                            flogged.getLogData(), new StringBuilder())
+                    .toString();
         }
         return formatMessage(record);
     }
--- a/bronzewheel-standin/src/main/java/org/bronzewheel/standin/SequenceReader.java
+++ b/bronzewheel-standin/src/main/java/org/bronzewheel/standin/SequenceReader.java
@@ -32,7 +32,7 @@
         }
         List<String> tokens = sequence.generatedFrom(offset);
         if (!tokens.isEmpty()) {
-            send(String.join("", tokens), false);
+            send(String.join("", tokens), tokens.size(), false);
             offset += tokens.size();
         }
         if (sequence.isEnded()) {
@@ -51,11 +51,11 @@
             response.end();
             return;
         }
-        send("", true);
+        send("", 0, true);
         response.end("data: [DONE]\n\n");
     }
 
-    private void send(String text, boolean last) {
+    private void send(String text, int tokens, boolean last) {
         ObjectNode event = JsonNodeFactory.instance.objectNode();
         event.put("id", sequence.echoedAttemptId());
         ObjectNode choice = event.putArray("choices").addObject();
@@ -63,6 +63,7 @@
         choice.put("text", text);
         choice.put("finish_reason", last ? sequence.finishReason() : null);
         event.put("offset", offset);
+        event.put("tokens", tokens);
         if (last) {
             event.set("usage", usage(sequence.usage()));
         }
--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/CompletionExchange.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/CompletionExchange.java
@@ -101,7 +101,7 @@
         }
         offsetAtResume = text.nextOffset();
         resumesInRow++;
-        if (resumesInRow > settings.maxResumes()) {
+        if (resumesInRow > settings.maxResumes() || !text.canResume()) {
             fail(Failures.invalid(call, "its stream is not whole", cause));
             return;
         }
--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/CompletionText.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/CompletionText.java
@@ -14,6 +14,7 @@
     private final TokenListener listener;
     private final StringBuilder text = new StringBuilder();
     private long nextOffset;
+    private boolean counted = true;
     private boolean finished;
     private boolean whole;
     private Usage usage = Usage.NONE;
@@ -45,6 +46,11 @@
         return accept(parse(event));
     }
 
+    /** Tells whether the offset to resume at is known. */
+    boolean canResume() {
+        return counted;
+    }
+
     long nextOffset() {
         return nextOffset;
     }
@@ -67,11 +73,11 @@
         if (offset < 0) {
             throw Failures.invalid(call, "an event has no offset", null);
         }
-        if (offset > nextOffset) {
+        if (offset > nextOffset && counted) {
             return Progress.GAP;
         }
-        if (offset == nextOffset) {
-            append(offset, piece, event.path("tokens").asLong(piece.isEmpty() ? 0 : 1));
+        if (offset >= nextOffset && !piece.isEmpty()) {
+            append(offset, piece, event.path("tokens").asLong(0));
         }
         if (choice.path("finish_reason").isTextual()) {
             finished = true;
@@ -85,15 +91,14 @@
         return Progress.CONTINUE;
     }
 
+    /** Appends a piece; one that does not tell its number of tokens holds at least one. */
     private void append(long offset, String piece, long tokens) {
-        if (tokens == 0) {
-            return;
-        }
         if (text.length() + piece.length() > maxChars) {
             throw Failures.invalid(call, "it exceeds the largest answer", null);
         }
         text.append(piece);
-        nextOffset = offset + tokens;
+        counted = tokens > 0;
+        nextOffset = offset + Math.max(1, tokens);
         listener.token(offset, piece);
     }
 
