--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/CompletionExchange.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/CompletionExchange.java
@@ -1,6 +1,5 @@
 package org.bronzewheel.upstream;
 
-import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.core.SingleEmitter;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -12,8 +11,6 @@
 
 /** One completion at a model engine, over as many connections as its stream takes. */
 final class CompletionExchange {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
     private static final int OK = 200;
 
     private final HttpClient client;
@@ -71,6 +68,9 @@
         } catch (BronzewheelException e) {
             fail(e);
             current.abort();
+        } catch (IllegalStateException e) {
+            fail(Failures.invalid(call, "its stream is malformed", e));
+            current.abort();
         }
     }
 
@@ -105,7 +105,6 @@
             fail(Failures.invalid(call, "its stream is not whole", cause));
             return;
         }
-        logger.atFine().log("resuming attempt %s at %d", call.attemptId(), offsetAtResume);
         sendResume();
     }
 
--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/PlatformClient.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/PlatformClient.java
@@ -6,9 +6,10 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import org.bronzewheel.configuration.ConfigurationDocument;
+import org.bronzewheel.error.BronzewheelException;
 import org.bronzewheel.error.ErrorCode;
+import org.bronzewheel.request.Outcome;
 import org.bronzewheel.vm.Vm;
 import org.bronzewheel.vm.VmList;
 import org.bronzewheel.vm.VmRole;
@@ -43,7 +44,9 @@
      */
     public Maybe<ConfigurationDocument> readConfiguration(long afterRevision, long waitMillis) {
         return read(configurationAddress, "/v1/configuration", afterRevision, waitMillis)
-                .mapOptional(json -> newer(configuration(json), afterRevision));
+                .map(PlatformClient::configuration)
+                .filter(document -> document.revision() > afterRevision)
+                .onErrorResumeNext(PlatformClient::unavailable);
     }
 
     /**
@@ -57,7 +60,8 @@
     public Maybe<VmList> readVmList(long afterRevision, long waitMillis) {
         return read(vmListAddress, "/v1/vms", afterRevision, waitMillis)
                 .map(PlatformClient::vmList)
-                .filter(list -> list.revision() > afterRevision);
+                .filter(list -> list.revision() > afterRevision)
+                .onErrorResumeNext(PlatformClient::unavailable);
     }
 
     private Maybe<JsonNode> read(String address, String path, long after, long waitMillis) {
@@ -65,9 +69,17 @@
         return calls.call(address, HttpMethod.GET, query, null, waitMillis);
     }
 
-    private static Optional<ConfigurationDocument> newer(
-            ConfigurationDocument document, long afterRevision) {
-        return Optional.of(document).filter(d -> d.revision() > afterRevision);
+    /** Turns an answer that is not as the page says into an unavailable platform. */
+    private static <T> Maybe<T> unavailable(Throwable error) {
+        if (error instanceof BronzewheelException) {
+            return Maybe.error(error);
+        }
+        return Maybe.error(
+                new BronzewheelException(
+                        ErrorCode.PLATFORM_UNAVAILABLE,
+                        Outcome.UNKNOWN,
+                        "the platform's answer is invalid: " + error.getMessage(),
+                        error));
     }
 
     private static ConfigurationDocument configuration(JsonNode json) {
--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/SseDecoder.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/SseDecoder.java
@@ -8,6 +8,7 @@
 /** An incremental decoder of server-sent events, which reads their data only. */
 final class SseDecoder {
     private static final String DATA = "data:";
+    private static final int MAX_LINE_BYTES = 64 << 10;
 
     private final Consumer<String> events;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -17,17 +18,29 @@
         this.events = events;
     }
 
+    /**
+     * Decodes a chunk.
+     *
+     * @throws IllegalStateException where a line is too long
+     */
     void decode(Buffer chunk) {
         for (byte b : chunk.getBytes()) {
             if (b == '\n') {
                 endLine(line.toString(StandardCharsets.UTF_8));
                 line.reset();
             } else if (b != '\r') {
-                line.write(b);
+                append(b);
             }
         }
     }
 
+    private void append(byte b) {
+        if (line.size() == MAX_LINE_BYTES) {
+            throw new IllegalStateException("a line exceeds " + MAX_LINE_BYTES + " bytes");
+        }
+        line.write(b);
+    }
+
     private void endLine(String text) {
         if (text.isEmpty()) {
             endEvent();
