--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
@@ -268,8 +268,9 @@
 
     private void endRound(long nowNanos) {
         for (ProbeTarget target : targets.values()) {
-            boolean missing = target.end(settings.missedProbes(), roundStartNanos, nowNanos);
-            if (missing && heardAnother(target)) {
+            if (!heardAnother(target)) {
+                target.skip();
+            } else if (target.end(settings.missedProbes(), nowNanos)) {
                 suspect(target, nowNanos);
             }
         }
@@ -278,13 +279,13 @@
         }
     }
 
-    /** A router that hears nobody at all has reason to doubt itself. */
+    /** A round in which no other router was heard proves nothing against a target. */
     private boolean heardAnother(ProbeTarget target) {
         return lastHeardNanos.entrySet().stream()
                 .anyMatch(
                         heard ->
                                 !heard.getKey().equals(target.vmId())
-                                        && heard.getValue() - target.missedSinceNanos() > 0);
+                                        && heard.getValue() - roundStartNanos > 0);
     }
 
     private void suspect(ProbeTarget target, long nowNanos) {
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/ProbeTarget.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/ProbeTarget.java
@@ -10,7 +10,6 @@
     private boolean pending;
     private boolean helpAsked;
     private int missed;
-    private long missedSinceNanos;
     private int factor = 1;
     private long lastSuspectedNanos;
 
@@ -26,10 +25,6 @@
         return sequence;
     }
 
-    long missedSinceNanos() {
-        return missedSinceNanos;
-    }
-
     void begin(long newSequence) {
         sequence = newSequence;
         pending = true;
@@ -51,14 +46,11 @@
     }
 
     /** Ends the current probe; tells whether so many were missed that the target is suspect. */
-    boolean end(int missedProbes, long startedNanos, long nowNanos) {
+    boolean end(int missedProbes, long nowNanos) {
         if (!pending) {
             return false;
         }
         pending = false;
-        if (missed == 0) {
-            missedSinceNanos = startedNanos;
-        }
         missed++;
         if (nowNanos - lastSuspectedNanos > CALM_NANOS) {
             factor = 1;
@@ -72,6 +64,11 @@
         lastSuspectedNanos = nowNanos;
     }
 
+    /** Ends the current probe without counting it. */
+    void skip() {
+        pending = false;
+    }
+
     void reset() {
         pending = false;
         missed = 0;
