--- /dev/null
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/ExplainCommand.java
@@ -0,0 +1,114 @@
+package org.bronzewheel.ctl;
+
+import com.beust.jcommander.DynamicParameter;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bronzewheel.configuration.Configuration;
+import org.bronzewheel.configuration.ConfigurationParser;
+import org.bronzewheel.error.BronzewheelException;
+import org.bronzewheel.error.ErrorCode;
+import org.bronzewheel.explain.Explanation;
+import org.bronzewheel.explain.Situation;
+import org.bronzewheel.rules.Rules;
+
+/** The subcommand that explains what a router would decide. */
+@Parameters(
+        commandDescription =
+                "Explains from files which budgets and which order of workers a request would"
+                        + " get, and why. No router is asked.")
+final class ExplainCommand extends HelpFlag {
+    @ParametersDelegate private final ConfigurationFlags configuration = new ConfigurationFlags();
+
+    @Parameter(names = "--pipeline", required = true, description = "The pipeline.")
+    private String pipeline;
+
+    @Parameter(names = "--class", required = true, description = "The request class.")
+    private String requestClass;
+
+    @Parameter(names = "--workspace", required = true, description = "The workspace.")
+    private String workspace;
+
+    @Parameter(
+            names = "--failure-domain",
+            description = "The failure domain of the router; the first one without.")
+    private String failureDomain = "";
+
+    @Parameter(
+            names = "--routers",
+            validateWith = AtLeastOneValidator.class,
+            description = "The number of routers that share pools and limits.")
+    private int routers = 3;
+
+    @DynamicParameter(
+            names = "--took",
+            description = "The usual time of a stage: --took stage=milliseconds; repeated.")
+    private Map<String, String> stageMillis = new HashMap<>();
+
+    @DynamicParameter(
+            names = "--load",
+            description = "Calls in progress at an upstream: --load upstream=calls; repeated.")
+    private Map<String, String> loads = new HashMap<>();
+
+    @Parameter(names = "--leaving", description = "An upstream that is leaving; repeated.")
+    private List<String> leaving = new ArrayList<>();
+
+    @Parameter(names = "--seed", description = "The seed of the choice between workers.")
+    private long seed = 1;
+
+    @Override
+    public int run(PrintStream out, PrintStream err) {
+        Configuration parsed = new ConfigurationParser().parse(configuration.read());
+        Rules rules = parsed.rules();
+        new Explanation(parsed, situation(parsed))
+                .of(
+                        known(rules.pipeline(pipeline), "pipeline", pipeline),
+                        known(rules.requestClass(requestClass), "request class", requestClass),
+                        known(parsed.inventory().workspace(workspace), "workspace", workspace))
+                .forEach(out::println);
+        return OK;
+    }
+
+    private Situation situation(Configuration parsed) {
+        Map<String, Long> millis = new HashMap<>();
+        stageMillis.forEach((stage, text) -> millis.put(stage, number("--took", text)));
+        Map<String, Integer> calls = new HashMap<>();
+        loads.forEach((upstream, text) -> calls.put(upstream, (int) number("--load", text)));
+        return new Situation(
+                failureDomain.isEmpty() ? firstFailureDomain(parsed) : failureDomain,
+                routers,
+                millis,
+                calls,
+                new HashSet<>(leaving),
+                seed);
+    }
+
+    private static String firstFailureDomain(Configuration parsed) {
+        return parsed.inventory().regions().stream()
+                .flatMap(region -> region.failureDomains().stream())
+                .findFirst()
+                .orElse("");
+    }
+
+    private static long number(String flag, String text) {
+        if (!text.matches("\\d{1,7}")) {
+            throw wrong(flag + " is '" + text + "', expected a whole number from 0 to 9999999");
+        }
+        return Long.parseLong(text);
+    }
+
+    private static <T> T known(Optional<T> found, String what, String name) {
+        return found.orElseThrow(() -> wrong("there is no " + what + " '" + name + "'"));
+    }
+
+    private static BronzewheelException wrong(String message) {
+        return new BronzewheelException(ErrorCode.INVALID_SETTING, message);
+    }
+}
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/LoadCommand.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/LoadCommand.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Vertx;
 import java.io.PrintStream;
@@ -16,6 +17,7 @@
 import org.bronzewheel.configuration.ConfigurationParser;
 import org.bronzewheel.judge.Judge;
 import org.bronzewheel.judge.LatencyReport;
+import org.bronzewheel.judge.SendCounts;
 import org.bronzewheel.judge.Verdict;
 import org.bronzewheel.judge.VerdictJson;
 import org.bronzewheel.judge.VerdictTable;
@@ -138,7 +140,9 @@
                 .map(Violation::toString)
                 .forEach(err::println);
         err.print(VerdictTable.of(verdict));
-        ObjectNode json = VerdictJson.of(verdict);
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        SendCounts.of(results).addTo(json);
+        json.setAll(VerdictJson.of(verdict));
         json.set("latencyMillis", LatencyReport.of(results));
         out.println(json);
     }
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
@@ -23,7 +23,9 @@
 
     private Main() {
         commands.put("check", new CheckCommand());
+        commands.put("explain", new ExplainCommand());
         commands.put("status", new StatusCommand());
+        commands.put("demo", new DemoCommand());
         commands.put("load", new LoadCommand());
         commands.put("standin", new StandInCommand());
     }
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/TrafficFlags.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/TrafficFlags.java
@@ -1,7 +1,6 @@
 package org.bronzewheel.ctl;
 
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.validators.PositiveInteger;
 import org.bronzewheel.traffic.TrafficMix;
 import org.bronzewheel.traffic.TrafficSettings;
 
@@ -11,15 +10,15 @@
 
     @Parameter(
             names = "--rate",
-            validateWith = PositiveInteger.class,
+            validateWith = AtLeastOneValidator.class,
             description = "Mean rate, in requests a second.")
-    private int requestsPerSecond = 50;
+    private int requestsPerSecond = 60;
 
     @Parameter(
             names = "--duration",
-            validateWith = PositiveInteger.class,
+            validateWith = AtLeastOneValidator.class,
             description = "How long requests are sent, in seconds.")
-    private int durationSeconds = 10;
+    private int durationSeconds = 18;
 
     @Parameter(names = "--seed", description = "The seed of times, kinds and inputs.")
     private long seed = 1;
--- /dev/null
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/DemoReport.java
@@ -0,0 +1,21 @@
+package org.bronzewheel.demo;
+
+import org.bronzewheel.judge.Verdict;
+
+/**
+ * What the demo showed.
+ *
+ * @param verdict what became of the requests
+ * @param cutOffByPlannedStop sends that the router that stopped as planned left without a reply
+ * @param runsAfterLeaving runs that began at the leaving upstream long after it began to leave
+ */
+public record DemoReport(Verdict verdict, int cutOffByPlannedStop, int runsAfterLeaving) {
+    /**
+     * Tells whether no promise was broken.
+     *
+     * @return true where all is well
+     */
+    public boolean isClean() {
+        return verdict.total().isClean() && cutOffByPlannedStop == 0 && runsAfterLeaving == 0;
+    }
+}
--- /dev/null
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/explain/package-info.java
@@ -0,0 +1,2 @@
+/** The explanation of what a router would decide on a request. */
+package org.bronzewheel.explain;
