Send one token with each event of a stand-in engine; count ends by code

Clients count tokens by events, as a piece has no count of its own; the stand-in's events held several tokens, and 291 of 1081 answers had repeated text.

--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/DemoCommand.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/DemoCommand.java
@@ -37,6 +37,7 @@
         report.verdict().violations().stream().limit(MAX_PRINTED_VIOLATIONS).forEach(out::println);
         out.println();
         out.println(VerdictTable.of(report.verdict()));
+        out.println("ended without an answer, sends counted: " + report.endCodes());
         ObjectNode json = VerdictJson.of(report.verdict());
         json.put("cutOffByPlannedStop", report.cutOffByPlannedStop());
         json.put("runsAfterLeaving", report.runsAfterLeaving());
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/LoadCommand.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/LoadCommand.java
@@ -15,6 +15,7 @@
 import org.bronzewheel.configuration.Configuration;
 import org.bronzewheel.configuration.ConfigurationDocument;
 import org.bronzewheel.configuration.ConfigurationParser;
+import org.bronzewheel.judge.EndCodes;
 import org.bronzewheel.judge.Judge;
 import org.bronzewheel.judge.LatencyReport;
 import org.bronzewheel.judge.SendCounts;
@@ -140,6 +141,7 @@
                 .map(Violation::toString)
                 .forEach(err::println);
         err.print(VerdictTable.of(verdict));
+        err.println("ended without an answer, sends counted: " + EndCodes.of(results));
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         SendCounts.of(results).addTo(json);
         json.setAll(VerdictJson.of(verdict));
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/Demo.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/Demo.java
@@ -16,6 +16,7 @@
 import org.bronzewheel.inventory.Pool;
 import org.bronzewheel.inventory.PoolKind;
 import org.bronzewheel.inventory.Upstream;
+import org.bronzewheel.judge.EndCodes;
 import org.bronzewheel.judge.Judge;
 import org.bronzewheel.judge.Verdict;
 import org.bronzewheel.standin.Run;
@@ -114,7 +115,8 @@
         List<RequestResult> results = sendDuringFailures(requests);
         say("all requests have ended; judging them by what upstreams and callers saw");
         Verdict verdict = new Judge(configuration).judge(results, cluster.runs());
-        return new DemoReport(verdict, cutOffByPlannedStop(results), runsAfterLeaving());
+        return new DemoReport(
+                verdict, EndCodes.of(results), cutOffByPlannedStop(results), runsAfterLeaving());
     }
 
     private void startRouters() {
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/DemoReport.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/DemoReport.java
@@ -1,15 +1,21 @@
 package org.bronzewheel.demo;
 
+import java.util.Map;
 import org.bronzewheel.judge.Verdict;
 
 /**
  * What the demo showed.
  *
  * @param verdict what became of the requests
+ * @param endCodes counts of the reasons for which callers got no answer
  * @param cutOffByPlannedStop sends that the router that stopped as planned left without a reply
  * @param runsAfterLeaving runs that began at the leaving upstream long after it began to leave
  */
-public record DemoReport(Verdict verdict, int cutOffByPlannedStop, int runsAfterLeaving) {
+public record DemoReport(
+        Verdict verdict,
+        Map<String, Integer> endCodes,
+        int cutOffByPlannedStop,
+        int runsAfterLeaving) {
     /**
      * Tells whether no promise was broken.
      *
--- a/bronzewheel-standin/src/main/java/org/bronzewheel/standin/SequenceReader.java
+++ b/bronzewheel-standin/src/main/java/org/bronzewheel/standin/SequenceReader.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.http.HttpServerResponse;
-import java.util.List;
 import org.bronzewheel.request.Usage;
 
 /** A caller that reads the stream of a sequence from a token on. */
@@ -30,10 +29,10 @@
         if (isClosed() || fate == Fate.HANG) {
             return;
         }
-        List<String> tokens = sequence.generatedFrom(offset);
-        if (!tokens.isEmpty()) {
-            send(String.join("", tokens), false);
-            offset += tokens.size();
+        // One event for each token, so that a client can count tokens by events.
+        for (String token : sequence.generatedFrom(offset)) {
+            send(token, false);
+            offset++;
         }
         if (sequence.isEnded()) {
             end();
