--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestReader.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestReader.java
@@ -49,7 +49,7 @@
      * Reads once.
      *
      * @return what there is, or an error: UNKNOWN_REQUEST where nobody knows the request,
-     *     UPSTREAM_BROKEN where its holder could not be asked and no copy was found
+     *     PEER_UNREACHABLE where its holder could not be asked and no copy was found
      */
     Single<ReadResult> read(RequestId id, long offset, long waitMillis) {
         if (table.isOwn(id)) {
@@ -84,7 +84,7 @@
     private Flowable<Long> pause(RequestId id, AtomicInteger failures, Throwable error) {
         boolean unreachable =
                 error instanceof BronzewheelException known
-                        && known.code() == ErrorCode.UPSTREAM_BROKEN;
+                        && known.code() == ErrorCode.PEER_UNREACHABLE;
         boolean again = isAlive(id) || failures.incrementAndGet() < MAX_FAILURES_IN_ROW;
         if (unreachable && again) {
             return Flowable.timer(RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS, scheduler);
@@ -115,7 +115,7 @@
         return findCopy(
                 id,
                 new BronzewheelException(
-                        ErrorCode.UPSTREAM_BROKEN,
+                        ErrorCode.PEER_UNREACHABLE,
                         Outcome.UNKNOWN,
                         "the router that holds the request cannot be reached",
                         error));
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
@@ -203,7 +203,7 @@
      * @param id the request
      * @param offset the token offset to read from, {@link ReadResult#NO_TOKENS} for the end only
      * @param waitMillis the longest wait for something new, in milliseconds
-     * @return what there is, or an error with code UNKNOWN_REQUEST or UPSTREAM_BROKEN
+     * @return what there is, or an error with code UNKNOWN_REQUEST or PEER_UNREACHABLE
      */
     public Single<ReadResult> read(RequestId id, long offset, long waitMillis) {
         return reader.read(id, offset, waitMillis);
