--- /dev/null
+++ b/bronzewheel-examples/src/main/java/org/bronzewheel/examples/package-info.java
@@ -0,0 +1,2 @@
+/** Programs that embed the library parts without the daemon. */
+package org.bronzewheel.examples;
