--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/RouterPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/RouterPolicy.java
@@ -45,7 +45,7 @@
     private final Map<String, PoolPolicy<T>> pools = new HashMap<>();
     private final Map<String, Workspace> workspaces = new HashMap<>();
     private int routers;
-    private int position;
+    private int position = WorkerTable.UNKNOWN_POSITION;
 
     /**
      * Creates the policies with the usual rules.
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/Subset.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/Subset.java
@@ -21,14 +21,8 @@
 
     private Subset() {}
 
-    /** Returns the number of parts of a pool, 1 where each router uses the whole pool. */
-    static int parts(int poolSize, int size) {
-        return Math.max(1, poolSize / size);
-    }
-
     /** Returns the names of the part of the router at a position in the list of routers. */
-    static Set<String> of(Collection<Upstream> pool, int position, int size) {
-        int parts = parts(pool.size(), size);
+    static Set<String> of(Collection<Upstream> pool, int position, int parts) {
         int round = position / parts;
         List<Upstream> ordered = new ArrayList<>(pool);
         ordered.sort(
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -18,6 +18,9 @@
  * the other routers are taken to send as much as this one. Not safe for use by several threads.
  */
 public final class WorkerTable {
+    /** The position of a router that does not know it and therefore sends to the whole pool. */
+    public static final int UNKNOWN_POSITION = -1;
+
     private static final int MAX_SAMPLES = 16;
     private static final int CHOICES = 4;
 
@@ -28,7 +31,7 @@
     private final List<Worker> ejected = new ArrayList<>();
     private final PrefixTable prefixes = new PrefixTable();
     private int routers;
-    private int routerPosition;
+    private int routerPosition = UNKNOWN_POSITION;
     private boolean selectionDue;
     private int ownInFlight;
     private int ownAtActive;
@@ -51,7 +54,8 @@
      * pool this router sends to; routers at different positions cover the pool evenly.
      *
      * @param count the number of routers, at least 1
-     * @param position the position of this router in the order of all, from 0
+     * @param position the position of this router in the order of all, from 0, or {@link
+     *     #UNKNOWN_POSITION}
      */
     public void setRouters(int count, int position) {
         selectionDue |= count != routers || position != routerPosition;
@@ -371,7 +375,7 @@
 
     /** Estimates the calls of other routers at one worker, as if each sent as much as this one. */
     private double usualOthers() {
-        double sharers = (double) routers / Subset.parts(workers.size(), settings.subsetSize());
+        double sharers = (double) routers / parts();
         return Math.max(0, sharers - 1) * ownAtActive / Math.max(1, active.size());
     }
 
@@ -382,12 +386,17 @@
         }
         selectionDue = false;
         List<Upstream> pool = workers.values().stream().map(w -> w.upstream).toList();
-        Set<String> names = Subset.of(pool, routerPosition, settings.subsetSize());
+        Set<String> names = Subset.of(pool, Math.max(0, routerPosition), parts());
         for (Worker worker : workers.values()) {
             select(worker, names.contains(worker.upstream.name()));
         }
     }
 
+    private int parts() {
+        boolean known = routerPosition != UNKNOWN_POSITION;
+        return known ? Math.max(1, workers.size() / settings.subsetSize()) : 1;
+    }
+
     private void select(Worker worker, boolean selected) {
         if (worker.selected == selected) {
             return;
