--- a/bronzewheel-decision/src/main/java/org/bronzewheel/admission/AdmissionQueue.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/AdmissionQueue.java
@@ -158,12 +158,12 @@
         shrink(nowNanos);
         virtualTime = Math.max(virtualTime, own.virtualStart);
         own.virtualStart += cost;
+        if (own.floorCredit > 0) {
+            own.floorCredit -= cost;
+        }
         for (ClassQueue<T> queue : classes.values()) {
             queue.floorCredit += cost * queue.requestClass.floorPercent() / PERCENT;
-            if (queue == own) {
-                queue.floorCredit -= cost;
-            }
-            if (queue.isEmpty() || queue == own) {
+            if (queue.isEmpty()) {
                 queue.floorCredit = Math.min(0, queue.floorCredit);
             }
         }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -190,6 +190,7 @@
      * @return the open call, to be handed to {@link #onEnd}
      */
     public OpenCall onStart(Upstream upstream, long nowNanos) {
+        select();
         Worker worker = workers.get(upstream.name());
         if (worker == null) {
             return new OpenCall(upstream, nowNanos, false);
@@ -281,6 +282,7 @@
      * @return false also for an unknown, an excluded and a leaving worker
      */
     public boolean hasRoom(String upstream, ChoiceContext context, long nowNanos) {
+        select();
         Worker worker = workers.get(upstream);
         return worker != null && worker.position >= 0 && hasRoom(worker, context, nowNanos);
     }
@@ -332,6 +334,7 @@
      * @return the estimate, 0 for an unknown worker
      */
     public double estimatedLoad(String upstream, long nowNanos) {
+        select();
         Worker worker = workers.get(upstream);
         return worker == null ? 0 : load(worker, nowNanos);
     }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.LongFunction;
@@ -17,7 +16,7 @@
     private static final double USUAL_LOAD = 0.8;
     private static final double FULL_LOAD = 1.0;
     private static final double OVERLOAD = 2.0;
-    private static final double MIN_ATTAINMENT = 0.99;
+    static final double MIN_ATTAINMENT = 0.99;
     private static final double MIN_OVERLOAD_URGENT = 0.95;
     private static final double MIN_GOODPUT_PART = 0.9;
     private static final double MAX_EXTRA_COST = 0.05;
@@ -34,17 +33,6 @@
                             "ablations", Experiments::ablations,
                             "herd", HerdExperiment::run));
 
-    private record Case(Profile profile, Variant variant, double load, Fault fault) {
-        Tally run(long seed) {
-            return new World(profile, variant, load, fault, seed).run();
-        }
-
-        String label() {
-            return String.format(
-                    Locale.ROOT, "%s %s %.1f %s", profile.name(), variant.name(), load, fault);
-        }
-    }
-
     private Experiments() {}
 
     /**
@@ -246,7 +234,7 @@
         return new ExperimentResult(name, seed, rows, targets);
     }
 
-    private static Map<String, Double> figures(Profile profile, Tally tally) {
+    static Map<String, Double> figures(Profile profile, Tally tally) {
         Map<String, Double> figures = new LinkedHashMap<>();
         for (Kind kind : profile.kinds()) {
             String name = kind.requestClass().name();
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/HerdExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/HerdExperiment.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.bronzewheel.budget.ObservedStageBudgets;
 import org.bronzewheel.inventory.Pool;
@@ -80,12 +81,13 @@
     static ExperimentResult run(long seed) {
         PolicySettings usual = PolicySettings.defaults();
         PolicySettings wide = usual.withHeadroom(WIDE_HEADROOM).withRefusesHopeless(false);
-        List<Row> rows =
+        List<Supplier<Row>> runs =
                 List.of(
-                        row("full", usual, WorkerTable::choose, seed),
-                        row("choice-alone", wide, WorkerTable::choose, seed),
-                        row("lowest-report", wide, HerdExperiment::lowestReport, seed),
-                        row("random", wide, HerdExperiment::anyWorker, seed));
+                        () -> row("full", usual, WorkerTable::choose, seed),
+                        () -> row("choice-alone", wide, WorkerTable::choose, seed),
+                        () -> row("lowest-report", wide, HerdExperiment::lowestReport, seed),
+                        () -> row("random", wide, HerdExperiment::anyWorker, seed));
+        List<Row> rows = runs.parallelStream().map(Supplier::get).toList();
         List<Target> targets =
                 rows.subList(0, 2).stream()
                         .map(
