Bound the expected wait of a small workspace by all the work ahead

Cause: with one call queued, a workspace of weight 5 in 100 was taken to wait twenty times the cost of that call.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/admission/ClassQueue.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/ClassQueue.java
@@ -118,13 +118,19 @@
         if (flow == null || flow.work.isEmpty()) {
             return 0;
         }
-        return flow.queuedCost * backloggedWeight / (flow.weight * ratePerNano);
+        return waitNanos(flow, flow.queuedCost, queuedCost, ratePerNano);
+    }
+
+    /** Work waits for its workspace's share of what is ahead, and at most for all of it. */
+    private double waitNanos(Flow<T> flow, double aheadInFlow, double ahead, double ratePerNano) {
+        double shared = aheadInFlow * backloggedWeight / flow.weight;
+        return Math.min(shared, ahead) / ratePerNano;
     }
 
     private boolean lastIsHopeless(Flow<T> flow, long nowNanos, double ratePerNano) {
         Queued<T> last = flow.work.last();
-        double ahead = flow.queuedCost - last.request().cost();
-        double wait = ahead * backloggedWeight / (flow.weight * ratePerNano);
+        double cost = last.request().cost();
+        double wait = waitNanos(flow, flow.queuedCost - cost, queuedCost - cost, ratePerNano);
         return nowNanos + wait > last.request().latestStartNanos();
     }
 
