--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PolicySettings.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PolicySettings.java
@@ -41,7 +41,7 @@
                 true,
                 1.0,
                 1.5,
-                0.95,
+                0.97,
                 3,
                 0.1,
                 50,
