Give each pool of engines one steward that orders it to follow

A lease from two thirds of the listed routers decides who sends, so that engines which ignore fencing numbers have one steward too; it is checked by the monotonic clock just before an order leaves. The fencing number is the configuration revision and a count, so an order of an older configuration loses whoever sends it.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/machine/MachineHost.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/machine/MachineHost.java
@@ -109,6 +109,22 @@
         deliver();
     }
 
+    /**
+     * Reads the machine under its lock.
+     *
+     * @param question reads the machine at the given monotonic time, in nanoseconds
+     * @param <R> the type of the answer
+     * @return the answer
+     */
+    public <R> R query(LongFunction<R> question) {
+        lock.lock();
+        try {
+            return question.apply(nanoClock.getAsLong());
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Delivers all steps; where another thread is doing so, leaves them to it. */
     private void deliver() {
         if (undelivered.getAndIncrement() != 0) {
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/steward/PeerStewardService.java
@@ -0,0 +1,121 @@
+package org.bronzewheel.steward;
+
+import com.google.common.flogger.FluentLogger;
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.bronzewheel.machine.MachineHost;
+import org.bronzewheel.membership.MembershipService;
+import org.bronzewheel.relay.ConfigurationService;
+import org.bronzewheel.service.Service;
+import org.bronzewheel.transport.Channel;
+import org.bronzewheel.transport.PeerTransport;
+
+/** The stewards over a transport: orders engines to hold what the inventory names. */
+public final class PeerStewardService implements Service {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+    private final MembershipService membership;
+    private final ConfigurationService configurations;
+    private final OrderSender orderSender;
+    private final StewardSettings settings;
+    private final Scheduler scheduler;
+    private final StewardMachine machine;
+    private final MachineHost<StewardMessage, EngineOrder> host;
+    private final CompositeDisposable work = new CompositeDisposable();
+
+    /**
+     * Creates a service; the transport must be started after this and before the service.
+     *
+     * @param transport carries the messages
+     * @param membership tells the peers
+     * @param configurations tells the inventory
+     * @param orderSender sends the orders to the engines
+     * @param settings the times
+     * @param scheduler runs ticks
+     * @param nanoClock the monotonic time, in nanoseconds
+     */
+    public PeerStewardService(
+            PeerTransport transport,
+            MembershipService membership,
+            ConfigurationService configurations,
+            OrderSender orderSender,
+            StewardSettings settings,
+            Scheduler scheduler,
+            LongSupplier nanoClock) {
+        this.membership = membership;
+        this.configurations = configurations;
+        this.orderSender = orderSender;
+        this.settings = settings;
+        this.scheduler = scheduler;
+        machine = new StewardMachine(transport.self(), settings, nanoClock.getAsLong());
+        host =
+                new MachineHost<>(
+                        machine,
+                        out ->
+                                transport.send(
+                                        out.toVmId(),
+                                        Channel.STEWARD,
+                                        StewardCodec.encode(out.message())),
+                        this::send,
+                        scheduler,
+                        nanoClock,
+                        settings.tickMillis());
+        transport.listen(
+                Channel.STEWARD,
+                (from, payload) -> host.receive(from, StewardCodec.decode(payload)));
+    }
+
+    @Override
+    public void start() {
+        work.add(
+                membership
+                        .changes()
+                        .subscribe(view -> host.apply(now -> machine.setView(view, now))));
+        work.add(
+                configurations
+                        .changes()
+                        .subscribe(next -> host.apply(now -> machine.setConfiguration(next, now))));
+        host.start();
+    }
+
+    /** Gives the leases up, so that successors need not wait, and ends the work. */
+    @Override
+    public void stop() {
+        work.dispose();
+        host.stop();
+        host.apply(now -> machine.releaseAll());
+    }
+
+    /**
+     * Returns the pools whose steward this router is.
+     *
+     * @return names of pools
+     */
+    public Set<String> heldPools() {
+        return host.query(machine::heldPools);
+    }
+
+    private void send(EngineOrder order) {
+        boolean allowed = host.query(nowNanos -> machine.mayStillSend(order, nowNanos));
+        if (!allowed) {
+            host.apply(nowNanos -> machine.skipped(order, nowNanos));
+            return;
+        }
+        logger.atInfo().log(
+                "ordering %s to hold %s, number %s",
+                order.upstreamName(), order.models(), order.fencingNumber());
+        Single.defer(() -> orderSender.send(order))
+                .timeout(settings.sendMarginMillis(), TimeUnit.MILLISECONDS, scheduler)
+                .onErrorReturnItem(OrderResult.UNKNOWN)
+                .subscribe(result -> complete(order, result), error -> {}, work);
+    }
+
+    private void complete(EngineOrder order, OrderResult result) {
+        logger.atInfo().log("order to %s: %s", order.upstreamName(), result);
+        host.apply(nowNanos -> machine.completed(order, result, nowNanos));
+    }
+}
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualFleet.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualFleet.java
@@ -35,6 +35,7 @@
     final Map<String, VirtualRouter> routers = new LinkedHashMap<>();
     private long nextIncarnation = START_INCARNATION;
     private VmList list;
+    private boolean recordsViews = true;
     private long messages;
     private long bytes;
 
@@ -147,6 +148,15 @@
         network.deliver(from, to, () -> receive(to, frame));
     }
 
+    /** Whether routers keep all their views, which takes memory. */
+    boolean recordsViews() {
+        return recordsViews;
+    }
+
+    void forgetViews() {
+        recordsViews = false;
+    }
+
     long messages() {
         return messages;
     }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualRouter.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualRouter.java
@@ -136,7 +136,9 @@
     }
 
     private void setView(MembershipView view) {
-        views.add(view);
+        if (fleet.recordsViews()) {
+            views.add(view);
+        }
         RelayPeers next = RelayDuties.of(view, self.vmId());
         if (next.equals(duties)) {
             return;
