--- a/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/CallerRoutes.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/CallerRoutes.java
@@ -5,7 +5,6 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Scheduler;
-import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
@@ -63,45 +62,40 @@
     }
 
     private void submit(RoutingContext context) {
-        exchanges.enter();
-        context.addEndHandler(end -> exchanges.exit());
+        CallerExchange exchange = CallerExchange.open(context.response(), exchanges);
         RequestId id = requests.nextId();
         LimitedBody.read(context.request(), maxBodyBytes())
-                .onSuccess(body -> submit(context, id, body))
-                .onFailure(error -> refuse(context, id, error));
+                .onSuccess(body -> submit(context, exchange, id, body))
+                .onFailure(error -> refuse(exchange.response(), id, error));
     }
 
     /** Ends an exchange whose body was not read whole; nothing more can follow on it. */
-    private static void refuse(RoutingContext context, RequestId id, Throwable error) {
-        context.response().putHeader("Connection", "close");
-        Responses.problem(context.response(), id, error);
+    private static void refuse(HttpServerResponse response, RequestId id, Throwable error) {
+        response.putHeader("Connection", "close");
+        Responses.problem(response, id, error);
     }
 
-    private void submit(RoutingContext context, RequestId id, Buffer body) {
-        HttpServerResponse response = context.response();
+    private void submit(
+            RoutingContext context, CallerExchange exchange, RequestId id, Buffer body) {
         PipelineRequest request;
         try {
             request =
                     parser.parse(context.pathParam("pipeline"), context.request().headers(), body);
         } catch (BronzewheelException e) {
-            Responses.problem(response, id, e);
+            Responses.problem(exchange.response(), id, e);
             return;
         }
-        CompositeDisposable reading = new CompositeDisposable();
-        response.closeHandler(
-                closed -> {
-                    reading.dispose();
-                    requests.callerGone(id, request);
-                });
-        reading.add(
+        exchange.onGone(() -> requests.callerGone(id, request));
+        exchange.add(
                 requests.submit(id, request)
                         .subscribe(
-                                holder -> reading.add(answer(response, id, holder, request)),
-                                error -> Responses.problem(response, id, error)));
+                                holder -> exchange.add(answer(exchange, id, holder, request)),
+                                error -> Responses.problem(exchange.response(), id, error)));
     }
 
     private Disposable answer(
-            HttpServerResponse response, RequestId own, RequestId holder, PipelineRequest request) {
+            CallerExchange exchange, RequestId own, RequestId holder, PipelineRequest request) {
+        HttpServerResponse response = exchange.response();
         if (request.streamed()) {
             return follow(holder, 0, new EventStream(response)).subscribe();
         }
@@ -132,17 +126,14 @@
     }
 
     private void show(RoutingContext context) {
+        HttpServerResponse response = context.response();
         withId(
                 context,
                 id ->
                         requests.read(id, ReadResult.NO_TOKENS, 0)
                                 .subscribe(
-                                        result -> endWithState(context, id, result),
-                                        error -> Responses.problem(context.response(), id, error)));
-    }
-
-    private static void endWithState(RoutingContext context, RequestId id, ReadResult result) {
-        Responses.json(context.response(), OK, state(id, result));
+                                        result -> Responses.json(response, OK, state(id, result)),
+                                        error -> Responses.problem(response, id, error)));
     }
 
     private static String state(RequestId id, ReadResult result) {
@@ -159,8 +150,6 @@
     }
 
     private void stream(RoutingContext context) {
-        exchanges.enter();
-        context.addEndHandler(end -> exchanges.exit());
         withId(context, id -> stream(context.response(), id, offset(context)));
     }
 
@@ -196,24 +185,25 @@
     }
 
     /** Acts on the request that the path names; its work ends where the caller goes. */
+    /** Acts on the request that the path names; the work ends where the caller goes. */
     private void withId(RoutingContext context, Function<RequestId, Disposable> action) {
+        CallerExchange exchange = CallerExchange.open(context.response(), exchanges);
         Optional<RequestId> id = RequestId.parse(context.pathParam("id"));
         if (id.isEmpty()) {
-            Responses.problem(
-                    context.response(),
-                    requests.nextId(),
-                    new BronzewheelException(
-                            ErrorCode.UNKNOWN_REQUEST, "the path names no request id"));
+            Responses.problem(exchange.response(), requests.nextId(), noRequestId());
             return;
         }
         try {
-            Disposable work = action.apply(id.get());
-            context.response().closeHandler(closed -> work.dispose());
+            exchange.add(action.apply(id.get()));
         } catch (BronzewheelException e) {
-            Responses.problem(context.response(), id.get(), e);
+            Responses.problem(exchange.response(), id.get(), e);
         }
     }
 
+    private static BronzewheelException noRequestId() {
+        return new BronzewheelException(ErrorCode.UNKNOWN_REQUEST, "the path names no request id");
+    }
+
     private static long offset(RoutingContext context) {
         String text = context.request().getParam("offset", "0");
         try {
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/FakeStageClient.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/FakeStageClient.java
@@ -5,8 +5,8 @@
 import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.subjects.SingleSubject;
-import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.bronzewheel.error.BronzewheelException;
 import org.bronzewheel.error.ErrorCode;
 import org.bronzewheel.request.AttemptId;
@@ -19,8 +19,8 @@
 
 /** A fake client whose calls are ended by the test. */
 final class FakeStageClient implements StageClient {
-    final List<Exchange> calls = new ArrayList<>();
-    final List<StageCall> cancelled = new ArrayList<>();
+    final List<Exchange> calls = new CopyOnWriteArrayList<>();
+    final List<StageCall> cancelled = new CopyOnWriteArrayList<>();
     boolean connectsAtOnce = true;
 
     /** One call, sent once its permit was asked. */
