Read bodies of small calls on the event loop; take any media type in stand-ins

JsonCalls attached its body reader from the calling thread; a fast answer had ended before, and the call failed: seen once in PlatformClientContractTest.aStaleReplicaIsEmpty (IllegalStateException in HttpClientResponseImpl.checkEnded). The reader is attached in the callback of the send now. Stand-ins refused bodies over 8 KB that curl sent as a form.

--- a/bronzewheel-standin/src/main/java/org/bronzewheel/standin/StandInServer.java
+++ b/bronzewheel-standin/src/main/java/org/bronzewheel/standin/StandInServer.java
@@ -6,11 +6,11 @@
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
-import io.vertx.ext.web.handler.BodyHandler;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutionException;
@@ -25,7 +25,7 @@
 public abstract class StandInServer implements Service {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long START_TIMEOUT_MILLIS = 10_000;
-    private static final int MAX_BODY_BYTES = 64 << 20;
+    private static final String BODY = "body";
 
     static final ObjectMapper MAPPER = new ObjectMapper();
     static final int OK = 200;
@@ -51,13 +51,23 @@
     @Override
     public synchronized void start() {
         Router router = Router.router(vertx);
-        router.route()
-                .handler(BodyHandler.create(false).setBodyLimit(MAX_BODY_BYTES))
-                .failureHandler(StandInServer::fail);
+        router.route().handler(StandInServer::readBody).failureHandler(StandInServer::fail);
         addRoutes(router);
         server = await(newServer().requestHandler(router).listen(wantedPort, host));
     }
 
+    /** Reads the body whatever its media type; callers such as curl send JSON as a form. */
+    private static void readBody(RoutingContext context) {
+        context.request()
+                .body()
+                .onFailure(context::fail)
+                .onSuccess(
+                        body -> {
+                            context.put(BODY, body);
+                            context.next();
+                        });
+    }
+
     private HttpServer newServer() {
         HttpServerOptions options = new HttpServerOptions();
         options.setHandle100ContinueAutomatically(true);
@@ -115,8 +125,7 @@
     }
 
     static JsonNode body(RoutingContext context) throws JsonProcessingException {
-        String text = context.body().asString();
-        JsonNode parsed = MAPPER.readTree(text == null ? "" : text);
+        JsonNode parsed = MAPPER.readTree(context.<Buffer>get(BODY).toString());
         if (!parsed.isObject()) {
             throw new IllegalArgumentException("the body is no JSON object");
         }
--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/JsonCalls.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/JsonCalls.java
@@ -36,7 +36,6 @@
         return Maybe.<JsonNode>create(
                         emitter ->
                                 request(address, method, path, body)
-                                        .compose(JsonCalls::read)
                                         .onSuccess(
                                                 json -> {
                                                     if (json == null) {
@@ -50,7 +49,7 @@
                 .onErrorResumeNext(cause -> Maybe.error(error(address, path, cause)));
     }
 
-    private Future<HttpClientResponse> request(
+    private Future<JsonNode> request(
             String address, HttpMethod method, String path, JsonNode body) {
         int colon = address.lastIndexOf(':');
         RequestOptions options =
@@ -59,7 +58,9 @@
                         .setHost(address.substring(0, colon))
                         .setPort(Integer.parseInt(address.substring(colon + 1)))
                         .setURI(path);
-        return client.request(options).compose(opened -> send(opened, body));
+        // The body's reader is attached on the event loop, before the body can end.
+        return client.request(options)
+                .compose(opened -> send(opened, body).compose(JsonCalls::read));
     }
 
     private static Future<HttpClientResponse> send(HttpClientRequest opened, JsonNode body) {
