--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/explain/Explanation.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/explain/Explanation.java
@@ -205,7 +205,7 @@
                         Set.copyOf(excluded),
                         situation.failureDomain(),
                         0,
-                        false,
+                        ChoiceContext.NO_PROBE,
                         settings.headroom());
         return workers.choose(context, NOW_NANOS, random);
     }
