Check the claim machine exhaustively and by random schedules

A breadth-first search runs every schedule of the real machine at small scope (3 routers, 2 or 3 claims, one loss, double, restart or step of time); seeded random walks run partitions, pauses, restarts, skew, list changes and stale lists with 3 to 9 routers.

Found by it: refusing keys from the future is no rule of its own, since the evidence that a claim needs cannot exist for them; it stays as an early refusal.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMachine.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMachine.java
@@ -139,6 +139,11 @@
         return nowNanos - grant.startedNanos() < validNanos || !rules.grantsExpire();
     }
 
+    /** Tells whether a claim is not yet decided. */
+    boolean isOpen(RequestId requestId) {
+        return claims.containsKey(requestId);
+    }
+
     @Override
     public Step<ClaimMessage, ClaimEvent> receive(Peer from, ClaimMessage message, long nowNanos) {
         StepBuilder step = new StepBuilder();
@@ -196,7 +201,7 @@
         if (rules.keysExpire() && clock.isExpired(request.key(), settings)) {
             return Optional.of(refused(ErrorCode.KEY_EXPIRED));
         }
-        if (rules.futureKeysWait() && clock.isAhead(request.key(), settings)) {
+        if (clock.isAhead(request.key(), settings)) {
             return Optional.of(
                     new ClaimDecision.Refused(
                             ErrorCode.KEY_NOT_REMEMBERED, settings.evidenceMillis()));
@@ -306,7 +311,7 @@
         boolean isOwner =
                 from.vmId().equals(requestId.vmId())
                         && from.incarnation() == requestId.incarnation();
-        if (!isOwner && rules.onlyOwnerWithdraws()) {
+        if (!isOwner) {
             return;
         }
         if (!withdrawal.seatVmId().equals(self.vmId())) {
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimRules.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimRules.java
@@ -13,10 +13,8 @@
  * @param listsSettle a list votes alone only for keys younger than its use
  * @param restartedEvidenceIsVoid evidence of routers that restarted after the key is not counted
  * @param withdrawalIsFinal a claim that withdrew is never granted
- * @param onlyOwnerWithdraws only the claimant's own process can withdraw a claim
  * @param grantsExpire a grant ends long before the votes are forgotten
  * @param keysExpire a key older than the retention is refused
- * @param futureKeysWait a key whose time lies ahead is refused
  * @param frozenSeatsAbstain a seat that was handed over votes no more at its old place
  */
 record ClaimRules(
@@ -28,13 +26,10 @@
         boolean listsSettle,
         boolean restartedEvidenceIsVoid,
         boolean withdrawalIsFinal,
-        boolean onlyOwnerWithdraws,
         boolean grantsExpire,
         boolean keysExpire,
-        boolean futureKeysWait,
         boolean frozenSeatsAbstain) {
     /** Every rule is in force. */
     static final ClaimRules ALL =
-            new ClaimRules(
-                    true, true, true, true, true, true, true, true, true, true, true, true, true);
+            new ClaimRules(true, true, true, true, true, true, true, true, true, true, true);
 }
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/VoteTable.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/VoteTable.java
@@ -59,7 +59,7 @@
         if (rules.keysExpire() && clock.isExpired(key, settings)) {
             return reply(request, VoteResult.EXPIRED);
         }
-        if (rules.futureKeysWait() && clock.isAhead(key, settings)) {
+        if (clock.isAhead(key, settings)) {
             return reply(request, VoteResult.NOT_REMEMBERED);
         }
         Vote vote = votes.get(key);
--- /dev/null
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/check/Exploration.java
@@ -0,0 +1,20 @@
+package org.bronzewheel.check;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The outcome of an exploration.
+ *
+ * @param states the number of distinct states visited
+ * @param transitions the number of transitions taken
+ * @param complete whether all states within the scope were visited
+ * @param violation the broken property, or empty
+ * @param schedule the shortest schedule that breaks it, empty otherwise
+ */
+public record Exploration(
+        int states,
+        long transitions,
+        boolean complete,
+        Optional<String> violation,
+        List<String> schedule) {}
--- /dev/null
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimModel.java
@@ -0,0 +1,166 @@
+package org.bronzewheel.claim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.bronzewheel.check.Model;
+import org.bronzewheel.check.Transition;
+import org.bronzewheel.request.IdempotencyKey;
+import org.bronzewheel.request.RequestId;
+
+/** All schedules of a few claims of one key in a warm fleet within a scope. */
+final class ClaimModel implements Model<ScopedWorld> {
+    private final ClaimSettings settings;
+    private final ClaimRules rules;
+    private final ClaimScope scope;
+    private final IdempotencyKey key;
+
+    ClaimModel(ClaimSettings settings, ClaimRules rules, ClaimScope scope) {
+        this.settings = settings;
+        this.rules = rules;
+        this.scope = scope;
+        this.key =
+                scope.keyAheadMillis() < 0
+                        ? new IdempotencyKey("w", "opaque")
+                        : Keys.at(
+                                ClaimWorld.EPOCH_MILLIS + warmMillis() + scope.keyAheadMillis(), 1);
+    }
+
+    @Override
+    public ScopedWorld initial() {
+        ClaimWorld world = new ClaimWorld(settings, rules);
+        VoterList list = list();
+        list.voters().forEach(voter -> world.start(voter.vmId(), 0));
+        list.voters().forEach(voter -> world.learn(voter.vmId(), list));
+        world.settle();
+        world.advance(warmMillis());
+        world.settle();
+        return new ScopedWorld(world);
+    }
+
+    @Override
+    public ScopedWorld copy(ScopedWorld state) {
+        return state.copy();
+    }
+
+    @Override
+    public void normalize(ScopedWorld state) {
+        state.world.settleEvidence();
+        state.world.dropIgnored();
+    }
+
+    @Override
+    public List<Transition<ScopedWorld>> transitions(ScopedWorld state) {
+        List<Transition<ScopedWorld>> result = new ArrayList<>();
+        addClaims(state, result);
+        addMessages(state, result);
+        addCrashes(state, result);
+        addTime(state, result);
+        for (RequestId request : scope.runs() ? state.world.unsent() : List.<RequestId>of()) {
+            result.add(new Transition<>("run " + request, next -> next.world.run(request)));
+        }
+        return result;
+    }
+
+    @Override
+    public Optional<String> violation(ScopedWorld state) {
+        return state.world.violation();
+    }
+
+    @Override
+    public String fingerprint(ScopedWorld state) {
+        return state.fingerprint();
+    }
+
+    private void addClaims(ScopedWorld state, List<Transition<ScopedWorld>> result) {
+        if (state.claimsMade < scope.claimants().size()) {
+            String vmId = scope.claimants().get(state.claimsMade);
+            result.add(
+                    new Transition<>(
+                            "claim at " + vmId,
+                            next -> {
+                                next.claimsMade++;
+                                next.world.claim(vmId, key);
+                            }));
+        }
+    }
+
+    private void addMessages(ScopedWorld state, List<Transition<ScopedWorld>> result) {
+        for (InFlight message : new LinkedHashSet<>(state.world.inFlight)) {
+            result.add(new Transition<>("deliver " + message, next -> next.world.deliver(message)));
+            if (state.drops < scope.drops()) {
+                result.add(
+                        new Transition<>(
+                                "drop " + message,
+                                next -> {
+                                    next.drops++;
+                                    next.world.inFlight.remove(message);
+                                }));
+            }
+            if (state.duplicates < scope.duplicates()) {
+                result.add(
+                        new Transition<>(
+                                "deliver and double " + message,
+                                next -> {
+                                    next.duplicates++;
+                                    next.world.deliverCopy(message);
+                                }));
+            }
+        }
+    }
+
+    private void addCrashes(ScopedWorld state, List<Transition<ScopedWorld>> result) {
+        if (state.crashes >= scope.crashes()) {
+            return;
+        }
+        for (String vmId : state.world.routers.keySet()) {
+            result.add(
+                    new Transition<>(
+                            "restart " + vmId,
+                            next -> {
+                                next.crashes++;
+                                next.world.start(vmId, 0);
+                                next.world.learn(vmId, list());
+                            }));
+        }
+    }
+
+    private void addTime(ScopedWorld state, List<Transition<ScopedWorld>> result) {
+        if (state.advances >= scope.advancesMillis().size()) {
+            return;
+        }
+        long millis = scope.advancesMillis().get(state.advances);
+        result.add(
+                new Transition<>(
+                        "advance " + millis + " ms",
+                        next -> {
+                            next.advances++;
+                            next.world.advance(millis);
+                        }));
+        for (String paused : new LinkedHashSet<>(scope.claimants())) {
+            result.add(
+                    new Transition<>(
+                            "advance " + millis + " ms with " + paused + " paused",
+                            next -> {
+                                next.advances++;
+                                next.world.setPaused(paused, true);
+                                next.world.advance(millis);
+                                next.world.setPaused(paused, false);
+                            }));
+        }
+    }
+
+    private VoterList list() {
+        return new VoterList(
+                1,
+                IntStream.range(0, scope.routers())
+                        .mapToObj(i -> new Voter("r" + i, "domain" + i % 3))
+                        .toList());
+    }
+
+    private long warmMillis() {
+        return settings.retentionMillis() + 2 * settings.warmUpMillis();
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimMutantsTest.java
@@ -0,0 +1,62 @@
+package org.bronzewheel.claim;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.bronzewheel.check.Exploration;
+import org.bronzewheel.check.Explorer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Shows that each safety rule is needed: without it, the check finds a schedule that breaks. */
+class ClaimMutantsTest {
+    private static final int MAX_STATES = 60_000;
+    private static final int MAX_SEEDS = 100;
+    private static final int MAX_STEPS = 1_500;
+
+    @ParameterizedTest
+    @CsvSource({
+        "firstVoteStays, restart",
+        "majorityGrants, restart",
+        "freshVoterAbstains, restart",
+        "withdrawalIsFinal, double",
+        "grantsExpire, waiting grant",
+        "keysExpire, expired key"
+    })
+    void withoutTheRuleAShortScheduleBreaks(String rule, String scopeName) {
+        ClaimScope scope =
+                ClaimScopes.ALL.stream()
+                        .filter(candidate -> candidate.name().equals(scopeName))
+                        .findFirst()
+                        .orElseThrow();
+        Exploration found =
+                new Explorer<>(
+                                new ClaimModel(ClaimScopes.SETTINGS, Mutants.without(rule), scope),
+                                MAX_STATES)
+                        .explore();
+
+        System.out.printf(
+                "CHECK without %s: %d states, schedule of %d: %s%n",
+                rule, found.states(), found.schedule().size(), found.violation().orElse("none"));
+        assertWithMessage("%s", found).that(found.violation()).isPresent();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "allListsVote, 2",
+        "evidenceOfOldLists, 136",
+        "listsSettle, 2",
+        "restartedEvidenceIsVoid, 1824"
+    })
+    void withoutTheRuleARandomScheduleBreaks(String rule, long firstSeed) {
+        int steps = 0;
+        for (long seed = firstSeed; seed < firstSeed + MAX_SEEDS && steps == 0; seed++) {
+            RandomClaimWalk walk = new RandomClaimWalk(seed, Mutants.without(rule));
+            if (walk.run(MAX_STEPS).isPresent()) {
+                steps = walk.steps();
+                System.out.printf("CHECK without %s: seed %d, %d steps%n", rule, seed, steps);
+            }
+        }
+        assertThat(steps).isGreaterThan(0);
+    }
+}
--- /dev/null
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimWorld.java
@@ -0,0 +1,284 @@
+package org.bronzewheel.claim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.bronzewheel.machine.Outgoing;
+import org.bronzewheel.machine.Step;
+import org.bronzewheel.request.IdempotencyKey;
+import org.bronzewheel.request.RequestId;
+import org.bronzewheel.transport.Peer;
+
+/**
+ * Some routers with real claim machines, the messages between them and one virtual clock. It
+ * watches that a key is granted once and run once and that a request which was told not to run is
+ * never granted.
+ */
+final class ClaimWorld {
+    static final long EPOCH_MILLIS = 1_800_000_000_000L;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    final TreeMap<String, ModelRouter> routers;
+    final List<InFlight> inFlight;
+    final Map<RequestId, IdempotencyKey> requests;
+    private final ClaimSettings settings;
+    private final ClaimRules rules;
+    private final Set<RequestId> ended;
+    private final Map<IdempotencyKey, Long> grantedAtMillis;
+    private final Map<IdempotencyKey, Long> ranAtMillis;
+    private final Set<RequestId> unsent;
+    private long nowMillis;
+    private long lastIncarnation;
+    private long lastSequence;
+    private int grants;
+    private int refusals;
+    private Optional<String> violation;
+    private boolean sharesRouters;
+
+    ClaimWorld(ClaimSettings settings, ClaimRules rules) {
+        this.settings = settings;
+        this.rules = rules;
+        this.routers = new TreeMap<>();
+        this.inFlight = new ArrayList<>();
+        this.requests = new HashMap<>();
+        this.ended = new HashSet<>();
+        this.grantedAtMillis = new HashMap<>();
+        this.ranAtMillis = new HashMap<>();
+        this.unsent = new HashSet<>();
+        this.violation = Optional.empty();
+    }
+
+    private ClaimWorld(ClaimWorld other) {
+        this.settings = other.settings;
+        this.rules = other.rules;
+        this.routers = new TreeMap<>();
+        this.routers.putAll(other.routers);
+        this.sharesRouters = true;
+        this.inFlight = new ArrayList<>(other.inFlight);
+        this.requests = new HashMap<>(other.requests);
+        this.ended = new HashSet<>(other.ended);
+        this.grantedAtMillis = new HashMap<>(other.grantedAtMillis);
+        this.ranAtMillis = new HashMap<>(other.ranAtMillis);
+        this.unsent = new HashSet<>(other.unsent);
+        this.nowMillis = other.nowMillis;
+        this.lastIncarnation = other.lastIncarnation;
+        this.lastSequence = other.lastSequence;
+        this.grants = other.grants;
+        this.refusals = other.refusals;
+        this.violation = other.violation;
+    }
+
+    ClaimWorld copy() {
+        return new ClaimWorld(this);
+    }
+
+    /** Starts a router, or a new incarnation of it without memory. */
+    void start(String vmId, long skewMillis) {
+        Peer peer = new Peer(vmId, ++lastIncarnation);
+        ClaimMachine machine = new ClaimMachine(settings, rules, peer, nowNanos());
+        routers.put(vmId, new ModelRouter(machine, peer, skewMillis, true, false));
+        unsent.removeIf(request -> request.vmId().equals(vmId));
+    }
+
+    /** Ends a router without notice. */
+    void kill(String vmId) {
+        routers.computeIfPresent(vmId, (id, router) -> router.withUp(false));
+        unsent.removeIf(request -> request.vmId().equals(vmId));
+    }
+
+    void setPaused(String vmId, boolean paused) {
+        routers.computeIfPresent(vmId, (id, router) -> router.withPaused(paused));
+    }
+
+    void learn(String vmId, VoterList list) {
+        ModelRouter router = writable(vmId);
+        setWallClock(router);
+        take(router, router.machine().updateList(list, nowNanos()));
+    }
+
+    RequestId claim(String vmId, IdempotencyKey key) {
+        ModelRouter router = writable(vmId);
+        RequestId requestId = new RequestId(vmId, router.peer().incarnation(), ++lastSequence);
+        requests.put(requestId, key);
+        setWallClock(router);
+        ClaimRequest request = new ClaimRequest(key, requestId, "body", 60_000);
+        take(router, router.machine().claim(request, nowNanos()));
+        return requestId;
+    }
+
+    /** Delivers a message; one to a router that is down is lost. */
+    void deliver(InFlight message) {
+        inFlight.remove(message);
+        deliverCopy(message);
+    }
+
+    /** Delivers a message that stays on its way. */
+    void deliverCopy(InFlight message) {
+        if (works(message.toVmId())) {
+            ModelRouter router = writable(message.toVmId());
+            setWallClock(router);
+            take(router, router.machine().receive(message.from(), message.message(), nowNanos()));
+        }
+    }
+
+    /** Lets time pass and ticks the routers that work. */
+    void advance(long millis) {
+        nowMillis += millis;
+        for (String vmId : List.copyOf(routers.keySet())) {
+            if (works(vmId)) {
+                ModelRouter router = writable(vmId);
+                setWallClock(router);
+                take(router, router.machine().tick(nowNanos()));
+            }
+        }
+    }
+
+    /** Delivers the questions about lists and their replies, in order. */
+    void settleEvidence() {
+        List<InFlight> exchanged = evidenceInFlight();
+        while (!exchanged.isEmpty()) {
+            exchanged.forEach(this::deliver);
+            exchanged = evidenceInFlight();
+        }
+    }
+
+    /** Removes replies to claims that have ended, which their receivers ignore. */
+    void dropIgnored() {
+        inFlight.removeIf(
+                message ->
+                        message.message() instanceof ClaimMessage.VoteReply reply
+                                && !routers.get(message.toVmId())
+                                        .machine()
+                                        .isOpen(reply.requestId()));
+    }
+
+    boolean works(String vmId) {
+        return routers.containsKey(vmId) && routers.get(vmId).works();
+    }
+
+    /** Delivers all messages between routers that work, in order, until none is left. */
+    void settle() {
+        while (!inFlight.isEmpty()) {
+            deliver(inFlight.get(0));
+        }
+    }
+
+    /** Lets a router send its granted request upstream, where the grant still stands. */
+    void run(RequestId requestId) {
+        unsent.remove(requestId);
+        ModelRouter router = routers.get(requestId.vmId());
+        if (!router.machine().isStillGranted(requestId, nowNanos())) {
+            return;
+        }
+        IdempotencyKey key = requests.get(requestId);
+        Long before = ranAtMillis.put(key, nowMillis);
+        if (before != null && isWithinGuarantee(key, before)) {
+            violation = Optional.of("key ran twice: " + key.text());
+        }
+    }
+
+    List<RequestId> unsent() {
+        return unsent.stream()
+                .filter(request -> routers.get(request.vmId()).works())
+                .sorted(java.util.Comparator.comparing(RequestId::toString))
+                .toList();
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    int grants() {
+        return grants;
+    }
+
+    int refusals() {
+        return refusals;
+    }
+
+    Optional<String> violation() {
+        return violation;
+    }
+
+    String fingerprint() {
+        StringBuilder text = new StringBuilder();
+        routers.values().forEach(text::append);
+        inFlight.stream().map(InFlight::toString).sorted().forEach(text::append);
+        text.append(new TreeMap<>(sortable(ranAtMillis)));
+        text.append(new TreeMap<>(sortable(grantedAtMillis)));
+        text.append(unsent()).append(nowMillis).append(lastSequence).append(violation);
+        return text.toString();
+    }
+
+    private List<InFlight> evidenceInFlight() {
+        return inFlight.stream()
+                .filter(
+                        message ->
+                                message.message() instanceof ClaimMessage.Ping
+                                        || message.message() instanceof ClaimMessage.Pong)
+                .toList();
+    }
+
+    /** Returns a router that no other world shares. */
+    private ModelRouter writable(String vmId) {
+        if (sharesRouters) {
+            routers.computeIfPresent(vmId, (id, router) -> router.copy());
+        }
+        return routers.get(vmId);
+    }
+
+    private static Map<String, Long> sortable(Map<IdempotencyKey, Long> times) {
+        Map<String, Long> result = new HashMap<>();
+        times.forEach((key, time) -> result.put(key.text(), time));
+        return result;
+    }
+
+    private void take(ModelRouter router, Step<ClaimMessage, ClaimEvent> step) {
+        for (Outgoing<ClaimMessage> outgoing : step.messages()) {
+            inFlight.add(new InFlight(router.peer(), outgoing.toVmId(), outgoing.message()));
+        }
+        for (ClaimEvent event : step.events()) {
+            if (event instanceof ClaimEvent.Decided decided) {
+                judge(decided.requestId(), decided.decision());
+            }
+        }
+    }
+
+    private void judge(RequestId requestId, ClaimDecision decision) {
+        boolean first = ended.add(requestId);
+        if (!(decision instanceof ClaimDecision.Granted)) {
+            refusals += decision instanceof ClaimDecision.Refused ? 1 : 0;
+            return;
+        }
+        grants++;
+        if (!first) {
+            violation = Optional.of("granted after it was told not to run: " + requestId);
+            return;
+        }
+        unsent.add(requestId);
+        IdempotencyKey key = requests.get(requestId);
+        Long before = grantedAtMillis.put(key, nowMillis);
+        if (before != null && isWithinGuarantee(key, before)) {
+            violation = Optional.of("key granted twice: " + key.text());
+        }
+    }
+
+    /** A key with its own time is granted once; another one once within the retention. */
+    private boolean isWithinGuarantee(IdempotencyKey key, long beforeMillis) {
+        return key.createdAtEpochMillis().isPresent()
+                || nowMillis - beforeMillis < settings.retentionMillis() - settings.claimMillis();
+    }
+
+    private void setWallClock(ModelRouter router) {
+        router.machine().setWallClock(EPOCH_MILLIS + nowMillis + router.skewMillis(), nowNanos());
+    }
+
+    private long nowNanos() {
+        return nowMillis * NANOS_PER_MILLI;
+    }
+}
