--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
@@ -32,6 +32,7 @@
 final class DetectorMachine implements Machine<DetectorMessage, MembershipView> {
     private static final int HELPERS = 3;
     private static final long NEWS_INTERVAL_MILLIS = 200;
+    private static final long VIEW_INTERVAL_MILLIS = 1_000;
     private static final int PAUSE_TICKS = 10;
 
     private record HelpDuty(String requester, long sequence, String target, long deadlineNanos) {}
@@ -55,6 +56,7 @@
     private long nextRoundNanos;
     private long nextSignOfLifeNanos;
     private long nextNewsNanos;
+    private long nextViewNanos;
     private boolean newsDue;
     private boolean viewChanged;
     private boolean viewChangedUrgently;
@@ -148,8 +150,7 @@
         if (newsDue && nowNanos - nextNewsNanos >= 0) {
             sendNews(nowNanos);
         }
-        if (viewChanged) {
-            viewChanged = false;
+        if (viewChanged && nowNanos - nextViewNanos >= 0) {
             viewChangedUrgently = true;
         }
         return flush(nowNanos);
@@ -164,6 +165,7 @@
             roundStartNanos = nowNanos;
             nextSignOfLifeNanos = nowNanos;
             nextNewsNanos = nowNanos;
+            nextViewNanos = nowNanos;
             lastTimeNanos = nowNanos;
         }
         long gapNanos = nowNanos - lastTimeNanos;
@@ -418,6 +420,8 @@
         List<MembershipView> events = List.of();
         if (viewChangedUrgently) {
             viewChangedUrgently = false;
+            viewChanged = false;
+            nextViewNanos = nowNanos + nanos(VIEW_INTERVAL_MILLIS);
             MembershipView next = buildView(nowNanos);
             if (!next.equals(view)) {
                 view = next;
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/PeerMembershipService.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/PeerMembershipService.java
@@ -12,7 +12,6 @@
 import org.bronzewheel.document.DocumentVersion;
 import org.bronzewheel.document.RelayCodec;
 import org.bronzewheel.document.RelayMessage;
-import org.bronzewheel.document.RelayPeers;
 import org.bronzewheel.error.BronzewheelException;
 import org.bronzewheel.error.ErrorCode;
 import org.bronzewheel.machine.MachineHost;
@@ -34,7 +33,6 @@
     private final DocumentRelay<VmList> relay;
     private final BehaviorProcessor<MembershipView> views =
             BehaviorProcessor.createDefault(MembershipView.EMPTY);
-    private RelayPeers duties = RelayPeers.ALONE;
 
     /**
      * Creates a service; the transport must be started after this and before the service.
@@ -147,11 +145,10 @@
 
     /** Takes a view; calls come one at a time. */
     private void publish(MembershipView view) {
+        boolean unchanged = RelayDuties.areUnchanged(views.getValue(), view);
         views.onNext(view);
-        RelayPeers current = RelayDuties.of(view, transport.self().vmId());
-        if (!current.equals(duties)) {
-            duties = current;
-            relay.setPeers(current);
+        if (!unchanged) {
+            relay.setPeers(RelayDuties.of(view, transport.self().vmId()));
         }
     }
 
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/RelayDuties.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/RelayDuties.java
@@ -36,6 +36,22 @@
                 overlay.neighbours(), isReader(view, self.get()), view.members().size());
     }
 
+    /**
+     * Tells whether two views lead to the same duties; cheaper than to find the duties.
+     *
+     * @param before a view
+     * @param after another view
+     * @return true where both have the same list and the same health of each router
+     */
+    public static boolean areUnchanged(MembershipView before, MembershipView after) {
+        return before.list().revision() == after.list().revision()
+                && healths(before).equals(healths(after));
+    }
+
+    private static List<MemberHealth> healths(MembershipView view) {
+        return view.members().stream().map(Member::health).toList();
+    }
+
     /** A router that is not listed yet keeps in touch with a few others, and reads by itself. */
     private static RelayPeers ofUnlisted(List<Vm> reachable) {
         List<String> some =
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/RingOverlay.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/RingOverlay.java
@@ -25,6 +25,8 @@
     private static final int FULL_MESH_ROUTERS = 9;
     private static final int RINGS = 3;
 
+    private record Place(long score, String vmId) {}
+
     static RingOverlay of(Vm self, Collection<Vm> routers) {
         List<Vm> all = new ArrayList<>(routers);
         all.removeIf(vm -> vm.vmId().equals(self.vmId()));
@@ -55,16 +57,15 @@
         if (members.size() < 2) {
             return;
         }
-        List<String> ring =
+        List<Place> ring =
                 members.stream()
-                        .map(Vm::vmId)
-                        .sorted(
-                                Comparator.comparingLong(
-                                                (String id) -> RendezvousHash.score(key, id))
-                                        .thenComparing(id -> id))
+                        .map(vm -> new Place(RendezvousHash.score(key, vm.vmId()), vm.vmId()))
+                        .sorted(Comparator.comparing(Place::score).thenComparing(Place::vmId))
                         .toList();
-        int own = ring.indexOf(selfVmId);
+        int own = ring.indexOf(new Place(RendezvousHash.score(key, selfVmId), selfVmId));
         int size = ring.size();
-        add.accept(ring.get((own + size - 1) % size), ring.get((own + 1) % size));
+        String before = ring.get((own + size - 1) % size).vmId();
+        String after = ring.get((own + 1) % size).vmId();
+        add.accept(before, after);
     }
 }
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/relay/RelayedConfigurationService.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/relay/RelayedConfigurationService.java
@@ -85,8 +85,8 @@
                 membership
                         .changes()
                         .filter(view -> view.list().revision() > 0)
+                        .distinctUntilChanged(RelayDuties::areUnchanged)
                         .map(view -> RelayDuties.of(view, selfVmId))
-                        .distinctUntilChanged()
                         .subscribe(relay::setPeers);
         relay.start();
     }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualRouter.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualRouter.java
@@ -33,7 +33,7 @@
     private final VirtualFleet fleet;
     private final DetectorMachine detector;
     private final VirtualRelay listRelay;
-    private RelayPeers duties = RelayPeers.ALONE;
+    private MembershipView lastView = MembershipView.EMPTY;
     private boolean running = true;
 
     VirtualRouter(VirtualFleet fleet, Peer self) {
@@ -139,12 +139,12 @@
         if (fleet.recordsViews()) {
             views.add(view);
         }
-        RelayPeers next = RelayDuties.of(view, self.vmId());
-        if (next.equals(duties)) {
+        if (RelayDuties.areUnchanged(lastView, view)) {
             return;
         }
-        boolean first = duties.equals(RelayPeers.ALONE);
-        duties = next;
+        boolean first = lastView.list().revision() == 0;
+        lastView = view;
+        RelayPeers next = RelayDuties.of(view, self.vmId());
         listRelay.setPeers(next);
         configurationRelay.setPeers(next);
         if (first) {
