--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/FleetMeasurement.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/FleetMeasurement.java
@@ -26,8 +26,24 @@
     private static final int REPETITIONS = 5;
     private static final int CONFIGURATION_BYTES = 64_000;
     private static final int STEADY_SECONDS = 60;
+    private static final double LOSS = 0.1;
     private static final long LIMIT_MILLIS = 120_000;
 
+    /** Reads of the platform until now. */
+    private record Reads(long ofList, long ofConfiguration) {
+        static Reads of(VirtualFleet fleet) {
+            return new Reads(fleet.listPlatform.reads(), fleet.configurationPlatform.reads());
+        }
+
+        String since(Reads before, int seconds) {
+            return String.format(
+                    Locale.ROOT,
+                    "%.1f, %.1f",
+                    (double) (ofList - before.ofList) / seconds,
+                    (double) (ofConfiguration - before.ofConfiguration) / seconds);
+        }
+    }
+
     public static void main(String[] sizes) {
         print(Arrays.stream(sizes).mapToInt(Integer::parseInt).toArray());
     }
@@ -39,11 +55,13 @@
 
     private static void print(int[] sizes) {
         System.out.println(
-                "| routers | messages/s | bytes/s | ms CPU/s | list reads/s | configuration reads/s"
-                    + " | cold start, s | configuration in force, s: median, worst | list in force,"
-                    + " s: median, worst | content bytes sent per router and configuration byte |"
-                    + " death suspected, s: median, worst |");
-        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+                "| routers | messages/s | bytes/s | ms CPU/s | KB heap | platform reads/s: list,"
+                        + " configuration | the same in an outage | cold start, s | configuration"
+                        + " in force, s: median, worst | with 10% loss, s | list in force, s:"
+                        + " median, worst | content bytes sent per configuration byte | death"
+                        + " suspected, s: median, worst |");
+        System.out.println(
+                "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (int size : sizes) {
             System.out.println(row(size));
         }
@@ -62,18 +80,15 @@
 
         long messages = fleet.messages();
         long bytes = fleet.bytes();
-        long listReads = fleet.listPlatform.reads();
-        long configurationReads = fleet.configurationPlatform.reads();
+        Reads reads = Reads.of(fleet);
         long cpuNanos = cpuNanos();
         fleet.network.runFor(STEADY_SECONDS * 1_000L);
         double perRouter = 1.0 / size / STEADY_SECONDS;
         double steadyMessages = (fleet.messages() - messages) * perRouter;
         double steadyBytes = (fleet.bytes() - bytes) * perRouter;
         double cpuMillis = (cpuNanos() - cpuNanos) / 1e6 * perRouter;
-        double listReadRate = (double) (fleet.listPlatform.reads() - listReads) / STEADY_SECONDS;
-        double configurationReadRate =
-                (double) (fleet.configurationPlatform.reads() - configurationReads)
-                        / STEADY_SECONDS;
+        String steadyReads = Reads.of(fleet).since(reads, STEADY_SECONDS);
+        long heapKilobytes = usedHeapBytes() / 1_000 / size;
 
         List<Long> configurations = new ArrayList<>();
         bytes = fleet.bytes();
@@ -91,17 +106,22 @@
             lists.add(changeList(fleet));
             deaths.add(killOne(fleet, i % size));
         }
+        String outageReads = readsInAnOutage(fleet);
+        fleet.network.setFaults(LOSS, 0);
+        double lossySeconds = changeConfiguration(fleet, REPETITIONS + 2L) / 1e3;
         return String.format(
                 Locale.ROOT,
-                "| %d | %.1f | %.0f | %.2f | %.1f | %.1f | %.1f | %s | %s | %.2f | %s |",
+                "| %d | %.1f | %.0f | %.2f | %d | %s | %s | %.1f | %s | %.1f | %s | %.2f | %s |",
                 size,
                 steadyMessages,
                 steadyBytes,
                 cpuMillis,
-                listReadRate,
-                configurationReadRate,
+                heapKilobytes,
+                steadyReads,
+                outageReads,
                 coldMillis / 1e3,
                 summary(configurations),
+                lossySeconds,
                 summary(lists),
                 perByte,
                 summary(deaths));
@@ -141,7 +161,26 @@
         Collections.sort(millis);
         double median = millis.get(millis.size() / 2) / 1e3;
         double worst = millis.get(millis.size() - 1) / 1e3;
-        return String.format(Locale.ROOT, "%.1f, %.1f", median, worst);
+        return String.format(Locale.ROOT, "%.2f, %.2f", median, worst);
+    }
+
+    private static String readsInAnOutage(VirtualFleet fleet) {
+        fleet.listPlatform.setUp(false);
+        fleet.configurationPlatform.setUp(false);
+        fleet.network.runFor(60_000);
+        Reads before = Reads.of(fleet);
+        fleet.network.runFor(STEADY_SECONDS * 1_000L);
+        String reads = Reads.of(fleet).since(before, STEADY_SECONDS);
+        fleet.listPlatform.setUp(true);
+        fleet.configurationPlatform.setUp(true);
+        fleet.network.runFor(30_000);
+        return reads;
+    }
+
+    private static long usedHeapBytes() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
     }
 
     private static long cpuNanos() {
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/steward/StewardFixture.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/steward/StewardFixture.java
@@ -16,14 +16,8 @@
 import org.bronzewheel.inventory.Upstream;
 import org.bronzewheel.machine.Step;
 import org.bronzewheel.machine.VirtualNetwork;
-import org.bronzewheel.membership.Member;
-import org.bronzewheel.membership.MemberHealth;
 import org.bronzewheel.membership.MembershipView;
 import org.bronzewheel.transport.Peer;
-import org.bronzewheel.vm.Vm;
-import org.bronzewheel.vm.VmList;
-import org.bronzewheel.vm.VmRole;
-import org.bronzewheel.vm.VmState;
 
 /**
  * Stewards in virtual time over engines that ignore fencing numbers. The views of the routers are
@@ -180,15 +174,8 @@
     }
 
     private static MembershipView view(Set<String> suspects) {
-        List<Member> members = new ArrayList<>();
-        for (int i = 0; i < ROUTERS; i++) {
-            Vm vm = new Vm(vmId(i), VmRole.ROUTER, VmState.LIVE, "d" + i % 3, "", "");
-            boolean suspect = suspects.contains(vm.vmId());
-            MemberHealth health = suspect ? MemberHealth.SUSPECT : MemberHealth.ALIVE;
-            members.add(new Member(vm, health, 1, 1, 1));
-        }
-        return new MembershipView(
-                new VmList(1, members.stream().map(Member::vm).toList()), members);
+        List<String> vmIds = IntStream.range(0, ROUTERS).mapToObj(StewardFixture::vmId).toList();
+        return StewardViews.of(vmIds, suspects);
     }
 
     private void receive(String to, Peer from, StewardMessage message) {
