--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -39,6 +40,7 @@
 
     private final MembershipSettings settings;
     private final RandomGenerator random;
+    private final Set<DetectorRule> rules;
     private final MemberTable table;
     private final String selfVmId;
     private final Map<String, ProbeTarget> targets = new LinkedHashMap<>();
@@ -63,6 +65,15 @@
     private List<Outgoing<DetectorMessage>> messages = new ArrayList<>();
 
     DetectorMachine(Peer self, MembershipSettings settings, RandomGenerator random) {
+        this(self, settings, random, EnumSet.allOf(DetectorRule.class));
+    }
+
+    DetectorMachine(
+            Peer self,
+            MembershipSettings settings,
+            RandomGenerator random,
+            Set<DetectorRule> rules) {
+        this.rules = rules;
         this.settings = settings;
         this.random = random;
         selfVmId = self.vmId();
@@ -122,6 +133,9 @@
         observeTime(nowNanos);
         lastHeardNanos.put(from.vmId(), nowNanos);
         message.states().forEach(state -> merge(state, nowNanos));
+        if (!rules.contains(DetectorRule.WAIT_FOR_REFUTATION)) {
+            clear(from.vmId());
+        }
         if (message instanceof DetectorMessage.Probe probe) {
             send(
                     from.vmId(),
@@ -169,7 +183,8 @@
             lastTimeNanos = nowNanos;
         }
         long gapNanos = nowNanos - lastTimeNanos;
-        if (gapNanos > PAUSE_TICKS * nanos(settings.tickMillis())) {
+        if (rules.contains(DetectorRule.FORGIVE_OWN_PAUSE)
+                && gapNanos > PAUSE_TICKS * nanos(settings.tickMillis())) {
             targets.values().forEach(ProbeTarget::reset);
             duties.clear();
             table.forgive(gapNanos);
@@ -200,6 +215,12 @@
         }
     }
 
+    private void clear(String vmId) {
+        if (table.clearSuspicion(vmId)) {
+            viewChangedUrgently = true;
+        }
+    }
+
     private void refuteIfSuspected(MemberState state) {
         MemberState own = table.own();
         boolean current =
@@ -270,7 +291,7 @@
 
     private void endRound(long nowNanos) {
         for (ProbeTarget target : targets.values()) {
-            if (!heardAnother(target)) {
+            if (rules.contains(DetectorRule.DOUBT_SELF) && !heardAnother(target)) {
                 target.skip();
             } else if (target.end(settings.missedProbes(), nowNanos)) {
                 suspect(target, nowNanos);
@@ -301,7 +322,7 @@
 
     private void askForHelp() {
         for (ProbeTarget target : targets.values()) {
-            if (target.needsHelp()) {
+            if (rules.contains(DetectorRule.ASK_HELPERS) && target.needsHelp()) {
                 for (String helper : helpers(target.vmId())) {
                     send(
                             helper,
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/MemberTable.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/MemberTable.java
@@ -74,6 +74,16 @@
         return before;
     }
 
+    /** Drops a suspicion without a refutation; false where there was none. */
+    boolean clearSuspicion(String vmId) {
+        MemberState state = states.get(vmId);
+        if (state == null || !state.suspect()) {
+            return false;
+        }
+        states.put(vmId, state.refuted(state.refutation()));
+        return true;
+    }
+
     long lastChangeNanos(String vmId) {
         return lastChangeNanos.get(vmId);
     }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualFleet.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualFleet.java
@@ -5,9 +5,11 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 import org.bronzewheel.document.DocumentVersion;
@@ -35,6 +37,7 @@
     final Map<String, VirtualRouter> routers = new LinkedHashMap<>();
     private long nextIncarnation = START_INCARNATION;
     private VmList list;
+    private Set<DetectorRule> rules = EnumSet.allOf(DetectorRule.class);
     private boolean recordsViews = true;
     private long messages;
     private long bytes;
@@ -80,6 +83,15 @@
         return fleet;
     }
 
+    /** Sets the rules of routers that start from now on. */
+    void setRules(Set<DetectorRule> newRules) {
+        rules = newRules;
+    }
+
+    Set<DetectorRule> rules() {
+        return rules;
+    }
+
     void startAll() {
         list.routers().forEach(vm -> start(vm.vmId()));
     }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualRouter.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/membership/VirtualRouter.java
@@ -40,7 +40,7 @@
         this.fleet = fleet;
         this.self = self;
         SplittableRandom random = fleet.network.random().split();
-        detector = new DetectorMachine(self, VirtualFleet.SETTINGS, random.split());
+        detector = new DetectorMachine(self, VirtualFleet.SETTINGS, random.split(), fleet.rules());
         listRelay =
                 new VirtualRelay(
                         self.vmId(),
