--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterMain.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterMain.java
@@ -41,10 +41,16 @@
             exitOnWrongSetting(e);
             return;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(router::stop, "planned-stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(router), "planned-stop"));
         logger.atInfo().log("router serves callers on port %d", router.httpPort());
     }
 
+    /** Stops as planned; without the halt the process would report the signal as its status. */
+    private static void stop(Router router) {
+        router.stop();
+        Runtime.getRuntime().halt(0);
+    }
+
     private static void exitOnWrongSetting(BronzewheelException error) {
         System.err.println(CommandLine.PROGRAM + ": " + error.getMessage());
         System.exit(WRONG_SETTING);
