--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/Fleet.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/Fleet.java
@@ -22,10 +22,13 @@
 import org.bronzewheel.relay.ConfigurationService;
 import org.bronzewheel.relay.RelayedConfigurationService;
 import org.bronzewheel.service.Service;
+import org.bronzewheel.steward.PeerStewardService;
+import org.bronzewheel.steward.StewardSettings;
 import org.bronzewheel.transport.NettyPeerTransport;
 import org.bronzewheel.transport.Peer;
 import org.bronzewheel.transport.PeerTransport;
 import org.bronzewheel.transport.TransportSettings;
+import org.bronzewheel.upstream.ControlClient;
 import org.bronzewheel.upstream.PlatformClient;
 import org.bronzewheel.vm.Vm;
 
@@ -38,11 +41,13 @@
     private final ConfigurationService configurations;
     private final ClaimService claims;
     private final AnswerService answers;
+    private final PeerStewardService stewards;
 
     Fleet(
             RouterSettings settings,
             Peer self,
             PlatformClient platform,
+            ControlClient engines,
             Scheduler scheduler,
             LongSupplier nanoClock) {
         this.transport =
@@ -82,6 +87,15 @@
                         settings.answerMegabytes() * BYTES_PER_MEGABYTE,
                         AnswerSettings.DEFAULT.retentionMillis(),
                         AnswerSettings.DEFAULT.copies());
+        this.stewards =
+                new PeerStewardService(
+                        transport,
+                        membership,
+                        configurations,
+                        new EngineOrders(engines, configurations::current),
+                        StewardSettings.DEFAULT,
+                        scheduler,
+                        nanoClock);
         this.answers =
                 new PeerAnswerService(transport, membership, answerSettings, scheduler, nanoClock);
     }
@@ -129,10 +143,18 @@
         configurations.start();
         claims.start();
         answers.start();
+        stewards.start();
+    }
+
+    /** Ends at once; peers get no word. */
+    void kill() {
+        transport.stop();
+        stop();
     }
 
     @Override
     public void stop() {
+        stewards.stop();
         answers.stop();
         claims.stop();
         configurations.stop();
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/Router.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/Router.java
@@ -60,7 +60,14 @@
                 Tracing.create(settings.vmId(), settings.failureDomain(), settings.otlpEndpoint());
         this.upstreamView = new UpstreamView(nanoClock, this::refresh);
         this.clients = new UpstreamClients(vertx, settings, upstreamView);
-        this.fleet = new Fleet(settings, self, clients.platform(), scheduler, nanoClock);
+        this.fleet =
+                new Fleet(
+                        settings,
+                        self,
+                        clients.platform(),
+                        clients.control(),
+                        scheduler,
+                        nanoClock);
         this.execution = createExecution();
         this.loadPoller =
                 new LoadPoller(
@@ -232,6 +239,7 @@
             }
             state = RouterState.STOPPED;
         }
+        fleet.kill();
         close();
     }
 
