Let an estimate that refuses all work fade

Routers that started cold on a busy machine learned latencies above the deadline of a class and refused all of it as DEADLINE_TOO_SHORT; as refused requests bring no observations, the estimate could not recover. Each refusal by the estimate now weakens it by a twentieth.

Routers also tell the policies their position among all.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/budget/LatencyDigest.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/budget/LatencyDigest.java
@@ -7,22 +7,28 @@
     private static final double UNIT_NANOS = 100_000;
     private static final int BUCKETS = 160;
     private static final double MAX_WEIGHT = 2_000;
+    private static final double KEPT_BY_AGE = 0.5;
+    private static final double KEPT_BY_REFUSAL = 0.95;
 
     private final double[] weights = new double[BUCKETS];
     private double total;
-    private long observations;
 
     void record(long latencyNanos) {
         weights[bucket(latencyNanos)]++;
         total++;
-        observations++;
         if (total > MAX_WEIGHT) {
-            halve();
+            scale(KEPT_BY_AGE);
         }
     }
 
-    long observations() {
-        return observations;
+    /** Returns the weight of what is remembered, in observations. */
+    double weight() {
+        return total;
+    }
+
+    /** Forgets a part, so that an estimate which refuses all work fades and is made anew. */
+    void fade() {
+        scale(KEPT_BY_REFUSAL);
     }
 
     /** Returns the upper edge of the bucket that holds the quantile, 0 without observations. */
@@ -38,11 +44,11 @@
         return 0;
     }
 
-    private void halve() {
+    private void scale(double kept) {
         for (int i = 0; i < BUCKETS; i++) {
-            weights[i] /= 2;
+            weights[i] *= kept;
         }
-        total /= 2;
+        total *= kept;
     }
 
     private static int bucket(long latencyNanos) {
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/budget/ObservedStageBudgets.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/budget/ObservedStageBudgets.java
@@ -26,7 +26,7 @@
     @Override
     public OptionalLong quantileNanos(StageKey key, double quantile) {
         LatencyDigest digest = digests.get(key);
-        if (digest == null || digest.observations() < MIN_OBSERVATIONS) {
+        if (digest == null || digest.weight() < MIN_OBSERVATIONS) {
             return OptionalLong.empty();
         }
         return OptionalLong.of(digest.quantileNanos(quantile));
@@ -49,6 +49,16 @@
         return (long) (remainingNanos * part);
     }
 
+    @Override
+    public void onRefused(List<StageKey> stages) {
+        for (StageKey stage : stages) {
+            LatencyDigest digest = digests.get(stage);
+            if (digest != null) {
+                digest.fade();
+            }
+        }
+    }
+
     private long sum(List<StageKey> stages, double quantile) {
         long sum = 0;
         for (StageKey stage : stages) {
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/budget/StageBudgets.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/budget/StageBudgets.java
@@ -38,4 +38,12 @@
      * @return the budget in nanoseconds; the whole remaining time where a stage is unobserved
      */
     long budgetNanos(List<StageKey> stages, long remainingNanos);
+
+    /**
+     * Takes note that a request was refused by the estimate of its need alone. As refused requests
+     * bring no observations, the estimate must fade, or it would refuse them for ever.
+     *
+     * @param stages the stages of the request
+     */
+    default void onRefused(List<StageKey> stages) {}
 }
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/RouterPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/RouterPolicy.java
@@ -253,6 +253,7 @@
                 stageRequest(pipeline, 0, requestClass, workspace.name(), deadlineNanos);
         long slackNanos = deadlineNanos - nowNanos - budgets.needNanos(first.remaining());
         if (slackNanos < 0) {
+            budgets.onRefused(first.remaining());
             String detail = "the stages usually take longer than the deadline";
             return Optional.of(new Refusal(ErrorCode.DEADLINE_TOO_SHORT, detail, 0));
         }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/Execution.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/Execution.java
@@ -19,6 +19,7 @@
 import org.bronzewheel.relay.ConfigurationService;
 import org.bronzewheel.request.Usage;
 import org.bronzewheel.routing.LoadReport;
+import org.bronzewheel.routing.WorkerTable;
 import org.bronzewheel.telemetry.RouterMetrics;
 import org.bronzewheel.telemetry.Tracing;
 import org.bronzewheel.transport.Channel;
@@ -28,6 +29,7 @@
 public final class Execution {
     private final PolicyWorkers workers;
     private final RequestService requests;
+    private final String vmId;
     private final DrainGate gate = new DrainGate();
 
     /**
@@ -61,6 +63,7 @@
             Scheduler scheduler,
             LongSupplier nanoClock,
             RandomGenerator random) {
+        this.vmId = transport.self().vmId();
         this.workers =
                 new PolicyWorkers(
                         new RouterPolicy<>(failureDomain, 1, policySettings),
@@ -108,14 +111,16 @@
      *
      * @param configuration the configuration in force
      * @param leaving names of upstreams that must get no new work
-     * @param routers the number of listed routers
+     * @param routers ids of the VMs of all listed routers, in order
      */
-    public void update(Configuration configuration, Set<String> leaving, int routers) {
+    public void update(Configuration configuration, Set<String> leaving, List<String> routers) {
+        int position = routers.indexOf(vmId);
         workers.update(
                 configuration.inventory().workspaces(),
                 configuration.inventory().pools(),
                 leaving,
-                routers);
+                routers.size(),
+                position < 0 ? WorkerTable.UNKNOWN_POSITION : position);
     }
 
     /**
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/PolicyWorkers.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/PolicyWorkers.java
@@ -67,13 +67,18 @@
     record Waiting(Pool pool, SingleEmitter<Placement> emitter) {}
 
     /** Takes over the workspaces, the pools and what is known of their upstreams. */
-    void update(List<Workspace> workspaces, List<Pool> pools, Set<String> leaving, int routers) {
+    void update(
+            List<Workspace> workspaces,
+            List<Pool> pools,
+            Set<String> leaving,
+            int routers,
+            int position) {
         for (Pool pool : pools) {
             Poll<Waiting> poll;
             synchronized (lock) {
                 long now = nanoClock.getAsLong();
                 policy.setWorkspaces(workspaces);
-                policy.setRouters(Math.max(1, routers), now);
+                policy.setRouters(Math.max(1, routers), position, now);
                 serving.update(pool, policy.pool(pool, now).workers(), leaving, now);
                 poll = policy.pool(pool, now).poll(now, random);
             }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/Router.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/Router.java
@@ -7,6 +7,7 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import org.bronzewheel.telemetry.RouterMetrics;
 import org.bronzewheel.telemetry.Tracing;
 import org.bronzewheel.transport.Peer;
+import org.bronzewheel.vm.Vm;
 
 /** A router: one process on a VM, or a part of a larger program. */
 public final class Router implements Service {
@@ -171,8 +173,8 @@
                 .orElse(Set.of());
     }
 
-    private int listedRouters() {
-        return fleet.membership().current().list().routers().size();
+    private List<String> listedRouters() {
+        return fleet.membership().current().list().routers().stream().map(Vm::vmId).toList();
     }
 
     /**
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.subscribers.TestSubscriber;
+import java.util.List;
 import java.util.Set;
 import org.bronzewheel.answer.StoredAnswer;
 import org.bronzewheel.cost.CostKind;
@@ -240,7 +241,7 @@
     @Test
     void aLeavingUpstreamGetsNoNewWork() {
         fixture.execution.update(
-                fixture.fleet.configurations.configuration, Set.of("booking-1"), 1);
+                fixture.fleet.configurations.configuration, Set.of("booking-1"), List.of("vm-1"));
         for (int i = 0; i < 5; i++) {
             fixture.run(request("voucher", ""));
         }
@@ -252,7 +253,9 @@
     @Test
     void withoutAnyUpstreamNothingRuns() {
         fixture.execution.update(
-                fixture.fleet.configurations.configuration, Set.of("booking-1", "booking-2"), 1);
+                fixture.fleet.configurations.configuration,
+                Set.of("booking-1", "booking-2"),
+                List.of("vm-1"));
 
         StoredAnswer answer = end(fixture.run(request("voucher", "")));
 
@@ -279,4 +282,38 @@
         assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
         drained.assertComplete();
     }
+
+    @Test
+    void anEstimateThatRefusesAllWorkIsMadeAnew() {
+        int slowRequests = 0;
+        while (slowRequests < 100 && runSlowly()) {
+            slowRequests++;
+        }
+        assertThat(slowRequests).isLessThan(100);
+
+        int refusals = 0;
+        while (refusals < 500 && isRefused()) {
+            refusals++;
+        }
+        assertThat(refusals).isLessThan(500);
+    }
+
+    /** Runs a request that takes most of its deadline; false where it is refused. */
+    private boolean runSlowly() {
+        int callsBefore = client.calls.size();
+        if (isRefused()) {
+            return false;
+        }
+        FakeStageClient.Exchange encode = client.calls.get(callsBefore);
+        fixture.advanceMillis(2_500);
+        encode.answer("encoded");
+        FakeStageClient.Exchange generate = client.last();
+        fixture.advanceMillis(400);
+        generate.answer("generated");
+        return true;
+    }
+
+    private boolean isRefused() {
+        return fixture.submit(request("briefing", "")).values().isEmpty();
+    }
 }
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/Fixture.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/Fixture.java
@@ -8,6 +8,7 @@
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import io.reactivex.rxjava3.subscribers.TestSubscriber;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -109,7 +110,7 @@
 
     void use(Configuration configuration) {
         fleet.configurations.configuration = configuration;
-        execution.update(configuration, Set.of(), 1);
+        execution.update(configuration, Set.of(), List.of("vm-1"));
     }
 
     static PipelineRequest request(String pipeline, String key) {
