--- a/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/Tracing.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/Tracing.java
@@ -12,7 +12,6 @@
 import io.opentelemetry.sdk.resources.Resource;
 import io.opentelemetry.sdk.trace.SdkTracerProvider;
 import io.opentelemetry.sdk.trace.SdkTracerProviderBuilder;
-import io.opentelemetry.sdk.trace.SpanProcessor;
 import io.opentelemetry.sdk.trace.export.BatchSpanProcessor;
 import java.util.HashMap;
 import java.util.Map;
@@ -42,7 +41,9 @@
      */
     public static Tracing create(String vmId, String failureDomain, String otlpEndpoint) {
         SdkTracerProviderBuilder builder = SdkTracerProvider.builder();
-        if (!otlpEndpoint.isEmpty()) {
+        if (otlpEndpoint.isEmpty()) {
+            builder.addSpanProcessor(new UnexportedSpans());
+        } else {
             OtlpHttpSpanExporter exporter =
                     OtlpHttpSpanExporter.builder().setEndpoint(otlpEndpoint).build();
             builder.addSpanProcessor(BatchSpanProcessor.builder(exporter).build());
@@ -50,16 +51,6 @@
         return new Tracing(builder.setResource(resource(vmId, failureDomain)).build());
     }
 
-    /**
-     * Creates a source whose spans go to a processor.
-     *
-     * @param processor takes the spans
-     * @return the source
-     */
-    public static Tracing create(SpanProcessor processor) {
-        return new Tracing(SdkTracerProvider.builder().addSpanProcessor(processor).build());
-    }
-
     private static Resource resource(String vmId, String failureDomain) {
         return Resource.create(
                 Attributes.of(
