Decide outcome and permission to send under one lock; restart the demo's killed router

RunLedger now refuses to send once the outcome is decided.

The demo's killed router starts again on its VM.

--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/TrafficFlags.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/TrafficFlags.java
@@ -20,6 +20,11 @@
             description = "How long requests are sent, in seconds.")
     private int durationSeconds = 18;
 
+    @Parameter(
+            names = "--ramp-millis",
+            description = "How long the rate grows from nothing to its mean, in milliseconds.")
+    private long rampMillis = 3_000;
+
     @Parameter(names = "--seed", description = "The seed of times, kinds and inputs.")
     private long seed = 1;
 
@@ -60,6 +65,7 @@
     TrafficSettings settings() {
         return new TrafficSettings(
                 requestsPerSecond,
+                rampMillis,
                 durationSeconds * MILLIS_PER_SECOND,
                 seed,
                 keyedPercent,
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/Demo.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/Demo.java
@@ -33,17 +33,16 @@
 
 /**
  * The demo: three routers in three failure domains under a mixed load, while one router is killed
- * and replaced, an upstream leaves and another router stops as planned.
+ * and started again, an upstream leaves and another router stops as planned.
  */
 public final class Demo {
     private static final String KILLED = "vm-1";
     private static final String DRAINED = "vm-2";
     private static final String STEADY = "vm-3";
-    private static final String REPLACEMENT = "vm-4";
     private static final long READY_TIMEOUT_MILLIS = 15_000;
     private static final long READY_CHECK_MILLIS = 50;
-    private static final long SETTLE_MILLIS = 1_000;
-    private static final long LIST_LAG_MILLIS = 1_000;
+    private static final long SETTLE_MILLIS = 3_000;
+    private static final long RESTART_MILLIS = 1_000;
     private static final long PROGRESS_PERIOD_MILLIS = 2_000;
     private static final long LEAVING_GRACE_MILLIS = 3_000;
     private static final double KILL_AT = 0.25;
@@ -133,7 +132,7 @@
             }
         }
         waitUntilReady();
-        // Keys must be younger than their voters by more than the largest clock skew.
+        // Routers vote only for keys that are younger than their start by a few seconds.
         sleep(configuration.rules().maxClockSkewMillis() + SETTLE_MILLIS);
         say("three routers are ready in three failure domains");
     }
@@ -164,7 +163,7 @@
                                 TimeUnit.MILLISECONDS);
         Completable failures =
                 Completable.mergeArray(
-                        at(KILL_AT, this::killAndReplace),
+                        at(KILL_AT, this::killAndRestart),
                         at(LEAVE_AT, this::letUpstreamLeave),
                         at(DRAIN_AT, this::drain));
         try {
@@ -181,14 +180,12 @@
                 .andThen(Completable.fromRunnable(action).subscribeOn(Schedulers.io()));
     }
 
-    private void killAndReplace() {
+    private void killAndRestart() {
         say("killing router " + KILLED + " without notice");
         cluster.kill(KILLED);
-        sleep(LIST_LAG_MILLIS);
-        String domain = configuration.inventory().regions().get(0).failureDomains().get(0);
-        cluster.unlist(KILLED);
-        balancer.add(cluster.startRouter(REPLACEMENT, domain));
-        say("the VM list shows " + REPLACEMENT + " in its place");
+        sleep(RESTART_MILLIS);
+        cluster.restart(KILLED);
+        say("router " + KILLED + " was started again, without memory");
     }
 
     private void letUpstreamLeave() {
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/DemoCluster.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/DemoCluster.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.bronzewheel.configuration.Configuration;
 import org.bronzewheel.configuration.ConfigurationDocument;
 import org.bronzewheel.configuration.ConfigurationParser;
@@ -35,6 +36,7 @@
     private final StandInFleet upstreams;
     private final ConfigurationDocument document;
     private final Map<String, Router> routers = new LinkedHashMap<>();
+    private final Map<String, RouterSettings> settingsByVm = new ConcurrentHashMap<>();
     private final Map<String, Vm> vms = new LinkedHashMap<>();
     private Configuration configuration;
 
@@ -85,13 +87,19 @@
                                 platform.address(),
                                 platform.address())
                         .withBalancerWaitMillis(BALANCER_WAIT_MILLIS);
-        Router router = new Router(settings);
+        publish(new Vm(vmId, VmRole.ROUTER, VmState.LIVE, failureDomain, peerAddress, httpAddress));
+        settingsByVm.put(vmId, settings);
+        restart(vmId);
+        return httpAddress;
+    }
+
+    /** Starts a router anew on its VM, without memory. */
+    void restart(String vmId) {
+        Router router = new Router(settingsByVm.get(vmId));
+        router.start();
         synchronized (routers) {
             routers.put(vmId, router);
         }
-        publish(new Vm(vmId, VmRole.ROUTER, VmState.LIVE, failureDomain, peerAddress, httpAddress));
-        router.start();
-        return httpAddress;
     }
 
     boolean allReady() {
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/traffic/TrafficPlan.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/traffic/TrafficPlan.java
@@ -54,12 +54,20 @@
         List<PlannedRequest> requests = new ArrayList<>();
         double atMillis = nextGapMillis();
         while (atMillis < settings.durationMillis()) {
-            requests.add(request((long) atMillis, requests.size()));
+            if (isWithinRamp(atMillis)) {
+                requests.add(request((long) atMillis, requests.size()));
+            }
             atMillis += nextGapMillis();
         }
         return requests;
     }
 
+    /** Thins the begin of the load out, as a balancer does with routers that just started. */
+    private boolean isWithinRamp(double atMillis) {
+        return atMillis >= settings.rampMillis()
+                || random.nextDouble() * settings.rampMillis() < atMillis;
+    }
+
     private double nextGapMillis() {
         return -Math.log(1 - random.nextDouble())
                 * MILLIS_PER_SECOND
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/traffic/TrafficSettings.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/traffic/TrafficSettings.java
@@ -4,6 +4,7 @@
  * The settings of an open-loop load.
  *
  * @param requestsPerSecond the mean rate, in requests a second
+ * @param rampMillis how long the rate grows from nothing to its mean at the begin, in milliseconds
  * @param durationMillis how long requests are sent, in milliseconds
  * @param seed the seed of times, kinds and inputs
  * @param keyedPercent idempotent requests that carry a key, in percent
@@ -13,6 +14,7 @@
  */
 public record TrafficSettings(
         double requestsPerSecond,
+        long rampMillis,
         long durationMillis,
         long seed,
         int keyedPercent,
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptRun.java
@@ -141,10 +141,10 @@
                 throw new BronzewheelException(
                         ErrorCode.DEADLINE_EXCEEDED, "the deadline passed before the call left");
             }
-            if (!sent) {
-                sent = true;
-                ledger.sent();
+            if (!sent && !ledger.trySend()) {
+                throw new BronzewheelException(ErrorCode.CANCELLED, "the request has ended");
             }
+            sent = true;
             return remainingMillis;
         }
     }
@@ -219,10 +219,8 @@
             ended = true;
             wasSent = sent;
         }
-        if (!wasSent && outcome != Outcome.NOT_RUN) {
-            ledger.sent();
-        }
-        if (wasSent || outcome != Outcome.NOT_RUN) {
+        // An attempt that ends otherwise than NOT_RUN may have run, permit or not.
+        if (wasSent || (outcome != Outcome.NOT_RUN && ledger.trySend())) {
             ledger.ended(outcome);
         }
         return true;
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RunLedger.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RunLedger.java
@@ -8,10 +8,18 @@
     private int open;
     private boolean failed;
     private boolean unknown;
+    private boolean decided;
 
-    /** An attempt may have left this process from now on. */
-    synchronized void sent() {
+    /**
+     * Notes that an attempt may leave this process from now on; false once the outcome is decided,
+     * so that nothing runs of a request whose caller is told that it did not run.
+     */
+    synchronized boolean trySend() {
+        if (decided) {
+            return false;
+        }
         open++;
+        return true;
     }
 
     /** A sent attempt ended. */
@@ -29,8 +37,9 @@
         failed = false;
     }
 
-    /** Returns the outcome of the request where it ends now without its answer. */
+    /** Decides the outcome of the request, which ends now without its answer. */
     synchronized Outcome outcomeWithoutAnswer() {
+        decided = true;
         if (open > 0 || unknown) {
             return Outcome.UNKNOWN;
         }
