--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -18,8 +18,8 @@
  * the other routers are taken to send as much as this one. Not safe for use by several threads.
  */
 public final class WorkerTable {
-    private static final int MAX_SAMPLES = 8;
-    private static final int CHOICES = 2;
+    private static final int MAX_SAMPLES = 16;
+    private static final int CHOICES = 4;
 
     private final int concurrencyPerUpstream;
     private final RoutingSettings settings;
@@ -155,7 +155,7 @@
      */
     public Optional<Upstream> choose(ChoiceContext context, long nowNanos, RandomGenerator random) {
         select();
-        if (context.mayProbe()) {
+        if (context.probePatienceNanos() != ChoiceContext.NO_PROBE) {
             Worker due = dueForProbe(context, nowNanos);
             if (due != null) {
                 return Optional.of(due.upstream);
@@ -422,9 +422,10 @@
     }
 
     private Worker dueForProbe(ChoiceContext context, long nowNanos) {
+        long dueNanos = nowNanos - context.probePatienceNanos();
         for (Worker worker : ejected) {
             boolean excluded = context.excluded().contains(worker.upstream.name());
-            if (!worker.probing && !excluded && worker.ejectedUntilNanos <= nowNanos) {
+            if (!worker.probing && !excluded && worker.ejectedUntilNanos <= dueNanos) {
                 return worker;
             }
         }
