--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/DemoCommand.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/DemoCommand.java
@@ -38,6 +38,7 @@
         out.println();
         out.println(VerdictTable.of(report.verdict()));
         out.println("ended without an answer, sends counted: " + report.endCodes());
+        report.unanswered().forEach(line -> out.println("  " + line));
         ObjectNode json = VerdictJson.of(report.verdict());
         json.put("cutOffByPlannedStop", report.cutOffByPlannedStop());
         json.put("runsAfterLeaving", report.runsAfterLeaving());
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/LoadCommand.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/LoadCommand.java
@@ -142,6 +142,7 @@
                 .forEach(err::println);
         err.print(VerdictTable.of(verdict));
         err.println("ended without an answer, sends counted: " + EndCodes.of(results));
+        EndCodes.describe(results, MAX_PRINTED_VIOLATIONS).forEach(err::println);
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         SendCounts.of(results).addTo(json);
         json.setAll(VerdictJson.of(verdict));
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/Demo.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/Demo.java
@@ -45,6 +45,7 @@
     private static final long RESTART_MILLIS = 1_000;
     private static final long PROGRESS_PERIOD_MILLIS = 2_000;
     private static final long LEAVING_GRACE_MILLIS = 3_000;
+    private static final int MAX_DESCRIBED = 10;
     private static final double KILL_AT = 0.25;
     private static final double LEAVE_AT = 0.45;
     private static final double DRAIN_AT = 0.6;
@@ -115,7 +116,11 @@
         say("all requests have ended; judging them by what upstreams and callers saw");
         Verdict verdict = new Judge(configuration).judge(results, cluster.runs());
         return new DemoReport(
-                verdict, EndCodes.of(results), cutOffByPlannedStop(results), runsAfterLeaving());
+                verdict,
+                EndCodes.of(results),
+                EndCodes.describe(results, MAX_DESCRIBED),
+                cutOffByPlannedStop(results),
+                runsAfterLeaving());
     }
 
     private void startRouters() {
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/DemoReport.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/DemoReport.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.demo;
 
+import java.util.List;
 import java.util.Map;
 import org.bronzewheel.judge.Verdict;
 
@@ -8,12 +9,14 @@
  *
  * @param verdict what became of the requests
  * @param endCodes counts of the reasons for which callers got no answer
+ * @param unanswered descriptions of requests that ended without an answer
  * @param cutOffByPlannedStop sends that the router that stopped as planned left without a reply
  * @param runsAfterLeaving runs that began at the leaving upstream long after it began to leave
  */
 public record DemoReport(
         Verdict verdict,
         Map<String, Integer> endCodes,
+        List<String> unanswered,
         int cutOffByPlannedStop,
         int runsAfterLeaving) {
     /**
