--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -31,7 +31,8 @@
                             "faults", Experiments::faults,
                             "baselines", Experiments::baselines,
                             "ablations", Experiments::ablations,
-                            "herd", HerdExperiment::run));
+                            "herd", HerdExperiment::run,
+                            "decision-cost", DecisionCost::run));
 
     private Experiments() {}
 
@@ -45,7 +46,8 @@
     }
 
     /**
-     * Runs an experiment; the same seed gives the same result.
+     * Runs an experiment; the same seed gives the same result, but for {@code decision-cost}, which
+     * measures real time.
      *
      * @param name one of {@link #names}
      * @param seed the seed of its randomness
