--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/document/RelayScheduleTest.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/document/RelayScheduleTest.java
@@ -71,7 +71,10 @@
                 published.add(document(revision, text));
             }
             case 3 -> fleet.platform.setUp(random.nextBoolean());
-            case 4 -> fleet.network.setFaults(random.nextDouble() / 2, random.nextDouble() / 2);
+            case 4 -> {
+                fleet.network.setFaults(random.nextDouble() / 2, random.nextDouble() / 2);
+                fleet.network.setDelay(200, random.nextInt(1_000, 2_000_000));
+            }
             case 5 -> {
                 int side = random.nextInt(1 << ROUTERS);
                 fleet.network.setCut((from, to) -> bit(side, from) != bit(side, to));
@@ -111,6 +114,7 @@
     private static void heal(RelayFixture fleet) {
         fleet.network.setCut((from, to) -> false);
         fleet.network.setFaults(0, 0);
+        fleet.network.setDelay(200, 2_000);
         fleet.network.pausedVms().forEach(fleet.network::resume);
         fleet.platform.setUp(true);
     }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/load/LimitScheduleTest.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/load/LimitScheduleTest.java
@@ -88,7 +88,10 @@
                 fleet.network.runOn(vmId, () -> fleet.setDemand(vmId, demand));
             }
             case 3 -> fleet.network.runOn(vmId, () -> fleet.setView(vmId, Set.of(other)));
-            case 4 -> fleet.network.setFaults(random.nextDouble() / 3, random.nextDouble() / 3);
+            case 4 -> {
+                fleet.network.setFaults(random.nextDouble() / 3, random.nextDouble() / 3);
+                fleet.network.setDelay(200, random.nextInt(1_000, 2_000_000));
+            }
             case 5 -> fleet.network.setCut((from, to) -> from.equals(vmId));
             case 6 -> fleet.network.setCut((from, to) -> false);
             default -> {
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/steward/StewardFixture.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/steward/StewardFixture.java
@@ -29,7 +29,7 @@
     static final int ENGINES = 3;
     static final int MODEL_MEGABYTES = 1_000;
 
-    private static final int MAX_RUNTIME_MILLIS = 300;
+    private static final int MAX_RUNTIME_MILLIS = 2_000;
     private static final int MAX_ORDER_MILLIS = 3_000;
 
     /** A running router. */
@@ -186,6 +186,9 @@
     }
 
     private void checkSender(Router sender) {
+        if (!sender.holds()) {
+            violations.add(sender.self + " sent without the lease");
+        }
         for (Router other : routers.values()) {
             if (other != sender && other.holds()) {
                 violations.add(sender.self + " sent while " + other.self + " held the lease");
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/steward/StewardScheduleTest.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/steward/StewardScheduleTest.java
@@ -48,6 +48,7 @@
         }
         fleet.network.setCut((from, to) -> false);
         fleet.network.setFaults(0, 0);
+        fleet.network.setDelay(200, 2_000);
         fleet.network.pausedVms().forEach(fleet.network::resume);
         long last = revision + 1;
         fleet.network.runFor(1_000);
@@ -80,13 +81,21 @@
                 return next;
             }
             case 3 -> fleet.network.runOn(vmId, () -> router.setConfiguration(revision));
-            case 4 -> fleet.network.setFaults(random.nextDouble() / 3, random.nextDouble() / 3);
+            case 4 -> {
+                fleet.network.setFaults(random.nextDouble() / 3, random.nextDouble() / 3);
+                fleet.network.setDelay(200, random.nextInt(1_000, 2_000_000));
+            }
             case 5 -> {
                 int side = random.nextInt(1 << StewardFixture.ROUTERS);
                 fleet.network.setCut((from, to) -> bit(side, from) != bit(side, to));
             }
             case 6 -> fleet.network.setCut((from, to) -> false);
-            case 7 -> fleet.start(vmId, revision);
+            case 7 -> {
+                // At times a rack of routers starts again at once.
+                for (int i = random.nextInt(StewardFixture.ROUTERS - 1); i >= 0; i--) {
+                    fleet.start(StewardFixture.vmId(i), revision);
+                }
+            }
             default -> {
                 fleet.network.pausedVms().forEach(fleet.network::resume);
                 List<StewardFixture.Router> holders = fleet.holders();
