--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/RouterPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/RouterPolicy.java
@@ -45,7 +45,7 @@
     private final Map<String, PoolPolicy<T>> pools = new HashMap<>();
     private final Map<String, Workspace> workspaces = new HashMap<>();
     private int routers;
-    private int position;
+    private int position = WorkerTable.UNKNOWN_POSITION;
 
     /**
      * Creates the policies with the usual rules.
@@ -253,6 +253,7 @@
                 stageRequest(pipeline, 0, requestClass, workspace.name(), deadlineNanos);
         long slackNanos = deadlineNanos - nowNanos - budgets.needNanos(first.remaining());
         if (slackNanos < 0) {
+            budgets.onRefused(first.remaining());
             String detail = "the stages usually take longer than the deadline";
             return Optional.of(new Refusal(ErrorCode.DEADLINE_TOO_SHORT, detail, 0));
         }
