--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
@@ -1,15 +1,12 @@
 package org.bronzewheel.membership;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.EnumSet;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -31,7 +28,6 @@
  * work. A router that was paused itself, or that hears nobody, suspects none in public.
  */
 final class DetectorMachine implements Machine<DetectorMessage, MembershipView> {
-    private static final int HELPERS = 3;
     private static final long NEWS_INTERVAL_MILLIS = 200;
     private static final long VIEW_INTERVAL_MILLIS = 1_000;
     private static final int PAUSE_TICKS = 10;
@@ -40,6 +36,7 @@
 
     private final MembershipSettings settings;
     private final RandomGenerator random;
+    private final HelperChoice helpers;
     private final Set<DetectorRule> rules;
     private final MemberTable table;
     private final String selfVmId;
@@ -76,6 +73,7 @@
         this.rules = rules;
         this.settings = settings;
         this.random = random;
+        helpers = new HelperChoice(self.vmId(), random);
         selfVmId = self.vmId();
         table = new MemberTable(MemberState.started(self.vmId(), self.incarnation()));
     }
@@ -323,7 +321,7 @@
     private void askForHelp() {
         for (ProbeTarget target : targets.values()) {
             if (rules.contains(DetectorRule.ASK_HELPERS) && target.needsHelp()) {
-                for (String helper : helpers(target.vmId())) {
+                for (String helper : helpers.pick(routers, target.vmId(), this::isSuspect)) {
                     send(
                             helper,
                             new DetectorMessage.ProbeRequest(
@@ -333,37 +331,8 @@
         }
     }
 
-    /** Picks reachable routers of different failure domains, that of the target first. */
-    private List<String> helpers(String targetVmId) {
-        List<Vm> candidates = new ArrayList<>();
-        String targetDomain = "";
-        for (Vm router : routers) {
-            if (router.vmId().equals(targetVmId)) {
-                targetDomain = router.failureDomain();
-            } else if (!router.vmId().equals(selfVmId) && !table.get(router.vmId()).suspect()) {
-                candidates.add(router);
-            }
-        }
-        Collections.shuffle(candidates, new Random(random.nextLong()));
-        String first = targetDomain;
-        candidates.sort((a, b) -> rank(a, first) - rank(b, first));
-        Set<String> domains = new HashSet<>();
-        List<String> chosen = new ArrayList<>();
-        candidates.stream()
-                .filter(vm -> domains.add(vm.failureDomain()))
-                .limit(HELPERS)
-                .forEach(vm -> chosen.add(vm.vmId()));
-        candidates.stream()
-                .map(Vm::vmId)
-                .filter(id -> !chosen.contains(id))
-                .limit(HELPERS - (long) chosen.size())
-                .toList()
-                .forEach(chosen::add);
-        return chosen;
-    }
-
-    private static int rank(Vm vm, String firstDomain) {
-        return vm.failureDomain().equals(firstDomain) ? 0 : 1;
+    private boolean isSuspect(String vmId) {
+        return table.get(vmId).suspect();
     }
 
     private void sendNews(long nowNanos) {
