Measure a router's own cost by the overhead command

The same calls go to a stand-in directly and through one router, in turns, in one process, so that the ratios do not depend on how busy the machine is.

--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
@@ -28,6 +28,7 @@
         commands.put("demo", new DemoCommand());
         commands.put("load", new LoadCommand());
         commands.put("standin", new StandInCommand());
+        commands.put("overhead", new OverheadCommand());
     }
 
     /**
--- /dev/null
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/overhead/package-info.java
@@ -0,0 +1,2 @@
+/** The router's own cost, in real time over loopback sockets. */
+package org.bronzewheel.overhead;
