Hand the votes of a leaving router to one heir

A seat freezes before its votes leave; they go to one incarnation of one router in another failure domain, which votes for the seat on keys made before the freeze only. The exhaustive check explores the hand-over with a restart and with time passing, the random walk hands over and restarts; the rule that a frozen seat abstains has its mutant.

Found by a test: an heir did not ask itself for the seat that it had taken over.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimCodec.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimCodec.java
@@ -61,6 +61,7 @@
             frame.setSeatReceipt(
                     ClaimSeatReceipt.newBuilder()
                             .setSeatVmId(receipt.seatVmId())
+                            .setSeatIncarnation(receipt.seatIncarnation())
                             .setPart(receipt.part()));
         }
         return frame.build().toByteArray();
@@ -89,6 +90,7 @@
                     Optional.of(
                             new SeatReceipt(
                                     frame.getSeatReceipt().getSeatVmId(),
+                                    frame.getSeatReceipt().getSeatIncarnation(),
                                     frame.getSeatReceipt().getPart()));
             case BODY_NOT_SET -> Optional.empty();
         };
@@ -205,10 +207,12 @@
         ClaimSeatTransfer.Builder builder =
                 ClaimSeatTransfer.newBuilder()
                         .setSeatVmId(transfer.seatVmId())
+                        .setSeatIncarnation(transfer.seatIncarnation())
                         .setPart(transfer.part())
                         .setParts(transfer.parts())
                         .setUpNanos(transfer.upNanos())
-                        .setFrozenAtEpochMillis(transfer.frozenAtEpochMillis());
+                        .setFrozenAtEpochMillis(transfer.frozenAtEpochMillis())
+                        .setHeirIncarnation(transfer.heirIncarnation());
         for (TransferredVote vote : transfer.votes()) {
             builder.addVotes(
                     ClaimVote.newBuilder()
@@ -233,10 +237,12 @@
                         .toList();
         return new SeatTransfer(
                 transfer.getSeatVmId(),
+                transfer.getSeatIncarnation(),
                 transfer.getPart(),
                 transfer.getParts(),
                 transfer.getUpNanos(),
                 transfer.getFrozenAtEpochMillis(),
+                transfer.getHeirIncarnation(),
                 votes);
     }
 
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMachine.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMachine.java
@@ -2,13 +2,17 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.bronzewheel.claim.ClaimMessage.ListOffer;
 import org.bronzewheel.claim.ClaimMessage.ListQuery;
 import org.bronzewheel.claim.ClaimMessage.Ping;
 import org.bronzewheel.claim.ClaimMessage.Pong;
+import org.bronzewheel.claim.ClaimMessage.SeatReceipt;
+import org.bronzewheel.claim.ClaimMessage.SeatTransfer;
 import org.bronzewheel.claim.ClaimMessage.VoteReply;
 import org.bronzewheel.claim.ClaimMessage.VoteRequest;
 import org.bronzewheel.claim.ClaimMessage.Withdrawal;
@@ -31,11 +35,13 @@
     private final ClaimRules rules;
     private final Peer self;
     private final ListEvidence lists;
-    private final VoteTable ownSeat;
+    private final Seats seats;
     private final Map<RequestId, Claim> claims;
     private final LinkedHashMap<RequestId, Grant> grants;
     private final Map<IdempotencyKey, RequestId> ownRequests;
     private long epochMillisAtZero;
+    private long transferredNanos;
+    private boolean toldHandedOver;
 
     /**
      * Creates a machine without memory.
@@ -56,7 +62,7 @@
         this.rules = rules;
         this.self = self;
         this.lists = new ListEvidence(settings, rules, self, nowNanos);
-        this.ownSeat = new VoteTable(settings, rules, self.vmId(), nowNanos, Long.MAX_VALUE);
+        this.seats = new Seats(settings, rules, self, nowNanos);
         this.claims = new LinkedHashMap<>();
         this.grants = new LinkedHashMap<>();
         this.ownRequests = new HashMap<>();
@@ -67,7 +73,9 @@
         this.rules = other.rules;
         this.self = other.self;
         this.lists = other.lists.copy();
-        this.ownSeat = other.ownSeat.copy();
+        this.seats = other.seats.copy();
+        this.transferredNanos = other.transferredNanos;
+        this.toldHandedOver = other.toldHandedOver;
         this.claims = new LinkedHashMap<>(other.claims);
         this.grants = new LinkedHashMap<>(other.grants);
         this.ownRequests = new HashMap<>(other.ownRequests);
@@ -154,7 +162,7 @@
         } else if (message instanceof Withdrawal withdrawal) {
             takeWithdrawal(from, withdrawal, step, nowNanos);
         } else if (message instanceof Ping ping) {
-            step.send(from.vmId(), lists.answer(ping, List.of(), false, nowNanos));
+            step.send(from.vmId(), answer(ping, nowNanos));
         } else if (message instanceof Pong pong) {
             step.sendAll(lists.take(from, pong, nowNanos));
             advanceAll(step, nowNanos);
@@ -163,6 +171,11 @@
         } else if (message instanceof ListOffer offer) {
             lists.add(offer.list(), nowNanos);
             advanceAll(step, nowNanos);
+        } else if (message instanceof SeatTransfer part) {
+            seats.take(part, nowNanos).ifPresent(receipt -> step.send(from.vmId(), receipt));
+        } else if (message instanceof SeatReceipt receipt) {
+            seats.confirm(from, receipt);
+            tellHandedOver(step);
         }
         return step.build();
     }
@@ -170,29 +183,55 @@
     @Override
     public Step<ClaimMessage, ClaimEvent> tick(long nowNanos) {
         StepBuilder step = new StepBuilder();
-        lists.prune(nowNanos);
-        ownSeat.prune(nowNanos);
+        seats.prune(nowNanos);
         pruneGrants(nowNanos);
         step.sendAll(lists.pingIfDue(nowNanos));
+        resendTransfers(step, nowNanos);
         advanceAll(step, nowNanos);
         return step.build();
     }
 
+    /**
+     * Stops claiming and voting for good and hands the votes to one other router; an event tells
+     * when it has them all. Without another router that answers, nothing happens.
+     *
+     * @param nowNanos the monotonic time, in nanoseconds
+     * @return what to send and what was decided
+     */
+    public Step<ClaimMessage, ClaimEvent> handOver(long nowNanos) {
+        StepBuilder step = new StepBuilder();
+        Optional<Peer> heir = lists.heir(nowNanos);
+        if (heir.isPresent() && !seats.isFrozen()) {
+            seats.freeze(heir.get(), clock(nowNanos));
+            transferredNanos = nowNanos;
+            step.sendAll(seats.transfers());
+        }
+        return step.build();
+    }
+
     /**
      * Returns the number of remembered votes.
      *
      * @return the number of keys that this router's seat has voted on
      */
     public int voteCount() {
-        return ownSeat.size();
+        return seats.size();
+    }
+
+    /** Returns the seats that this router votes for besides its own. */
+    Set<String> inheritedSeats() {
+        return seats.inheritedSeats();
     }
 
     @Override
     public String toString() {
-        return self + " " + lists + ownSeat + claims + grants;
+        return self + " " + lists + seats + claims + grants;
     }
 
     private Optional<ClaimDecision> decideWithoutVotes(ClaimRequest request, long nowNanos) {
+        if (seats.isFrozen()) {
+            return Optional.of(refused(ErrorCode.DRAINING));
+        }
         KeyClock clock = clock(nowNanos);
         RequestId own = ownRequests.get(request.key());
         if (own != null) {
@@ -281,9 +320,9 @@
     private void askSeat(ClaimRequest request, String seat, StepBuilder step, long nowNanos) {
         VoteRequest message =
                 new VoteRequest(request.key(), request.requestId(), request.fingerprint(), seat);
-        for (String place : lists.placesOf(seat)) {
+        for (String place : placesOf(seat)) {
             if (place.equals(self.vmId())) {
-                store(ownSeat.vote(message, clock(nowNanos)));
+                seats.vote(message, clock(nowNanos)).ifPresent(this::store);
             } else {
                 step.send(place, message);
             }
@@ -292,9 +331,7 @@
 
     private void answerVoteRequest(
             Peer from, VoteRequest request, StepBuilder step, long nowNanos) {
-        if (request.seatVmId().equals(self.vmId())) {
-            step.send(from.vmId(), ownSeat.vote(request, clock(nowNanos)));
-        }
+        seats.vote(request, clock(nowNanos)).ifPresent(reply -> step.send(from.vmId(), reply));
     }
 
     private void takeReply(VoteReply reply, StepBuilder step, long nowNanos) {
@@ -302,7 +339,12 @@
         decide(reply.requestId(), step, nowNanos);
     }
 
+    /** Stores a reply, but for a missing vote where another router may hold the seat's votes. */
     private void store(VoteReply reply) {
+        boolean mayBeElsewhere = placesOf(reply.seatVmId()).size() > 1;
+        if (reply.result() != VoteResult.HELD && mayBeElsewhere) {
+            return;
+        }
         claims.computeIfPresent(reply.requestId(), (requestId, claim) -> claim.withReply(reply));
     }
 
@@ -314,10 +356,7 @@
         if (!isOwner) {
             return;
         }
-        if (!withdrawal.seatVmId().equals(self.vmId())) {
-            return;
-        }
-        Optional<VoteReply> passedOn = ownSeat.withdraw(withdrawal, clock(nowNanos));
+        Optional<VoteReply> passedOn = seats.withdraw(withdrawal, clock(nowNanos));
         passedOn.ifPresent(reply -> tell(reply, step, nowNanos));
     }
 
@@ -417,7 +456,7 @@
             Withdrawal message =
                     new Withdrawal(
                             request.key(), request.requestId(), seat, successor, fingerprint);
-            for (String place : lists.placesOf(seat)) {
+            for (String place : placesOf(seat)) {
                 if (place.equals(self.vmId())) {
                     takeWithdrawal(self, message, step, nowNanos);
                 } else {
@@ -427,6 +466,33 @@
         }
     }
 
+    /** Returns the routers that may answer for a seat. */
+    private Set<String> placesOf(String seat) {
+        Set<String> places = new LinkedHashSet<>(lists.placesOf(seat));
+        if (seats.inheritedSeats().contains(seat)) {
+            places.add(self.vmId());
+        }
+        return places;
+    }
+
+    private Pong answer(Ping ping, long nowNanos) {
+        return lists.answer(ping, seats.inheritedSeats(), seats.isFrozen(), nowNanos);
+    }
+
+    private void resendTransfers(StepBuilder step, long nowNanos) {
+        if (seats.isFrozen() && nowNanos - transferredNanos >= nanos(settings.resendMillis())) {
+            transferredNanos = nowNanos;
+            step.sendAll(seats.transfers());
+        }
+    }
+
+    private void tellHandedOver(StepBuilder step) {
+        if (seats.isHandedOver() && !toldHandedOver) {
+            toldHandedOver = true;
+            step.emit(new ClaimEvent.HandedOver());
+        }
+    }
+
     private void pruneGrants(long nowNanos) {
         long keepNanos = nanos(settings.retentionMillis());
         grants.values()
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMessage.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMessage.java
@@ -96,18 +96,22 @@
      * Hands a part of the votes of a seat to its heir.
      *
      * @param seatVmId the seat
+     * @param seatIncarnation the process that held the seat first
      * @param part the number of this part, from 0
      * @param parts the number of all parts
      * @param upNanos the age of the seat's memory, in nanoseconds
      * @param frozenAtEpochMillis when the seat stopped voting, in milliseconds since the epoch
+     * @param heirIncarnation the incarnation of the heir; no other may take the seat
      * @param votes the votes of this part
      */
     record SeatTransfer(
             String seatVmId,
+            long seatIncarnation,
             long part,
             long parts,
             long upNanos,
             long frozenAtEpochMillis,
+            long heirIncarnation,
             List<TransferredVote> votes)
             implements ClaimMessage {}
 
@@ -115,7 +119,8 @@
      * Confirms a part of a transfer.
      *
      * @param seatVmId the seat
+     * @param seatIncarnation the process that held the seat first
      * @param part the number of the part
      */
-    record SeatReceipt(String seatVmId, long part) implements ClaimMessage {}
+    record SeatReceipt(String seatVmId, long seatIncarnation, long part) implements ClaimMessage {}
 }
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimSettings.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimSettings.java
@@ -54,6 +54,25 @@
                 maxVotes);
     }
 
+    /**
+     * Returns these settings with another age of evidence.
+     *
+     * @param millis the age in milliseconds
+     * @return changed settings
+     */
+    public ClaimSettings withEvidenceMillis(long millis) {
+        return new ClaimSettings(
+                retentionMillis,
+                opaqueKeyAgeMillis,
+                grantMillis,
+                millis,
+                maxClockSkewMillis,
+                claimMillis,
+                resendMillis,
+                yieldMillis,
+                maxVotes);
+    }
+
     /**
      * Returns how long after its start a router takes no part in claims of new keys.
      *
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/Evidence.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/Evidence.java
@@ -10,13 +10,15 @@
  * @param startedNanos the latest time at which it may have started, by the own monotonic clock
  * @param lists the newest lists used, by growing revision
  * @param inheritedSeats VMs whose seats it has taken over
+ * @param frozen whether it has handed its own seat over
  */
 record Evidence(
         long incarnation,
         long askedNanos,
         long startedNanos,
         List<ListSince> lists,
-        List<String> inheritedSeats) {
+        List<String> inheritedSeats,
+        boolean frozen) {
     /** Returns the revision in use, 0 before the first list. */
     long revision() {
         return lists.isEmpty() ? 0 : lists.get(lists.size() - 1).revision();
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ListEvidence.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ListEvidence.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -89,28 +90,6 @@
         }
     }
 
-    /** Drops lists whose routers are taken to be down unless newer lists name them. */
-    void prune(long nowNanos) {
-        long keepNanos =
-                (settings.retentionMillis() + settings.warmUpMillis()) * KeyClock.NANOS_PER_MILLI;
-        while (lists.size() > 1) {
-            Long successorSince = usedSinceNanos.get(lists.higherKey(lists.firstKey()));
-            if (successorSince == null) {
-                successorSince = usedSinceNanos.get(usedSinceNanos.firstKey());
-            }
-            if (nowNanos - successorSince <= keepNanos) {
-                break;
-            }
-            lists.pollFirstEntry();
-        }
-        while (usedSinceNanos.size() > MAX_TOLD_LISTS) {
-            usedSinceNanos.pollFirstEntry();
-        }
-        pings.values().removeIf(ping -> nowNanos - ping.askedNanos() > evidenceNanos());
-        Set<String> known = voterIds();
-        evidence.keySet().retainAll(known);
-    }
-
     /** Asks all known routers where it is time to. */
     List<Outgoing<ClaimMessage>> pingIfDue(long nowNanos) {
         boolean due = !pinged || nowNanos - lastPingNanos >= evidenceNanos() / PINGS_PER_EVIDENCE;
@@ -119,6 +98,7 @@
         }
         pinged = true;
         lastPingNanos = nowNanos;
+        prune(nowNanos);
         List<Outgoing<ClaimMessage>> messages = new ArrayList<>();
         for (String vmId : new TreeSet<>(voterIds())) {
             if (!vmId.equals(self.vmId())) {
@@ -153,7 +133,8 @@
                         ping.askedNanos(),
                         nowNanos - pong.upNanos(),
                         told,
-                        pong.inheritedSeats());
+                        pong.inheritedSeats(),
+                        pong.frozen());
         evidence.merge(
                 from.vmId(),
                 news,
@@ -177,6 +158,26 @@
         return places;
     }
 
+    /** Returns the router that takes the seats of this one over, in another failure domain. */
+    Optional<Peer> heir(long nowNanos) {
+        if (lists.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Voter> voters = lists.lastEntry().getValue().voters();
+        Set<String> ownDomain = new HashSet<>();
+        voters.stream()
+                .filter(voter -> voter.vmId().equals(self.vmId()))
+                .forEach(voter -> ownDomain.add(voter.failureDomain()));
+        return voters.stream()
+                .filter(voter -> canInherit(voter, nowNanos))
+                .min(
+                        Comparator.comparing(
+                                        (Voter voter) -> ownDomain.contains(voter.failureDomain()))
+                                .thenComparingLong(
+                                        voter -> Rendezvous.score(self.vmId(), voter.vmId())))
+                .map(voter -> new Peer(voter.vmId(), evidence.get(voter.vmId()).incarnation()));
+    }
+
     /**
      * Returns the voter groups whose majorities a claim needs, or empty where the evidence does not
      * suffice now.
@@ -210,6 +211,36 @@
                 + lastPingNanos;
     }
 
+    /** Drops lists whose routers are taken to be down unless newer lists name them. */
+    private void prune(long nowNanos) {
+        long keepNanos =
+                (settings.retentionMillis() + settings.warmUpMillis()) * KeyClock.NANOS_PER_MILLI;
+        while (lists.size() > 1) {
+            Long successorSince = usedSinceNanos.get(lists.higherKey(lists.firstKey()));
+            if (successorSince == null) {
+                successorSince = usedSinceNanos.get(usedSinceNanos.firstKey());
+            }
+            if (nowNanos - successorSince <= keepNanos) {
+                break;
+            }
+            lists.pollFirstEntry();
+        }
+        while (usedSinceNanos.size() > MAX_TOLD_LISTS) {
+            usedSinceNanos.pollFirstEntry();
+        }
+        pings.values().removeIf(ping -> nowNanos - ping.askedNanos() > evidenceNanos());
+        Set<String> known = voterIds();
+        evidence.keySet().retainAll(known);
+    }
+
+    private boolean canInherit(Voter voter, long nowNanos) {
+        Evidence told = evidence.get(voter.vmId());
+        return told != null
+                && !told.frozen()
+                && !voter.vmId().equals(self.vmId())
+                && nowNanos - told.askedNanos() <= evidenceNanos();
+    }
+
     private Map<String, Evidence> usableEvidence(KeyTime time, long nowNanos) {
         Map<String, Evidence> usable = new HashMap<>();
         long askedAfter = time.latestNanos() - evidenceNanos();
@@ -230,7 +261,7 @@
     private Evidence ownEvidence(long nowNanos) {
         List<ListSince> used = new ArrayList<>();
         usedSinceNanos.forEach((revision, since) -> used.add(new ListSince(revision, since)));
-        return new Evidence(self.incarnation(), nowNanos, startedNanos, used, List.of());
+        return new Evidence(self.incarnation(), nowNanos, startedNanos, used, List.of(), false);
     }
 
     private static boolean isNotSuperseded(VoterList newest, Map<String, Evidence> usable) {
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/PeerClaimService.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/PeerClaimService.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.bronzewheel.error.ErrorCode;
@@ -39,6 +40,7 @@
     private final Object lock = new Object();
     private final ClaimMachine machine;
     private final Map<RequestId, SingleSubject<ClaimDecision>> waiting = new HashMap<>();
+    private final SingleSubject<Boolean> handedOver = SingleSubject.create();
     private boolean stopped;
 
     /**
@@ -121,7 +123,10 @@
 
     @Override
     public Single<Boolean> handOver(long timeoutMillis) {
-        return Single.just(false);
+        run(machine::handOver);
+        return handedOver
+                .timeout(timeoutMillis, TimeUnit.MILLISECONDS, scheduler)
+                .onErrorReturnItem(false);
     }
 
     /**
@@ -135,6 +140,17 @@
         }
     }
 
+    /**
+     * Returns the seats that this router votes for besides its own.
+     *
+     * @return VM ids of routers that handed their votes to this one
+     */
+    public Set<String> inheritedSeats() {
+        synchronized (lock) {
+            return machine.inheritedSeats();
+        }
+    }
+
     private void updateList(VmList list) {
         run(nowNanos -> machine.updateList(VoterList.of(list), nowNanos));
     }
@@ -166,7 +182,9 @@
     }
 
     private void deliver(ClaimEvent event) {
-        if (event instanceof ClaimEvent.Decided decided) {
+        if (event instanceof ClaimEvent.HandedOver) {
+            handedOver.onSuccess(true);
+        } else if (event instanceof ClaimEvent.Decided decided) {
             SingleSubject<ClaimDecision> subject;
             synchronized (lock) {
                 subject = waiting.remove(decided.requestId());
--- /dev/null
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/SeatParts.java
@@ -0,0 +1,34 @@
+package org.bronzewheel.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.bronzewheel.claim.ClaimMessage.SeatTransfer;
+
+/**
+ * The parts of one seat's votes that have reached its heir.
+ *
+ * @param parts parts by number
+ */
+record SeatParts(Map<Long, SeatTransfer> parts) {
+    static final SeatParts NONE = new SeatParts(Map.of());
+
+    SeatParts with(SeatTransfer part) {
+        Map<Long, SeatTransfer> more = new TreeMap<>(parts);
+        more.put(part.part(), part);
+        return new SeatParts(more);
+    }
+
+    /** Returns all votes of the seat once each part is there. */
+    Optional<List<TransferredVote>> whole() {
+        List<TransferredVote> votes = new ArrayList<>();
+        long expected = 0;
+        for (SeatTransfer part : parts.values()) {
+            votes.addAll(part.votes());
+            expected = part.parts();
+        }
+        return parts.size() == expected ? Optional.of(votes) : Optional.empty();
+    }
+}
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/VoteTable.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/VoteTable.java
@@ -53,28 +53,38 @@
         return new VoteTable(this);
     }
 
-    /** Answers a claim with the vote of this seat, which it casts where it has not voted yet. */
-    VoteReply vote(VoteRequest request, KeyClock clock) {
+    /**
+     * Answers a claim with the vote of this seat, which it casts where it has not voted yet. A
+     * frozen seat is silent on keys that it has not voted on, since its heir answers for them.
+     */
+    Optional<VoteReply> vote(VoteRequest request, KeyClock clock) {
         IdempotencyKey key = request.key();
         if (rules.keysExpire() && clock.isExpired(key, settings)) {
-            return reply(request, VoteResult.EXPIRED);
+            return Optional.of(reply(request, VoteResult.EXPIRED));
         }
         if (clock.isAhead(key, settings)) {
-            return reply(request, VoteResult.NOT_REMEMBERED);
+            return Optional.of(reply(request, VoteResult.NOT_REMEMBERED));
         }
         Vote vote = votes.get(key);
         if (vote != null && vote.holder().isPresent() && rules.firstVoteStays()) {
-            return held(request, vote);
+            return Optional.of(held(request, vote));
+        }
+        if (frozen && rules.frozenSeatsAbstain()) {
+            return Optional.empty();
         }
         VoteResult obstacle = obstacle(request, vote, clock);
         if (obstacle != VoteResult.HELD) {
-            return reply(request, obstacle);
+            return Optional.of(reply(request, obstacle));
         }
-        return held(request, cast(key, request.requestId(), request.fingerprint(), vote, clock));
+        Vote cast = cast(key, request.requestId(), request.fingerprint(), vote, clock);
+        return Optional.of(held(request, cast));
     }
 
     /** Takes the vote for a claim back, which will never be granted, and passes it on. */
     Optional<VoteReply> withdraw(Withdrawal withdrawal, KeyClock clock) {
+        if (frozen && rules.frozenSeatsAbstain()) {
+            return Optional.empty();
+        }
         Vote vote = votes.get(withdrawal.key());
         if (vote != null && !vote.holder().equals(Optional.of(withdrawal.requestId()))) {
             return Optional.empty();
@@ -84,7 +94,7 @@
         votes.put(withdrawal.key(), new Vote(Optional.empty(), "", withdrawn, atNanos));
         return withdrawal
                 .successor()
-                .map(
+                .flatMap(
                         successor ->
                                 vote(
                                         new VoteRequest(
@@ -166,11 +176,10 @@
         if (rules.freshVoterAbstains() && !remembers(request.key(), clock)) {
             return VoteResult.NOT_REMEMBERED;
         }
-        boolean stopped = frozen && rules.frozenSeatsAbstain();
         boolean withdrawn =
                 vote != null && vote.withdrawn().equals(Optional.of(request.requestId()));
         boolean full = vote == null && votes.size() >= settings.maxVotes();
-        return stopped || withdrawn || full ? VoteResult.ABSTAINED : VoteResult.HELD;
+        return withdrawn || full ? VoteResult.ABSTAINED : VoteResult.HELD;
     }
 
     private boolean remembers(IdempotencyKey key, KeyClock clock) {
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimScope.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimScope.java
@@ -13,6 +13,7 @@
  * @param drops the number of lost messages
  * @param duplicates the number of doubled messages
  * @param crashes the number of restarts without memory
+ * @param handOvers the number of planned stops of the last router
  * @param runs whether sending a granted request upstream is a step of its own
  * @param advancesMillis steps of time that may be taken, each at most once, in this order
  */
@@ -24,5 +25,6 @@
         int drops,
         int duplicates,
         int crashes,
+        int handOvers,
         boolean runs,
         List<Long> advancesMillis) {}
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimWorld.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimWorld.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import org.bronzewheel.machine.Outgoing;
 import org.bronzewheel.machine.Step;
 import org.bronzewheel.request.IdempotencyKey;
@@ -26,6 +27,7 @@
     final TreeMap<String, ModelRouter> routers;
     final List<InFlight> inFlight;
     final Map<RequestId, IdempotencyKey> requests;
+    final Set<String> handedOver = new TreeSet<>();
     private final ClaimSettings settings;
     private final ClaimRules rules;
     private final Set<RequestId> ended;
@@ -59,6 +61,7 @@
         this.routers = new TreeMap<>();
         this.routers.putAll(other.routers);
         this.sharesRouters = true;
+        this.handedOver.addAll(other.handedOver);
         this.inFlight = new ArrayList<>(other.inFlight);
         this.requests = new HashMap<>(other.requests);
         this.ended = new HashSet<>(other.ended);
@@ -101,6 +104,12 @@
         take(router, router.machine().updateList(list, nowNanos()));
     }
 
+    void handOver(String vmId) {
+        ModelRouter router = writable(vmId);
+        setWallClock(router);
+        take(router, router.machine().handOver(nowNanos()));
+    }
+
     RequestId claim(String vmId, IdempotencyKey key) {
         ModelRouter router = writable(vmId);
         RequestId requestId = new RequestId(vmId, router.peer().incarnation(), ++lastSequence);
@@ -245,6 +254,8 @@
         for (ClaimEvent event : step.events()) {
             if (event instanceof ClaimEvent.Decided decided) {
                 judge(decided.requestId(), decided.decision());
+            } else if (event instanceof ClaimEvent.HandedOver) {
+                handedOver.add(router.peer().vmId());
             }
         }
     }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/PeerClaimServiceTest.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/PeerClaimServiceTest.java
@@ -147,6 +147,47 @@
         assertThat(routers.get(0).stillGranted(request)).isFalse();
     }
 
+    @Test
+    void theHeirOfASeatVotesForItAfterAPlannedStop() {
+        startWarm(9);
+        IdempotencyKey key = newKey();
+        List<String> group = VoterGroups.choose(key, VoterList.of(FakeMembership.routers(9, 9)));
+        time.advanceTimeBy(1, TimeUnit.MILLISECONDS);
+
+        TestObserver<Boolean> handedOver = service(group.get(4)).handOver(1_000).test();
+        time.advanceTimeBy(1, TimeUnit.SECONDS);
+        handedOver.assertValue(true);
+        String heir = heirOf(group.get(4));
+        network.setDown(group.get(4), true);
+        group.subList(0, 4).stream()
+                .filter(seat -> !seat.equals(heir))
+                .limit(2)
+                .forEach(seat -> network.setDown(seat, true));
+
+        int asking = Integer.parseInt(heir.substring(1));
+        ClaimRequest request = request(asking, key);
+        assertThat(decide(asking, request))
+                .isEqualTo(new ClaimDecision.Granted(request.requestId()));
+    }
+
+    @Test
+    void aRouterThatHandedItsVotesOverClaimsNoMore() {
+        startWarm(3);
+        routers.get(0).handOver(1_000).test().assertValue(true);
+
+        assertThat(decide(0, request(0, newKey()))).isEqualTo(refused(ErrorCode.DRAINING));
+    }
+
+    @Test
+    void withoutAPeerThereIsNothingToHandOverTo() {
+        startWarm(1);
+        TestObserver<Boolean> handedOver = routers.get(0).handOver(1_000).test();
+
+        time.advanceTimeBy(1, TimeUnit.SECONDS);
+
+        handedOver.assertValue(false);
+    }
+
     @Test
     void aStoppedServiceRefusesAndEndsItsOpenClaims() {
         start(3);
@@ -158,6 +199,18 @@
         assertThat(decide(0, request(0, newKey()))).isEqualTo(refused(ErrorCode.DRAINING));
     }
 
+    private PeerClaimService service(String vmId) {
+        return routers.get(Integer.parseInt(vmId.substring(1)));
+    }
+
+    private String heirOf(String seat) {
+        return IntStream.range(0, routers.size())
+                .filter(router -> routers.get(router).inheritedSeats().contains(seat))
+                .mapToObj(router -> "r" + router)
+                .findFirst()
+                .orElseThrow();
+    }
+
     private void start(int count) {
         for (int i = 0; i < count; i++) {
             join(i);
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Claim.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Claim.java
@@ -155,13 +155,15 @@
       "\030\001 \001(\0132\032.bronzewheel.wire.ClaimKey\0220\n\006ho" +
       "lder\030\002 \001(\0132 .bronzewheel.wire.ClaimReque" +
       "stId\022\023\n\013fingerprint\030\003 \001(\t\022\021\n\tage_nanos\030\004" +
-      " \001(\003\"\242\001\n\021ClaimSeatTransfer\022\022\n\nseat_vm_id" +
+      " \001(\003\"\326\001\n\021ClaimSeatTransfer\022\022\n\nseat_vm_id" +
       "\030\001 \001(\t\022\014\n\004part\030\002 \001(\003\022\r\n\005parts\030\003 \001(\003\022\020\n\010u" +
       "p_nanos\030\004 \001(\003\022\036\n\026frozen_at_epoch_millis\030" +
       "\005 \001(\003\022*\n\005votes\030\006 \003(\0132\033.bronzewheel.wire." +
-      "ClaimVote\"4\n\020ClaimSeatReceipt\022\022\n\nseat_vm" +
-      "_id\030\001 \001(\t\022\014\n\004part\030\002 \001(\003B\030\n\024org.bronzewhe" +
-      "el.wireP\001b\006proto3"
+      "ClaimVote\022\030\n\020heir_incarnation\030\007 \001(\003\022\030\n\020s" +
+      "eat_incarnation\030\010 \001(\003\"N\n\020ClaimSeatReceip" +
+      "t\022\022\n\nseat_vm_id\030\001 \001(\t\022\014\n\004part\030\002 \001(\003\022\030\n\020s" +
+      "eat_incarnation\030\003 \001(\003B\030\n\024org.bronzewheel" +
+      ".wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -250,13 +252,13 @@
     internal_static_bronzewheel_wire_ClaimSeatTransfer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_ClaimSeatTransfer_descriptor,
-        new java.lang.String[] { "SeatVmId", "Part", "Parts", "UpNanos", "FrozenAtEpochMillis", "Votes", });
+        new java.lang.String[] { "SeatVmId", "Part", "Parts", "UpNanos", "FrozenAtEpochMillis", "Votes", "HeirIncarnation", "SeatIncarnation", });
     internal_static_bronzewheel_wire_ClaimSeatReceipt_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_bronzewheel_wire_ClaimSeatReceipt_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_ClaimSeatReceipt_descriptor,
-        new java.lang.String[] { "SeatVmId", "Part", });
+        new java.lang.String[] { "SeatVmId", "Part", "SeatIncarnation", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimSeatReceipt.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimSeatReceipt.java
@@ -103,6 +103,17 @@
     return part_;
   }
 
+  public static final int SEAT_INCARNATION_FIELD_NUMBER = 3;
+  private long seatIncarnation_ = 0L;
+  /**
+   * <code>int64 seat_incarnation = 3;</code>
+   * @return The seatIncarnation.
+   */
+  @java.lang.Override
+  public long getSeatIncarnation() {
+    return seatIncarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -123,6 +134,9 @@
     if (part_ != 0L) {
       output.writeInt64(2, part_);
     }
+    if (seatIncarnation_ != 0L) {
+      output.writeInt64(3, seatIncarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -134,6 +148,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(2, part_);
     }
+    if (seatIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, seatIncarnation_);
+    }
     return size;
   }
   @java.lang.Override
@@ -162,6 +180,8 @@
         .equals(other.getSeatVmId())) return false;
     if (getPart()
         != other.getPart()) return false;
+    if (getSeatIncarnation()
+        != other.getSeatIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -178,6 +198,9 @@
     hash = (37 * hash) + PART_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getPart());
+    hash = (37 * hash) + SEAT_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSeatIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -315,6 +338,7 @@
       bitField0_ = 0;
       seatVmId_ = "";
       part_ = 0L;
+      seatIncarnation_ = 0L;
       return this;
     }
 
@@ -354,6 +378,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.part_ = part_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.seatIncarnation_ = seatIncarnation_;
+      }
     }
 
     @java.lang.Override
@@ -376,6 +403,9 @@
       if (other.getPart() != 0L) {
         setPart(other.getPart());
       }
+      if (other.getSeatIncarnation() != 0L) {
+        setSeatIncarnation(other.getSeatIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -410,6 +440,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              seatIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -531,6 +566,38 @@
       return this;
     }
 
+    private long seatIncarnation_ ;
+    /**
+     * <code>int64 seat_incarnation = 3;</code>
+     * @return The seatIncarnation.
+     */
+    @java.lang.Override
+    public long getSeatIncarnation() {
+      return seatIncarnation_;
+    }
+    /**
+     * <code>int64 seat_incarnation = 3;</code>
+     * @param value The seatIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSeatIncarnation(long value) {
+
+      seatIncarnation_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 seat_incarnation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSeatIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      seatIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.ClaimSeatReceipt)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimSeatReceiptOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimSeatReceiptOrBuilder.java
@@ -27,4 +27,10 @@
    * @return The part.
    */
   long getPart();
+
+  /**
+   * <code>int64 seat_incarnation = 3;</code>
+   * @return The seatIncarnation.
+   */
+  long getSeatIncarnation();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimSeatTransfer.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimSeatTransfer.java
@@ -178,6 +178,36 @@
     return votes_.get(index);
   }
 
+  public static final int HEIR_INCARNATION_FIELD_NUMBER = 7;
+  private long heirIncarnation_ = 0L;
+  /**
+   * <pre>
+   * The incarnation of the heir; no other takes the seat.
+   * </pre>
+   *
+   * <code>int64 heir_incarnation = 7;</code>
+   * @return The heirIncarnation.
+   */
+  @java.lang.Override
+  public long getHeirIncarnation() {
+    return heirIncarnation_;
+  }
+
+  public static final int SEAT_INCARNATION_FIELD_NUMBER = 8;
+  private long seatIncarnation_ = 0L;
+  /**
+   * <pre>
+   * The incarnation of the process that held the seat first.
+   * </pre>
+   *
+   * <code>int64 seat_incarnation = 8;</code>
+   * @return The seatIncarnation.
+   */
+  @java.lang.Override
+  public long getSeatIncarnation() {
+    return seatIncarnation_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -210,6 +240,12 @@
     for (int i = 0; i < votes_.size(); i++) {
       output.writeMessage(6, votes_.get(i));
     }
+    if (heirIncarnation_ != 0L) {
+      output.writeInt64(7, heirIncarnation_);
+    }
+    if (seatIncarnation_ != 0L) {
+      output.writeInt64(8, seatIncarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -242,6 +278,14 @@
           }
           size += 1 * count;
         }
+    if (heirIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, heirIncarnation_);
+    }
+    if (seatIncarnation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, seatIncarnation_);
+    }
     return size;
   }
   @java.lang.Override
@@ -278,6 +322,10 @@
         != other.getFrozenAtEpochMillis()) return false;
     if (!getVotesList()
         .equals(other.getVotesList())) return false;
+    if (getHeirIncarnation()
+        != other.getHeirIncarnation()) return false;
+    if (getSeatIncarnation()
+        != other.getSeatIncarnation()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -307,6 +355,12 @@
       hash = (37 * hash) + VOTES_FIELD_NUMBER;
       hash = (53 * hash) + getVotesList().hashCode();
     }
+    hash = (37 * hash) + HEIR_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHeirIncarnation());
+    hash = (37 * hash) + SEAT_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSeatIncarnation());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -454,6 +508,8 @@
         votesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      heirIncarnation_ = 0L;
+      seatIncarnation_ = 0L;
       return this;
     }
 
@@ -515,6 +571,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.frozenAtEpochMillis_ = frozenAtEpochMillis_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.heirIncarnation_ = heirIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.seatIncarnation_ = seatIncarnation_;
+      }
     }
 
     @java.lang.Override
@@ -572,6 +634,12 @@
           }
         }
       }
+      if (other.getHeirIncarnation() != 0L) {
+        setHeirIncarnation(other.getHeirIncarnation());
+      }
+      if (other.getSeatIncarnation() != 0L) {
+        setSeatIncarnation(other.getSeatIncarnation());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -634,6 +702,16 @@
               }
               break;
             } // case 50
+            case 56: {
+              heirIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 64: {
+              seatIncarnation_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1085,6 +1163,94 @@
       return votesBuilder_;
     }
 
+    private long heirIncarnation_ ;
+    /**
+     * <pre>
+     * The incarnation of the heir; no other takes the seat.
+     * </pre>
+     *
+     * <code>int64 heir_incarnation = 7;</code>
+     * @return The heirIncarnation.
+     */
+    @java.lang.Override
+    public long getHeirIncarnation() {
+      return heirIncarnation_;
+    }
+    /**
+     * <pre>
+     * The incarnation of the heir; no other takes the seat.
+     * </pre>
+     *
+     * <code>int64 heir_incarnation = 7;</code>
+     * @param value The heirIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeirIncarnation(long value) {
+
+      heirIncarnation_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The incarnation of the heir; no other takes the seat.
+     * </pre>
+     *
+     * <code>int64 heir_incarnation = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeirIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      heirIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long seatIncarnation_ ;
+    /**
+     * <pre>
+     * The incarnation of the process that held the seat first.
+     * </pre>
+     *
+     * <code>int64 seat_incarnation = 8;</code>
+     * @return The seatIncarnation.
+     */
+    @java.lang.Override
+    public long getSeatIncarnation() {
+      return seatIncarnation_;
+    }
+    /**
+     * <pre>
+     * The incarnation of the process that held the seat first.
+     * </pre>
+     *
+     * <code>int64 seat_incarnation = 8;</code>
+     * @param value The seatIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSeatIncarnation(long value) {
+
+      seatIncarnation_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The incarnation of the process that held the seat first.
+     * </pre>
+     *
+     * <code>int64 seat_incarnation = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSeatIncarnation() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      seatIncarnation_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.ClaimSeatTransfer)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimSeatTransferOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimSeatTransferOrBuilder.java
@@ -69,4 +69,24 @@
    */
   org.bronzewheel.wire.ClaimVoteOrBuilder getVotesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The incarnation of the heir; no other takes the seat.
+   * </pre>
+   *
+   * <code>int64 heir_incarnation = 7;</code>
+   * @return The heirIncarnation.
+   */
+  long getHeirIncarnation();
+
+  /**
+   * <pre>
+   * The incarnation of the process that held the seat first.
+   * </pre>
+   *
+   * <code>int64 seat_incarnation = 8;</code>
+   * @return The seatIncarnation.
+   */
+  long getSeatIncarnation();
 }
