Pull missing lists instead of pushing them, and keep every list in use

Cause: a router that learned a list first pushed it to each peer that answered, 390 lists of 390 routers at once; and a cap on the number of lists could have dropped one that was still in use. A router now asks one peer for a list that it lacks, at most once per resend time, and lists leave by age only. A list that was dropped by age does not come back from a stale platform.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ListEvidence.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ListEvidence.java
@@ -29,7 +29,6 @@
  * claims of one key share a list.
  */
 final class ListEvidence {
-    private static final int MAX_LISTS = 64;
     private static final int MAX_TOLD_LISTS = 8;
     private static final int PINGS_PER_EVIDENCE = 4;
     private static final long NONCE_FACTOR = 0x9E3779B97F4A7C15L;
@@ -42,6 +41,8 @@
     private final TreeMap<Long, Long> usedSinceNanos;
     private final Map<String, Evidence> evidence;
     private final Map<Long, SentPing> pings;
+    private final Map<Long, Long> queriedNanos;
+    private long forgottenRevision;
     private long lastNonce;
     private long lastPingNanos;
     private boolean pinged;
@@ -55,6 +56,7 @@
         this.usedSinceNanos = new TreeMap<>();
         this.evidence = new HashMap<>();
         this.pings = new HashMap<>();
+        this.queriedNanos = new HashMap<>();
         this.lastNonce = self.incarnation() * NONCE_FACTOR;
     }
 
@@ -67,6 +69,8 @@
         this.usedSinceNanos = new TreeMap<>(other.usedSinceNanos);
         this.evidence = new HashMap<>(other.evidence);
         this.pings = new HashMap<>(other.pings);
+        this.queriedNanos = new HashMap<>(other.queriedNanos);
+        this.forgottenRevision = other.forgottenRevision;
         this.lastNonce = other.lastNonce;
         this.lastPingNanos = other.lastPingNanos;
         this.pinged = other.pinged;
@@ -78,16 +82,14 @@
 
     /** Takes a list into use where it is the newest, else keeps it for the claims of older keys. */
     void add(VoterList list, long nowNanos) {
-        if (list.revision() <= 0 || lists.containsKey(list.revision())) {
+        if (list.revision() <= forgottenRevision || lists.containsKey(list.revision())) {
             return;
         }
         if (list.revision() > newestRevision()) {
             usedSinceNanos.put(list.revision(), nowNanos);
         }
         lists.put(list.revision(), list);
-        if (lists.size() > MAX_LISTS) {
-            lists.pollFirstEntry();
-        }
+        queriedNanos.remove(list.revision());
     }
 
     /** Asks all known routers where it is time to. */
@@ -117,7 +119,7 @@
                 ping.nonce(), nowNanos - startedNanos, ages, List.copyOf(inheritedSeats), frozen);
     }
 
-    /** Takes the reply to a question; returns lists to offer and to ask for. */
+    /** Takes the reply to a question; returns questions for lists that this router lacks. */
     List<Outgoing<ClaimMessage>> take(Peer from, Pong pong, long nowNanos) {
         SentPing ping = pings.remove(pong.nonce());
         if (ping == null || !ping.vmId().equals(from.vmId())) {
@@ -139,7 +141,7 @@
                 from.vmId(),
                 news,
                 (old, fresh) -> fresh.askedNanos() - old.askedNanos() >= 0 ? fresh : old);
-        return exchange(from, news, nowNanos);
+        return missingLists(from, news, nowNanos);
     }
 
     Optional<ListOffer> answer(ListQuery query) {
@@ -223,7 +225,7 @@
             if (nowNanos - successorSince <= keepNanos) {
                 break;
             }
-            lists.pollFirstEntry();
+            forgottenRevision = lists.pollFirstEntry().getKey();
         }
         while (usedSinceNanos.size() > MAX_TOLD_LISTS) {
             usedSinceNanos.pollFirstEntry();
@@ -321,24 +323,32 @@
                 .toList();
     }
 
-    private List<Outgoing<ClaimMessage>> exchange(Peer from, Evidence told, long nowNanos) {
+    /** Returns questions for the lists that a peer uses and this router lacks. */
+    private List<Outgoing<ClaimMessage>> missingLists(Peer from, Evidence told, long nowNanos) {
         List<Outgoing<ClaimMessage>> messages = new ArrayList<>();
-        if (told.revision() < newestRevision()) {
-            messages.add(new Outgoing<>(from.vmId(), new ListOffer(lists.lastEntry().getValue())));
-        }
         long keepNanos = settings.retentionMillis() * KeyClock.NANOS_PER_MILLI;
         for (int i = 0; i < told.lists().size(); i++) {
             long revision = told.lists().get(i).revision();
             boolean inUse =
                     i + 1 == told.lists().size()
                             || nowNanos - told.lists().get(i + 1).sinceNanos() < keepNanos;
-            if (inUse && !lists.containsKey(revision)) {
+            if (inUse && shouldQuery(revision, nowNanos)) {
+                queriedNanos.put(revision, nowNanos);
                 messages.add(new Outgoing<>(from.vmId(), new ListQuery(revision)));
             }
         }
         return messages;
     }
 
+    private boolean shouldQuery(long revision, long nowNanos) {
+        if (revision <= forgottenRevision || lists.containsKey(revision)) {
+            return false;
+        }
+        Long last = queriedNanos.get(revision);
+        return last == null
+                || nowNanos - last >= settings.resendMillis() * KeyClock.NANOS_PER_MILLI;
+    }
+
     private Ping ping(String vmId, long nowNanos) {
         lastNonce++;
         pings.put(lastNonce, new SentPing(vmId, nowNanos));
