--- a/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/policy/PoolPolicy.java
@@ -52,7 +52,8 @@
     private final WorkerTable workers;
     private final AdmissionQueue<Work<T>> queue;
     private final Races races = new Races();
-    private final int callsPerSecondLimit;
+    private int callsPerSecondLimit;
+    private int sharers;
     private TokenBucket rateLimit;
 
     PoolPolicy(
@@ -85,6 +86,20 @@
         return workers;
     }
 
+    /**
+     * Takes over changed limits of the pool.
+     *
+     * @param pool the pool as the inventory now describes it
+     * @param nowNanos the present time
+     */
+    public void setLimits(Pool pool, long nowNanos) {
+        workers.setConcurrency(pool.concurrencyPerUpstream());
+        if (callsPerSecondLimit != pool.callsPerSecondLimit()) {
+            callsPerSecondLimit = pool.callsPerSecondLimit();
+            limitRate(nowNanos);
+        }
+    }
+
     /**
      * Tells whether a stage would be refused now.
      *
@@ -260,10 +275,16 @@
 
     void setRouters(int routers, int position, long nowNanos) {
         workers.setRouters(routers, position);
+        sharers = routers;
+        limitRate(nowNanos);
+    }
+
+    private void limitRate(long nowNanos) {
         if (callsPerSecondLimit == 0) {
+            rateLimit = null;
             return;
         }
-        double share = (double) callsPerSecondLimit / routers;
+        double share = (double) callsPerSecondLimit / sharers;
         if (rateLimit == null) {
             rateLimit = new TokenBucket(share, RATE_BURST_SECONDS, nowNanos);
         } else {
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/routing/WorkerTable.java
@@ -24,7 +24,7 @@
     private static final int MAX_SAMPLES = 16;
     private static final int CHOICES = 4;
 
-    private final int concurrencyPerUpstream;
+    private int concurrencyPerUpstream;
     private final RoutingSettings settings;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final List<Worker> active = new ArrayList<>();
@@ -49,6 +49,15 @@
         this.settings = settings;
     }
 
+    /**
+     * Sets the calls that one worker works on at once.
+     *
+     * @param calls the number, at least 1
+     */
+    public void setConcurrency(int calls) {
+        concurrencyPerUpstream = calls;
+    }
+
     /**
      * Sets the routers that share the pool. In a large pool, the position decides which part of the
      * pool this router sends to; routers at different positions cover the pool evenly.
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/PolicyWorkers.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/PolicyWorkers.java
@@ -79,6 +79,7 @@
                 long now = nanoClock.getAsLong();
                 policy.setWorkspaces(workspaces);
                 policy.setRouters(Math.max(1, routers), position, now);
+                policy.pool(pool, now).setLimits(pool, now);
                 serving.update(pool, policy.pool(pool, now).workers(), leaving, now);
                 poll = policy.pool(pool, now).poll(now, random);
             }
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
@@ -238,6 +238,24 @@
         assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
     }
 
+    @Test
+    void aChangedConcurrencyIsFollowed() {
+        String narrow =
+                Fixture.INVENTORY.replace(
+                        "name: booking\n", "name: booking\n    concurrencyPerUpstream: 1\n");
+        assertThat(narrow).isNotEqualTo(Fixture.INVENTORY);
+        fixture.use(Fixture.configuration(2, narrow));
+        for (int i = 0; i < 6; i++) {
+            fixture.submit(request("voucher", ""));
+        }
+        int sentNarrow = client.calls.size();
+        fixture.use(Fixture.configuration(3, Fixture.INVENTORY));
+        fixture.scheduler.triggerActions();
+
+        assertThat(sentNarrow).isLessThan(6);
+        assertThat(client.calls).hasSize(6);
+    }
+
     @Test
     void aLeavingUpstreamGetsNoNewWork() {
         fixture.execution.update(
