--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/membership/DetectorMachine.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -32,12 +33,14 @@
 final class DetectorMachine implements Machine<DetectorMessage, MembershipView> {
     private static final int HELPERS = 3;
     private static final long NEWS_INTERVAL_MILLIS = 200;
+    private static final long VIEW_INTERVAL_MILLIS = 1_000;
     private static final int PAUSE_TICKS = 10;
 
     private record HelpDuty(String requester, long sequence, String target, long deadlineNanos) {}
 
     private final MembershipSettings settings;
     private final RandomGenerator random;
+    private final Set<DetectorRule> rules;
     private final MemberTable table;
     private final String selfVmId;
     private final Map<String, ProbeTarget> targets = new LinkedHashMap<>();
@@ -55,12 +58,22 @@
     private long nextRoundNanos;
     private long nextSignOfLifeNanos;
     private long nextNewsNanos;
+    private long nextViewNanos;
     private boolean newsDue;
     private boolean viewChanged;
     private boolean viewChangedUrgently;
     private List<Outgoing<DetectorMessage>> messages = new ArrayList<>();
 
     DetectorMachine(Peer self, MembershipSettings settings, RandomGenerator random) {
+        this(self, settings, random, EnumSet.allOf(DetectorRule.class));
+    }
+
+    DetectorMachine(
+            Peer self,
+            MembershipSettings settings,
+            RandomGenerator random,
+            Set<DetectorRule> rules) {
+        this.rules = rules;
         this.settings = settings;
         this.random = random;
         selfVmId = self.vmId();
@@ -120,6 +133,9 @@
         observeTime(nowNanos);
         lastHeardNanos.put(from.vmId(), nowNanos);
         message.states().forEach(state -> merge(state, nowNanos));
+        if (!rules.contains(DetectorRule.WAIT_FOR_REFUTATION)) {
+            clear(from.vmId());
+        }
         if (message instanceof DetectorMessage.Probe probe) {
             send(
                     from.vmId(),
@@ -148,8 +164,7 @@
         if (newsDue && nowNanos - nextNewsNanos >= 0) {
             sendNews(nowNanos);
         }
-        if (viewChanged) {
-            viewChanged = false;
+        if (viewChanged && nowNanos - nextViewNanos >= 0) {
             viewChangedUrgently = true;
         }
         return flush(nowNanos);
@@ -164,10 +179,12 @@
             roundStartNanos = nowNanos;
             nextSignOfLifeNanos = nowNanos;
             nextNewsNanos = nowNanos;
+            nextViewNanos = nowNanos;
             lastTimeNanos = nowNanos;
         }
         long gapNanos = nowNanos - lastTimeNanos;
-        if (gapNanos > PAUSE_TICKS * nanos(settings.tickMillis())) {
+        if (rules.contains(DetectorRule.FORGIVE_OWN_PAUSE)
+                && gapNanos > PAUSE_TICKS * nanos(settings.tickMillis())) {
             targets.values().forEach(ProbeTarget::reset);
             duties.clear();
             table.forgive(gapNanos);
@@ -198,6 +215,12 @@
         }
     }
 
+    private void clear(String vmId) {
+        if (table.clearSuspicion(vmId)) {
+            viewChangedUrgently = true;
+        }
+    }
+
     private void refuteIfSuspected(MemberState state) {
         MemberState own = table.own();
         boolean current =
@@ -268,7 +291,7 @@
 
     private void endRound(long nowNanos) {
         for (ProbeTarget target : targets.values()) {
-            if (!heardAnother(target)) {
+            if (rules.contains(DetectorRule.DOUBT_SELF) && !heardAnother(target)) {
                 target.skip();
             } else if (target.end(settings.missedProbes(), nowNanos)) {
                 suspect(target, nowNanos);
@@ -299,7 +322,7 @@
 
     private void askForHelp() {
         for (ProbeTarget target : targets.values()) {
-            if (target.needsHelp()) {
+            if (rules.contains(DetectorRule.ASK_HELPERS) && target.needsHelp()) {
                 for (String helper : helpers(target.vmId())) {
                     send(
                             helper,
@@ -418,6 +441,8 @@
         List<MembershipView> events = List.of();
         if (viewChangedUrgently) {
             viewChangedUrgently = false;
+            viewChanged = false;
+            nextViewNanos = nowNanos + nanos(VIEW_INTERVAL_MILLIS);
             MembershipView next = buildView(nowNanos);
             if (!next.equals(view)) {
                 view = next;
