--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
@@ -27,6 +27,7 @@
         commands.put("status", new StatusCommand());
         commands.put("demo", new DemoCommand());
         commands.put("load", new LoadCommand());
+        commands.put("measure", new MeasureCommand());
         commands.put("standin", new StandInCommand());
     }
 
--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/explain/Explanation.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/explain/Explanation.java
@@ -194,7 +194,12 @@
                 boolean leaving = situation.leaving().contains(upstream.name());
                 lines.add(
                         "  left out: %s (%s)"
-                                .formatted(upstream.name(), leaving ? "leaving" : "no room"));
+                                .formatted(
+                                        upstream.name(),
+                                        leaving
+                                                ? "leaving"
+                                                : "no room, or not among those that this router"
+                                                        + " uses"));
             }
         }
     }
--- a/bronzewheel-ctl/src/test/java/org/bronzewheel/ctl/MainTest.java
+++ b/bronzewheel-ctl/src/test/java/org/bronzewheel/ctl/MainTest.java
@@ -43,6 +43,11 @@
                 "load --router 127.0.0.1:1 --inventory only-one.yaml",
                 "standin --router-vm vm-1",
                 "demo --seed soon",
+                "explain --pipeline briefing --class urgent",
+                "explain --pipeline nothing --class urgent --workspace crew",
+                "explain --pipeline briefing --class urgent --workspace crew --load engine-1=x",
+                "measure nothing",
+                "measure --seed soon",
                 "check --unknown"
             })
     void wrongUsageExits2WithOneLine(String commandLine) {
@@ -52,7 +57,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"check", "status", "load", "standin", "demo"})
+    @ValueSource(strings = {"check", "explain", "status", "demo", "load", "measure", "standin"})
     void eachCommandHasHelp(String command) {
         assertThat(run(command, "--help")).isEqualTo(0);
         assertThat(out.toString(UTF_8)).contains("Usage");
@@ -88,6 +93,39 @@
                 .containsMatch("r\\.yaml:\\d+:\\d+: .*boking.*expected the name of a pool");
     }
 
+    @Test
+    void anExplanationNamesBudgetOrderAndReasons() {
+        int status =
+                run(
+                        "explain --pipeline voucher --class interactive --workspace crew"
+                                .concat(" --failure-domain north-b --leaving engine-3")
+                                .concat(" --load engine-1=16 --took generate=100")
+                                .concat(" --took confirm=50")
+                                .split(" ", -1));
+        String text = out.toString(UTF_8);
+        assertThat(status).isEqualTo(0);
+        assertThat(text).contains("admission: admitted");
+        assertThat(text).contains("budget: 1982 ms of 3000 ms");
+        assertThat(text).contains("worker 1: engine-2 (load 0.0 of 8, north-b, own failure domain");
+        assertThat(text).contains("left out: engine-3 (leaving)");
+        assertThat(text).contains("worker 2: engine-1 (load 16.0 of 8, north-a)");
+        assertThat(text).contains("repeated: after NOT_RUN only");
+    }
+
+    @Test
+    void aRequestThatCannotBeInTimeIsExplainedAsRefused() {
+        run(
+                "explain --pipeline landing --class urgent --workspace crew --took call=1600"
+                        .split(" ", -1));
+        assertThat(out.toString(UTF_8)).contains("admission: refused with DEADLINE_TOO_SHORT");
+    }
+
+    @Test
+    void theExperimentsAreListed() {
+        assertThat(run("measure")).isEqualTo(0);
+        assertThat(out.toString(UTF_8)).contains("load");
+    }
+
     @Test
     void aRouterThatCannotBeReadMakesTheStatusFail() {
         assertThat(run("status", "--router", "127.0.0.1:1")).isEqualTo(1);
