--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.execution;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -31,6 +32,7 @@
     private final long beginNanos;
     private final Set<String> tried = ConcurrentHashMap.newKeySet();
     private final AtomicInteger attempts = new AtomicInteger();
+    private volatile BronzewheelException givenUpForRetry;
 
     StageRun(
             ExecutionServices services,
@@ -93,17 +95,27 @@
         return last ? new AttemptText(held) : TokenListener.NONE;
     }
 
-    /** Gives an attempt of an idempotent stage up once it took the stage's part of the deadline. */
+    /**
+     * Gives an attempt of an idempotent stage up once it took the stage's part of the deadline and
+     * another attempt may be made; without one it goes on until the deadline.
+     */
     private Single<Result> withTimeout(Single<Result> attempt) {
         long timeoutNanos = services.workers().attemptTimeoutNanos(run, index);
         if (!run.stage(index).idempotent() || timeoutNanos >= run.deadline().remainingNanos()) {
             return attempt;
         }
-        return attempt.timeout(
-                timeoutNanos,
-                TimeUnit.NANOSECONDS,
-                services.scheduler(),
-                Single.error(StageRun::tooSlow));
+        Completable timer =
+                Completable.timer(timeoutNanos, TimeUnit.NANOSECONDS, services.scheduler());
+        return attempt.takeUntil(timer.andThen(Completable.defer(this::giveUpForRetry)));
+    }
+
+    private Completable giveUpForRetry() {
+        BronzewheelException error = tooSlow();
+        if (!mayRetry(error)) {
+            return Completable.never();
+        }
+        givenUpForRetry = error;
+        return Completable.error(error);
     }
 
     /** Races an attempt that takes long with a second one; the first answer counts. */
@@ -152,7 +164,8 @@
 
     private Single<Result> retryOrFail(Throwable error) {
         BronzewheelException known = Bodies.known(error);
-        if (isFinal(known) || !mayRetry(known)) {
+        boolean retryTaken = known == givenUpForRetry;
+        if (!retryTaken && (isFinal(known) || !mayRetry(known))) {
             return Single.error(known);
         }
         long delayMillis = RETRY_DELAY_MILLIS * (attempts.get() - 1);
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
@@ -226,6 +226,24 @@
         assertThat(client.cancelled).containsExactly(client.calls.get(0).call);
     }
 
+    @Test
+    void theLastAttemptOfAStageMayTakeLongerThanItsPart() {
+        for (int i = 0; i < 30; i++) {
+            fixture.run(request("briefing", ""));
+            fixture.advanceMillis(100);
+            client.last().answer("encoded");
+            fixture.advanceMillis(100);
+            client.last().answer("generated");
+        }
+
+        TestSubscriber<ReadResult> reading = fixture.run(request("briefing", ""));
+        fixture.advanceMillis(2_800);
+        client.last().answer("encoded");
+        client.last().answer("generated");
+
+        assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
+    }
+
     @Test
     void aRequestEndsUnderTheConfigurationItStartedWith() {
         TestSubscriber<ReadResult> reading = fixture.run(request("briefing", ""));
