Settle a list only with each older list that a peer still reckons with

Cause: the exhaustive check of a list change found a schedule of 10 steps in which a key is granted twice: a new router heard from a peer that an older list had been in use, had not got that list yet, and claimed under the new one alone, while a router that had missed the new list claimed under the old one.

Peers now tell all lists that they reckon with, and a list is settled only for a router that has all older ones of them. The list-change scope is explored breadth first up to a number of states, not completely.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimCodec.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimCodec.java
@@ -160,6 +160,7 @@
                 ClaimPong.newBuilder()
                         .setNonce(pong.nonce())
                         .setUpNanos(pong.upNanos())
+                        .addAllKnownRevisions(pong.knownRevisions())
                         .addAllInheritedSeats(pong.inheritedSeats())
                         .setFrozen(pong.frozen());
         for (ListAge list : pong.lists()) {
@@ -180,6 +181,7 @@
                 pong.getNonce(),
                 pong.getUpNanos(),
                 lists,
+                List.copyOf(pong.getKnownRevisionsList()),
                 List.copyOf(pong.getInheritedSeatsList()),
                 pong.getFrozen());
     }
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMessage.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMessage.java
@@ -67,6 +67,7 @@
      * @param nonce the nonce of the question
      * @param upNanos the time since the start of the process, in nanoseconds
      * @param lists the newest lists used, by growing revision
+     * @param knownRevisions all lists that the router knows and that may be in use
      * @param inheritedSeats VMs whose seats this router has taken over
      * @param frozen whether the own seat was handed over, so that this router claims no more
      */
@@ -74,6 +75,7 @@
             long nonce,
             long upNanos,
             List<ListAge> lists,
+            List<Long> knownRevisions,
             List<String> inheritedSeats,
             boolean frozen)
             implements ClaimMessage {}
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimRules.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimRules.java
@@ -11,6 +11,8 @@
  * @param evidenceOfOldLists a router claims only with evidence that a majority is not on a newer
  *     list
  * @param listsSettle a list votes alone only for keys younger than its use
+ * @param peersListsAreKnown a list is settled only for a router that has each older list that a
+ *     peer still reckons with
  * @param restartedEvidenceIsVoid evidence of routers that restarted after the key is not counted
  * @param withdrawalIsFinal a claim that withdrew is never granted
  * @param grantsExpire a grant ends long before the votes are forgotten
@@ -24,6 +26,7 @@
         boolean allListsVote,
         boolean evidenceOfOldLists,
         boolean listsSettle,
+        boolean peersListsAreKnown,
         boolean restartedEvidenceIsVoid,
         boolean withdrawalIsFinal,
         boolean grantsExpire,
@@ -31,5 +34,5 @@
         boolean frozenSeatsAbstain) {
     /** Every rule is in force. */
     static final ClaimRules ALL =
-            new ClaimRules(true, true, true, true, true, true, true, true, true, true, true);
+            new ClaimRules(true, true, true, true, true, true, true, true, true, true, true, true);
 }
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/Evidence.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/Evidence.java
@@ -9,6 +9,7 @@
  * @param askedNanos when it was asked, by the own monotonic clock
  * @param startedNanos the latest time at which it may have started, by the own monotonic clock
  * @param lists the newest lists used, by growing revision
+ * @param knownRevisions all lists that it knows and that may be in use
  * @param inheritedSeats VMs whose seats it has taken over
  * @param frozen whether it has handed its own seat over
  */
@@ -17,6 +18,7 @@
         long askedNanos,
         long startedNanos,
         List<ListSince> lists,
+        List<Long> knownRevisions,
         List<String> inheritedSeats,
         boolean frozen) {
     /** Returns the revision in use, 0 before the first list. */
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ListEvidence.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ListEvidence.java
@@ -116,7 +116,12 @@
         usedSinceNanos.forEach(
                 (revision, since) -> ages.add(new ListAge(revision, nowNanos - since)));
         return new Pong(
-                ping.nonce(), nowNanos - startedNanos, ages, List.copyOf(inheritedSeats), frozen);
+                ping.nonce(),
+                nowNanos - startedNanos,
+                ages,
+                List.copyOf(lists.keySet()),
+                List.copyOf(inheritedSeats),
+                frozen);
     }
 
     /** Takes the reply to a question; returns questions for lists that this router lacks. */
@@ -135,6 +140,7 @@
                         ping.askedNanos(),
                         nowNanos - pong.upNanos(),
                         told,
+                        pong.knownRevisions(),
                         pong.inheritedSeats(),
                         pong.frozen());
         evidence.merge(
@@ -263,7 +269,14 @@
     private Evidence ownEvidence(long nowNanos) {
         List<ListSince> used = new ArrayList<>();
         usedSinceNanos.forEach((revision, since) -> used.add(new ListSince(revision, since)));
-        return new Evidence(self.incarnation(), nowNanos, startedNanos, used, List.of(), false);
+        return new Evidence(
+                self.incarnation(),
+                nowNanos,
+                startedNanos,
+                used,
+                List.copyOf(lists.keySet()),
+                List.of(),
+                false);
     }
 
     private static boolean isNotSuperseded(VoterList newest, Map<String, Evidence> usable) {
@@ -293,10 +306,21 @@
         if (countUsers(list, list.revision(), usable, before) < list.majority()) {
             return false;
         }
+        if (rules.peersListsAreKnown() && !knowsListsOf(usable, list.revision())) {
+            return false;
+        }
         return lists.headMap(list.revision()).values().stream()
                 .allMatch(older -> isClosed(older, usable, before));
     }
 
+    /** Tells whether this router has each older list that a peer still reckons with. */
+    private boolean knowsListsOf(Map<String, Evidence> usable, long revision) {
+        return usable.values().stream()
+                .flatMap(told -> told.knownRevisions().stream())
+                .filter(known -> known > forgottenRevision && known < revision)
+                .allMatch(lists::containsKey);
+    }
+
     /** Tells whether too many routers have left a list for the others to be a majority. */
     private static boolean isClosed(VoterList list, Map<String, Evidence> usable, long before) {
         long left = countUsers(list, list.revision() + 1, usable, before);
@@ -326,13 +350,8 @@
     /** Returns questions for the lists that a peer uses and this router lacks. */
     private List<Outgoing<ClaimMessage>> missingLists(Peer from, Evidence told, long nowNanos) {
         List<Outgoing<ClaimMessage>> messages = new ArrayList<>();
-        long keepNanos = settings.retentionMillis() * KeyClock.NANOS_PER_MILLI;
-        for (int i = 0; i < told.lists().size(); i++) {
-            long revision = told.lists().get(i).revision();
-            boolean inUse =
-                    i + 1 == told.lists().size()
-                            || nowNanos - told.lists().get(i + 1).sinceNanos() < keepNanos;
-            if (inUse && shouldQuery(revision, nowNanos)) {
+        for (long revision : told.knownRevisions()) {
+            if (shouldQuery(revision, nowNanos)) {
                 queriedNanos.put(revision, nowNanos);
                 messages.add(new Outgoing<>(from.vmId(), new ListQuery(revision)));
             }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/check/Exploration.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/check/Exploration.java
@@ -8,6 +8,7 @@
  *
  * @param states the number of distinct states visited
  * @param transitions the number of transitions taken
+ * @param depth the length up to which each schedule was explored
  * @param complete whether all states within the scope were visited
  * @param violation the broken property, or empty
  * @param schedule the shortest schedule that breaks it, empty otherwise
@@ -15,6 +16,7 @@
 public record Exploration(
         int states,
         long transitions,
+        int depth,
         boolean complete,
         Optional<String> violation,
         List<String> schedule) {}
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimScope.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimScope.java
@@ -14,6 +14,8 @@
  * @param duplicates the number of doubled messages
  * @param crashes the number of restarts without memory
  * @param handOvers the number of planned stops of the last router
+ * @param learners who learns, at any time, of a second list without the first router and with one
+ *     more
  * @param runs whether sending a granted request upstream is a step of its own
  * @param advancesMillis steps of time that may be taken, each at most once, in this order
  */
@@ -26,5 +28,6 @@
         int duplicates,
         int crashes,
         int handOvers,
+        List<String> learners,
         boolean runs,
         List<Long> advancesMillis) {}
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimScopes.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimScopes.java
@@ -20,6 +20,8 @@
     static final ClaimScope HAND_OVER = scope("hand-over", 2, 0, 0, 0, 0, 500);
     static final ClaimScope HAND_OVER_AND_RESTART = scope("hand-over and restart", 2, 0, 0, 0, 1);
 
+    static final ClaimScope LIST_CHANGE = listChange("list change", 3_000);
+
     static final List<ClaimScope> ALL =
             List.of(
                     LOSS,
@@ -35,6 +37,21 @@
 
     private ClaimScopes() {}
 
+    private static ClaimScope listChange(String name, long keyAheadMillis) {
+        return new ClaimScope(
+                name,
+                3,
+                List.of("r0", "r3"),
+                keyAheadMillis,
+                0,
+                0,
+                0,
+                0,
+                List.of("r1", "r2", "r3"),
+                false,
+                List.of(3_000L));
+    }
+
     private static ClaimScope scope(
             String name,
             int claims,
@@ -52,6 +69,7 @@
                 duplicates,
                 crashes,
                 name.startsWith("hand") ? 1 : 0,
+                List.of(),
                 keyAheadMillis < 0,
                 java.util.Arrays.stream(advancesMillis).boxed().toList());
     }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Claim.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Claim.java
@@ -143,27 +143,27 @@
       "l.wire.ClaimRequestId\022\035\n\025successor_finge" +
       "rprint\030\004 \001(\t\022\022\n\nseat_vm_id\030\005 \001(\t\"\032\n\tClai" +
       "mPing\022\r\n\005nonce\030\001 \001(\003\"3\n\014ClaimListAge\022\020\n\010" +
-      "revision\030\001 \001(\003\022\021\n\tage_nanos\030\002 \001(\003\"\204\001\n\tCl" +
+      "revision\030\001 \001(\003\022\021\n\tage_nanos\030\002 \001(\003\"\235\001\n\tCl" +
       "aimPong\022\r\n\005nonce\030\001 \001(\003\022\020\n\010up_nanos\030\002 \001(\003" +
       "\022-\n\005lists\030\003 \003(\0132\036.bronzewheel.wire.Claim" +
       "ListAge\022\027\n\017inherited_seats\030\004 \003(\t\022\016\n\006froz" +
-      "en\030\005 \001(\010\"\"\n\016ClaimListQuery\022\020\n\010revision\030\001" +
-      " \001(\003\"3\n\nClaimVoter\022\r\n\005vm_id\030\001 \001(\t\022\026\n\016fai" +
-      "lure_domain\030\002 \001(\t\"P\n\016ClaimListOffer\022\020\n\010r" +
-      "evision\030\001 \001(\003\022,\n\006voters\030\002 \003(\0132\034.bronzewh" +
-      "eel.wire.ClaimVoter\"\216\001\n\tClaimVote\022\'\n\003key" +
-      "\030\001 \001(\0132\032.bronzewheel.wire.ClaimKey\0220\n\006ho" +
-      "lder\030\002 \001(\0132 .bronzewheel.wire.ClaimReque" +
-      "stId\022\023\n\013fingerprint\030\003 \001(\t\022\021\n\tage_nanos\030\004" +
-      " \001(\003\"\326\001\n\021ClaimSeatTransfer\022\022\n\nseat_vm_id" +
-      "\030\001 \001(\t\022\014\n\004part\030\002 \001(\003\022\r\n\005parts\030\003 \001(\003\022\020\n\010u" +
-      "p_nanos\030\004 \001(\003\022\036\n\026frozen_at_epoch_millis\030" +
-      "\005 \001(\003\022*\n\005votes\030\006 \003(\0132\033.bronzewheel.wire." +
-      "ClaimVote\022\030\n\020heir_incarnation\030\007 \001(\003\022\030\n\020s" +
-      "eat_incarnation\030\010 \001(\003\"N\n\020ClaimSeatReceip" +
-      "t\022\022\n\nseat_vm_id\030\001 \001(\t\022\014\n\004part\030\002 \001(\003\022\030\n\020s" +
-      "eat_incarnation\030\003 \001(\003B\030\n\024org.bronzewheel" +
-      ".wireP\001b\006proto3"
+      "en\030\005 \001(\010\022\027\n\017known_revisions\030\006 \003(\003\"\"\n\016Cla" +
+      "imListQuery\022\020\n\010revision\030\001 \001(\003\"3\n\nClaimVo" +
+      "ter\022\r\n\005vm_id\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001" +
+      "(\t\"P\n\016ClaimListOffer\022\020\n\010revision\030\001 \001(\003\022," +
+      "\n\006voters\030\002 \003(\0132\034.bronzewheel.wire.ClaimV" +
+      "oter\"\216\001\n\tClaimVote\022\'\n\003key\030\001 \001(\0132\032.bronze" +
+      "wheel.wire.ClaimKey\0220\n\006holder\030\002 \001(\0132 .br" +
+      "onzewheel.wire.ClaimRequestId\022\023\n\013fingerp" +
+      "rint\030\003 \001(\t\022\021\n\tage_nanos\030\004 \001(\003\"\326\001\n\021ClaimS" +
+      "eatTransfer\022\022\n\nseat_vm_id\030\001 \001(\t\022\014\n\004part\030" +
+      "\002 \001(\003\022\r\n\005parts\030\003 \001(\003\022\020\n\010up_nanos\030\004 \001(\003\022\036" +
+      "\n\026frozen_at_epoch_millis\030\005 \001(\003\022*\n\005votes\030" +
+      "\006 \003(\0132\033.bronzewheel.wire.ClaimVote\022\030\n\020he" +
+      "ir_incarnation\030\007 \001(\003\022\030\n\020seat_incarnation" +
+      "\030\010 \001(\003\"N\n\020ClaimSeatReceipt\022\022\n\nseat_vm_id" +
+      "\030\001 \001(\t\022\014\n\004part\030\002 \001(\003\022\030\n\020seat_incarnation" +
+      "\030\003 \001(\003B\030\n\024org.bronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -222,7 +222,7 @@
     internal_static_bronzewheel_wire_ClaimPong_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_ClaimPong_descriptor,
-        new java.lang.String[] { "Nonce", "UpNanos", "Lists", "InheritedSeats", "Frozen", });
+        new java.lang.String[] { "Nonce", "UpNanos", "Lists", "InheritedSeats", "Frozen", "KnownRevisions", });
     internal_static_bronzewheel_wire_ClaimListQuery_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_bronzewheel_wire_ClaimListQuery_fieldAccessorTable = new
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimPong.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimPong.java
@@ -35,6 +35,7 @@
     lists_ = java.util.Collections.emptyList();
     inheritedSeats_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    knownRevisions_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -166,6 +167,48 @@
     return frozen_;
   }
 
+  public static final int KNOWN_REVISIONS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList knownRevisions_ =
+      emptyLongList();
+  /**
+   * <pre>
+   * All lists that the router knows and that may be in use.
+   * </pre>
+   *
+   * <code>repeated int64 known_revisions = 6;</code>
+   * @return A list containing the knownRevisions.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Long>
+      getKnownRevisionsList() {
+    return knownRevisions_;
+  }
+  /**
+   * <pre>
+   * All lists that the router knows and that may be in use.
+   * </pre>
+   *
+   * <code>repeated int64 known_revisions = 6;</code>
+   * @return The count of knownRevisions.
+   */
+  public int getKnownRevisionsCount() {
+    return knownRevisions_.size();
+  }
+  /**
+   * <pre>
+   * All lists that the router knows and that may be in use.
+   * </pre>
+   *
+   * <code>repeated int64 known_revisions = 6;</code>
+   * @param index The index of the element to return.
+   * @return The knownRevisions at the given index.
+   */
+  public long getKnownRevisions(int index) {
+    return knownRevisions_.getLong(index);
+  }
+  private int knownRevisionsMemoizedSerializedSize = -1;
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -180,6 +223,7 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (nonce_ != 0L) {
       output.writeInt64(1, nonce_);
     }
@@ -195,6 +239,13 @@
     if (frozen_ != false) {
       output.writeBool(5, frozen_);
     }
+    if (getKnownRevisionsList().size() > 0) {
+      output.writeUInt32NoTag(50);
+      output.writeUInt32NoTag(knownRevisionsMemoizedSerializedSize);
+    }
+    for (int i = 0; i < knownRevisions_.size(); i++) {
+      output.writeInt64NoTag(knownRevisions_.getLong(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -228,6 +279,20 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, frozen_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < knownRevisions_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeInt64SizeNoTag(knownRevisions_.getLong(i));
+      }
+      size += dataSize;
+      if (!getKnownRevisionsList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      knownRevisionsMemoizedSerializedSize = dataSize;
+    }
     return size;
   }
   @java.lang.Override
@@ -262,6 +327,8 @@
         .equals(other.getInheritedSeatsList())) return false;
     if (getFrozen()
         != other.getFrozen()) return false;
+    if (!getKnownRevisionsList()
+        .equals(other.getKnownRevisionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -290,6 +357,10 @@
     hash = (37 * hash) + FROZEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getFrozen());
+    if (getKnownRevisionsCount() > 0) {
+      hash = (37 * hash) + KNOWN_REVISIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getKnownRevisionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -437,6 +508,7 @@
       inheritedSeats_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       frozen_ = false;
+      knownRevisions_ = emptyLongList();
       return this;
     }
 
@@ -496,6 +568,10 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.frozen_ = frozen_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        knownRevisions_.makeImmutable();
+        result.knownRevisions_ = knownRevisions_;
+      }
     }
 
     @java.lang.Override
@@ -555,6 +631,17 @@
       if (other.getFrozen() != false) {
         setFrozen(other.getFrozen());
       }
+      if (!other.knownRevisions_.isEmpty()) {
+        if (knownRevisions_.isEmpty()) {
+          knownRevisions_ = other.knownRevisions_;
+          knownRevisions_.makeImmutable();
+          bitField0_ |= 0x00000020;
+        } else {
+          ensureKnownRevisionsIsMutable();
+          knownRevisions_.addAll(other.knownRevisions_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -612,6 +699,22 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              long v = input.readInt64();
+              ensureKnownRevisionsIsMutable();
+              knownRevisions_.addLong(v);
+              break;
+            } // case 48
+            case 50: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureKnownRevisionsIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                knownRevisions_.addLong(input.readInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1070,6 +1173,118 @@
       return this;
     }
 
+    private com.google.protobuf.Internal.LongList knownRevisions_ = emptyLongList();
+    private void ensureKnownRevisionsIsMutable() {
+      if (!knownRevisions_.isModifiable()) {
+        knownRevisions_ = makeMutableCopy(knownRevisions_);
+      }
+      bitField0_ |= 0x00000020;
+    }
+    /**
+     * <pre>
+     * All lists that the router knows and that may be in use.
+     * </pre>
+     *
+     * <code>repeated int64 known_revisions = 6;</code>
+     * @return A list containing the knownRevisions.
+     */
+    public java.util.List<java.lang.Long>
+        getKnownRevisionsList() {
+      knownRevisions_.makeImmutable();
+      return knownRevisions_;
+    }
+    /**
+     * <pre>
+     * All lists that the router knows and that may be in use.
+     * </pre>
+     *
+     * <code>repeated int64 known_revisions = 6;</code>
+     * @return The count of knownRevisions.
+     */
+    public int getKnownRevisionsCount() {
+      return knownRevisions_.size();
+    }
+    /**
+     * <pre>
+     * All lists that the router knows and that may be in use.
+     * </pre>
+     *
+     * <code>repeated int64 known_revisions = 6;</code>
+     * @param index The index of the element to return.
+     * @return The knownRevisions at the given index.
+     */
+    public long getKnownRevisions(int index) {
+      return knownRevisions_.getLong(index);
+    }
+    /**
+     * <pre>
+     * All lists that the router knows and that may be in use.
+     * </pre>
+     *
+     * <code>repeated int64 known_revisions = 6;</code>
+     * @param index The index to set the value at.
+     * @param value The knownRevisions to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnownRevisions(
+        int index, long value) {
+
+      ensureKnownRevisionsIsMutable();
+      knownRevisions_.setLong(index, value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * All lists that the router knows and that may be in use.
+     * </pre>
+     *
+     * <code>repeated int64 known_revisions = 6;</code>
+     * @param value The knownRevisions to add.
+     * @return This builder for chaining.
+     */
+    public Builder addKnownRevisions(long value) {
+
+      ensureKnownRevisionsIsMutable();
+      knownRevisions_.addLong(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * All lists that the router knows and that may be in use.
+     * </pre>
+     *
+     * <code>repeated int64 known_revisions = 6;</code>
+     * @param values The knownRevisions to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllKnownRevisions(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureKnownRevisionsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, knownRevisions_);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * All lists that the router knows and that may be in use.
+     * </pre>
+     *
+     * <code>repeated int64 known_revisions = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnownRevisions() {
+      knownRevisions_ = emptyLongList();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.ClaimPong)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimPongOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/ClaimPongOrBuilder.java
@@ -76,4 +76,33 @@
    * @return The frozen.
    */
   boolean getFrozen();
+
+  /**
+   * <pre>
+   * All lists that the router knows and that may be in use.
+   * </pre>
+   *
+   * <code>repeated int64 known_revisions = 6;</code>
+   * @return A list containing the knownRevisions.
+   */
+  java.util.List<java.lang.Long> getKnownRevisionsList();
+  /**
+   * <pre>
+   * All lists that the router knows and that may be in use.
+   * </pre>
+   *
+   * <code>repeated int64 known_revisions = 6;</code>
+   * @return The count of knownRevisions.
+   */
+  int getKnownRevisionsCount();
+  /**
+   * <pre>
+   * All lists that the router knows and that may be in use.
+   * </pre>
+   *
+   * <code>repeated int64 known_revisions = 6;</code>
+   * @param index The index of the element to return.
+   * @return The knownRevisions at the given index.
+   */
+  long getKnownRevisions(int index);
 }
