--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
@@ -27,7 +27,9 @@
         commands.put("status", new StatusCommand());
         commands.put("demo", new DemoCommand());
         commands.put("load", new LoadCommand());
+        commands.put("measure", new MeasureCommand());
         commands.put("standin", new StandInCommand());
+        commands.put("overhead", new OverheadCommand());
     }
 
     /**
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMessage.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimMessage.java
@@ -67,6 +67,7 @@
      * @param nonce the nonce of the question
      * @param upNanos the time since the start of the process, in nanoseconds
      * @param lists the newest lists used, by growing revision
+     * @param knownRevisions all lists that the router knows and that may be in use
      * @param inheritedSeats VMs whose seats this router has taken over
      * @param frozen whether the own seat was handed over, so that this router claims no more
      */
@@ -74,6 +75,7 @@
             long nonce,
             long upNanos,
             List<ListAge> lists,
+            List<Long> knownRevisions,
             List<String> inheritedSeats,
             boolean frozen)
             implements ClaimMessage {}
@@ -96,18 +98,22 @@
      * Hands a part of the votes of a seat to its heir.
      *
      * @param seatVmId the seat
+     * @param seatIncarnation the process that held the seat first
      * @param part the number of this part, from 0
      * @param parts the number of all parts
      * @param upNanos the age of the seat's memory, in nanoseconds
      * @param frozenAtEpochMillis when the seat stopped voting, in milliseconds since the epoch
+     * @param heirIncarnation the incarnation of the heir; no other may take the seat
      * @param votes the votes of this part
      */
     record SeatTransfer(
             String seatVmId,
+            long seatIncarnation,
             long part,
             long parts,
             long upNanos,
             long frozenAtEpochMillis,
+            long heirIncarnation,
             List<TransferredVote> votes)
             implements ClaimMessage {}
 
@@ -115,7 +121,8 @@
      * Confirms a part of a transfer.
      *
      * @param seatVmId the seat
+     * @param seatIncarnation the process that held the seat first
      * @param part the number of the part
      */
-    record SeatReceipt(String seatVmId, long part) implements ClaimMessage {}
+    record SeatReceipt(String seatVmId, long seatIncarnation, long part) implements ClaimMessage {}
 }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimScope.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/claim/ClaimScope.java
@@ -13,6 +13,9 @@
  * @param drops the number of lost messages
  * @param duplicates the number of doubled messages
  * @param crashes the number of restarts without memory
+ * @param handOvers the number of planned stops of the last router
+ * @param learners who learns, at any time, of a second list without the first router and with one
+ *     more
  * @param runs whether sending a granted request upstream is a step of its own
  * @param advancesMillis steps of time that may be taken, each at most once, in this order
  */
@@ -24,5 +27,7 @@
         int drops,
         int duplicates,
         int crashes,
+        int handOvers,
+        List<String> learners,
         boolean runs,
         List<Long> advancesMillis) {}
