Give an attempt up only where a further one is allowed

On a busy machine with cold processes, first stages with a small part of the deadline were given up within milliseconds; once the retries were spent, whole requests ended as UPSTREAM_BROKEN with most of their deadline left (63 sends of one rolling replacement under load average 37). An attempt now goes on where no further one is allowed, and none is given up within 100 ms.

A planned stop also waits as long for callers that read from another router.

--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
@@ -21,6 +21,7 @@
 /** One stage of a request with all its attempts. */
 final class StageRun {
     private static final long RETRY_DELAY_MILLIS = 10;
+    private static final long MIN_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final ExecutionServices services;
     private final RunContext run;
@@ -93,17 +94,26 @@
         return last ? new AttemptText(held) : TokenListener.NONE;
     }
 
-    /** Gives an attempt of an idempotent stage up once it took the stage's part of the deadline. */
+    /**
+     * Gives an attempt of an idempotent stage up once it took the stage's part of the deadline and
+     * a further attempt is allowed; without one, giving up would only lose what may still come.
+     */
     private Single<Result> withTimeout(Single<Result> attempt) {
-        long timeoutNanos = services.workers().attemptTimeoutNanos(run, index);
+        long timeoutNanos =
+                Math.max(MIN_ATTEMPT_NANOS, services.workers().attemptTimeoutNanos(run, index));
         if (!run.stage(index).idempotent() || timeoutNanos >= run.deadline().remainingNanos()) {
             return attempt;
         }
-        return attempt.timeout(
-                timeoutNanos,
-                TimeUnit.NANOSECONDS,
-                services.scheduler(),
-                Single.error(StageRun::tooSlow));
+        Single<Result> giveUp =
+                Single.timer(timeoutNanos, TimeUnit.NANOSECONDS, services.scheduler())
+                        .flatMap(tick -> giveUpWhereAllowed());
+        return Single.ambArray(attempt, giveUp);
+    }
+
+    private Single<Result> giveUpWhereAllowed() {
+        boolean allowed =
+                services.retries().tryRetry(Outcome.UNKNOWN, true, attempts.get(), run, index);
+        return allowed ? Single.error(new GivenUpException()) : Single.never();
     }
 
     /** Races an attempt that takes long with a second one; the first answer counts. */
@@ -151,6 +161,9 @@
     }
 
     private Single<Result> retryOrFail(Throwable error) {
+        if (error instanceof GivenUpException) {
+            return attempt();
+        }
         BronzewheelException known = Bodies.known(error);
         if (isFinal(known) || !mayRetry(known)) {
             return Single.error(known);
@@ -178,12 +191,4 @@
         boolean repeatable = run.stage(index).idempotent() || keyChecked;
         return services.retries().tryRetry(error.outcome(), repeatable, attempts.get(), run, index);
     }
-
-    private static BronzewheelException tooSlow() {
-        return new BronzewheelException(
-                ErrorCode.UPSTREAM_BROKEN,
-                Outcome.UNKNOWN,
-                "the attempt took longer than its part of the deadline",
-                null);
-    }
 }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/Router.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/Router.java
@@ -30,7 +30,6 @@
 
     private static final long REFRESH_SECONDS = 1;
     private static final long DRAIN_MARGIN_MILLIS = 5_000;
-    private static final long EXCHANGES_MILLIS = 5_000;
 
     private final RouterSettings settings;
     private final Scheduler scheduler = Schedulers.computation();
@@ -217,8 +216,10 @@
         }
         logger.atInfo().log("planned stop begins");
         sleep(settings.balancerWaitMillis());
-        await(execution.drain(), longestDeadlineMillis() + DRAIN_MARGIN_MILLIS, "requests");
-        await(frontDoor.drained(), EXCHANGES_MILLIS, "exchanges with callers");
+        long drainMillis = longestDeadlineMillis() + DRAIN_MARGIN_MILLIS;
+        await(execution.drain(), drainMillis, "requests");
+        // A caller may still wait for a request that another router holds.
+        await(frontDoor.drained(), drainMillis, "exchanges with callers");
         await(
                 fleet.claims().handOver(settings.handOverMillis()).ignoreElement(),
                 settings.handOverMillis(),
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
@@ -10,6 +10,7 @@
 import io.reactivex.rxjava3.subscribers.TestSubscriber;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.bronzewheel.answer.StoredAnswer;
 import org.bronzewheel.cost.CostKind;
 import org.bronzewheel.error.BronzewheelException;
@@ -238,6 +239,49 @@
         assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
     }
 
+    @Test
+    void anAttemptThatHangsGoesToAnotherWorkerWhileTimeIsLeft() {
+        for (int i = 0; i < 20; i++) {
+            runUsually();
+        }
+        TestSubscriber<ReadResult> reading = fixture.run(request("briefing", ""));
+        FakeStageClient.Exchange hanging = client.last();
+        while (client.last() == hanging && fixture.scheduler.now(TimeUnit.MINUTES) < 1) {
+            fixture.advanceMillis(10);
+        }
+
+        assertThat(client.last().call.stage().name()).isEqualTo("encode");
+        assertThat(client.last().call.upstream()).isNotEqualTo(hanging.call.upstream());
+        client.last().answer("encoded");
+        client.last().answer("generated");
+        assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
+    }
+
+    @Test
+    void anAttemptIsNotGivenUpWhereNoFurtherOneIsAllowed() {
+        for (int i = 0; i < 20; i++) {
+            runUsually();
+        }
+        fixture.execution.update(
+                fixture.fleet.configurations.configuration, Set.of("encoder-2"), List.of("vm-1"));
+        TestSubscriber<ReadResult> reading = fixture.run(request("briefing", ""));
+        int first = client.calls.size() - 1;
+        fixture.advanceMillis(2_000);
+        List<FakeStageClient.Exchange> sent = client.calls.subList(first, client.calls.size());
+        sent.get(sent.size() - 1).answer("encoded");
+        client.last().answer("generated");
+
+        assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
+    }
+
+    private void runUsually() {
+        fixture.submit(request("briefing", ""));
+        fixture.advanceMillis(10);
+        client.last().answer("encoded");
+        fixture.advanceMillis(200);
+        client.last().answer("generated");
+    }
+
     @Test
     void aChangedConcurrencyIsFollowed() {
         String narrow =
