--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.execution;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -32,6 +33,7 @@
     private final long beginNanos;
     private final Set<String> tried = ConcurrentHashMap.newKeySet();
     private final AtomicInteger attempts = new AtomicInteger();
+    private volatile BronzewheelException givenUpForRetry;
 
     StageRun(
             ExecutionServices services,
@@ -96,7 +98,7 @@
 
     /**
      * Gives an attempt of an idempotent stage up once it took the stage's part of the deadline and
-     * a further attempt is allowed; without one, giving up would only lose what may still come.
+     * another attempt may be made; without one it goes on until the deadline.
      */
     private Single<Result> withTimeout(Single<Result> attempt) {
         long timeoutNanos =
@@ -104,16 +106,18 @@
         if (!run.stage(index).idempotent() || timeoutNanos >= run.deadline().remainingNanos()) {
             return attempt;
         }
-        Single<Result> giveUp =
-                Single.timer(timeoutNanos, TimeUnit.NANOSECONDS, services.scheduler())
-                        .flatMap(tick -> giveUpWhereAllowed());
-        return Single.ambArray(attempt, giveUp);
+        Completable timer =
+                Completable.timer(timeoutNanos, TimeUnit.NANOSECONDS, services.scheduler());
+        return attempt.takeUntil(timer.andThen(Completable.defer(this::giveUpForRetry)));
     }
 
-    private Single<Result> giveUpWhereAllowed() {
-        boolean allowed =
-                services.retries().tryRetry(Outcome.UNKNOWN, true, attempts.get(), run, index);
-        return allowed ? Single.error(new GivenUpException()) : Single.never();
+    private Completable giveUpForRetry() {
+        BronzewheelException error = tooSlow();
+        if (!mayRetry(error)) {
+            return Completable.never();
+        }
+        givenUpForRetry = error;
+        return Completable.error(error);
     }
 
     /** Races an attempt that takes long with a second one; the first answer counts. */
@@ -161,11 +165,9 @@
     }
 
     private Single<Result> retryOrFail(Throwable error) {
-        if (error instanceof GivenUpException) {
-            return attempt();
-        }
         BronzewheelException known = Bodies.known(error);
-        if (isFinal(known) || !mayRetry(known)) {
+        boolean retryTaken = known == givenUpForRetry;
+        if (!retryTaken && (isFinal(known) || !mayRetry(known))) {
             return Single.error(known);
         }
         long delayMillis = RETRY_DELAY_MILLIS * (attempts.get() - 1);
@@ -191,4 +193,12 @@
         boolean repeatable = run.stage(index).idempotent() || keyChecked;
         return services.retries().tryRetry(error.outcome(), repeatable, attempts.get(), run, index);
     }
+
+    private static BronzewheelException tooSlow() {
+        return new BronzewheelException(
+                ErrorCode.UPSTREAM_BROKEN,
+                Outcome.UNKNOWN,
+                "the attempt took longer than its part of the deadline",
+                null);
+    }
 }
