--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/StageRun.java
@@ -22,6 +22,7 @@
 /** One stage of a request with all its attempts. */
 final class StageRun {
     private static final long RETRY_DELAY_MILLIS = 10;
+    private static final long MIN_ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private final ExecutionServices services;
     private final RunContext run;
@@ -100,7 +101,8 @@
      * another attempt may be made; without one it goes on until the deadline.
      */
     private Single<Result> withTimeout(Single<Result> attempt) {
-        long timeoutNanos = services.workers().attemptTimeoutNanos(run, index);
+        long timeoutNanos =
+                Math.max(MIN_ATTEMPT_NANOS, services.workers().attemptTimeoutNanos(run, index));
         if (!run.stage(index).idempotent() || timeoutNanos >= run.deadline().remainingNanos()) {
             return attempt;
         }
