--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/Main.java
@@ -29,6 +29,7 @@
         commands.put("load", new LoadCommand());
         commands.put("measure", new MeasureCommand());
         commands.put("standin", new StandInCommand());
+        commands.put("overhead", new OverheadCommand());
     }
 
     /**
