Say UNKNOWN of a request that nobody knows; give unused places back

An unknown request id was answered with outcome NOT_RUN, though it may well have run. A place at a worker that was granted while its request ended was never given back.

--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/PolicyWorkers.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/PolicyWorkers.java
@@ -38,6 +38,7 @@
  */
 final class PolicyWorkers implements WorkerSource, RetryRule, EntryCheck, CostSink {
     private static final long NO_UPSTREAM_RETRY_MILLIS = 500;
+    private static final long UNUSED_PLACE_NANOS = TimeUnit.SECONDS.toNanos(5);
 
     private final Object lock = new Object();
     private final RouterPolicy<Waiting> policy;
@@ -179,6 +180,7 @@
                     new PolicyPlacement(
                             dispatch.item().pool(), dispatch.request(), dispatch.call());
             placement.watchForDelay();
+            placement.endAfterDeadline();
             SingleEmitter<Placement> emitter = dispatch.item().emitter();
             if (emitter.isDisposed()) {
                 placement.cancel();
@@ -311,6 +313,7 @@
         private final OpenCall call;
         private boolean ended;
         private Disposable overdue = Disposable.disposed();
+        private Disposable unused = Disposable.disposed();
 
         PolicyPlacement(Pool pool, StageRequest request, OpenCall call) {
             this.pool = pool;
@@ -341,6 +344,7 @@
                 }
                 ended = true;
                 overdue.dispose();
+                unused.dispose();
                 long now = nanoClock.getAsLong();
                 booking.accept(now);
                 poll = policyOf(pool).poll(now, random);
@@ -362,6 +366,18 @@
             }
         }
 
+        /** Gives the place back where its request ended before the attempt began. */
+        private void endAfterDeadline() {
+            long delayNanos = request.deadlineNanos() - nanoClock.getAsLong() + UNUSED_PLACE_NANOS;
+            synchronized (lock) {
+                if (!ended) {
+                    unused =
+                            scheduler.scheduleDirect(
+                                    this::cancel, delayNanos, TimeUnit.NANOSECONDS);
+                }
+            }
+        }
+
         private void markOverdue() {
             synchronized (lock) {
                 if (!ended) {
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestReader.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestReader.java
@@ -101,8 +101,7 @@
     }
 
     private Single<ReadResult> findCopy(RequestId id) {
-        return findCopy(
-                id, new BronzewheelException(ErrorCode.UNKNOWN_REQUEST, "no router knows " + id));
+        return findCopy(id, RequestService.unknown(id));
     }
 
     private Single<ReadResult> readCopyAfter(RequestId id, Throwable error) {
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
@@ -263,8 +263,10 @@
                 error);
     }
 
-    private static BronzewheelException unknown(RequestId id) {
-        return new BronzewheelException(ErrorCode.UNKNOWN_REQUEST, "no router knows " + id);
+    /** Tells that nobody knows a request, which may well have run. */
+    static BronzewheelException unknown(RequestId id) {
+        return new BronzewheelException(
+                ErrorCode.UNKNOWN_REQUEST, Outcome.UNKNOWN, "no router knows " + id, null);
     }
 
     private static BronzewheelException refusal(ErrorCode code, String name) {
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/FrontDoorContractTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/FrontDoorContractTest.java
@@ -246,6 +246,14 @@
         assertThat(reply.join().statusCode()).isEqualTo(404);
     }
 
+    @Test
+    void anUnknownRequestMayHaveRun() throws Exception {
+        JsonNode problem = MAPPER.readTree(get("/v1/requests/vm-1.10.zz").body());
+
+        assertThat(problem.path("code").asText()).isEqualTo("UNKNOWN_REQUEST");
+        assertThat(problem.path("outcome").asText()).isEqualTo("UNKNOWN");
+    }
+
     static Stream<String> unknownPaths() {
         return Stream.of(
                 "/v1/requests/vm-1.10.zz",
