--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/Demo.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/demo/Demo.java
@@ -41,7 +41,6 @@
     private static final String STEADY = "vm-3";
     private static final long READY_TIMEOUT_MILLIS = 15_000;
     private static final long READY_CHECK_MILLIS = 50;
-    private static final long SETTLE_MILLIS = 3_000;
     private static final long RESTART_MILLIS = 1_000;
     private static final long PROGRESS_PERIOD_MILLIS = 2_000;
     private static final long LEAVING_GRACE_MILLIS = 3_000;
@@ -137,8 +136,6 @@
             }
         }
         waitUntilReady();
-        // Routers vote only for keys that are younger than their start by a few seconds.
-        sleep(configuration.rules().maxClockSkewMillis() + SETTLE_MILLIS);
         say("three routers are ready in three failure domains");
     }
 
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimService.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimService.java
@@ -13,6 +13,13 @@
      */
     Single<ClaimDecision> claim(ClaimRequest request);
 
+    /**
+     * Tells whether this router has been up for long enough to take part in claims of new keys.
+     *
+     * @return true from the end of the warm-up on
+     */
+    boolean isWarm();
+
     /**
      * Checks, immediately before a non-idempotent call leaves, that the grant still stands by the
      * monotonic clock. A process that was paused past the grant's validity must not send.
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimSettings.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimSettings.java
@@ -73,6 +73,26 @@
                 maxVotes);
     }
 
+    /**
+     * Returns these settings with another age of evidence and another clock skew.
+     *
+     * @param newEvidenceMillis the age in milliseconds
+     * @param newMaxClockSkewMillis the skew in milliseconds
+     * @return changed settings
+     */
+    public ClaimSettings withEvidence(long newEvidenceMillis, long newMaxClockSkewMillis) {
+        return new ClaimSettings(
+                retentionMillis,
+                opaqueKeyAgeMillis,
+                grantMillis,
+                newEvidenceMillis,
+                newMaxClockSkewMillis,
+                claimMillis,
+                resendMillis,
+                yieldMillis,
+                maxVotes);
+    }
+
     /**
      * Returns how long after its start a router takes no part in claims of new keys.
      *
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/PeerClaimService.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/PeerClaimService.java
@@ -38,6 +38,8 @@
     private final LongSupplier epochMillisClock;
     private final CompositeDisposable subscriptions = new CompositeDisposable();
     private final Object lock = new Object();
+    private final ClaimSettings settings;
+    private final long startedNanos;
     private final ClaimMachine machine;
     private final Map<RequestId, SingleSubject<ClaimDecision>> waiting = new HashMap<>();
     private final SingleSubject<Boolean> handedOver = SingleSubject.create();
@@ -65,7 +67,9 @@
         this.scheduler = scheduler;
         this.nanoClock = nanoClock;
         this.epochMillisClock = epochMillisClock;
-        this.machine = new ClaimMachine(settings, transport.self(), nanoClock.getAsLong());
+        this.settings = settings;
+        this.startedNanos = nanoClock.getAsLong();
+        this.machine = new ClaimMachine(settings, transport.self(), startedNanos);
         transport.listen(Channel.CLAIM, this::receive);
     }
 
@@ -114,6 +118,12 @@
         return decision;
     }
 
+    @Override
+    public boolean isWarm() {
+        long upNanos = nanoClock.getAsLong() - startedNanos;
+        return TimeUnit.NANOSECONDS.toMillis(upNanos) >= settings.warmUpMillis();
+    }
+
     @Override
     public boolean stillGranted(ClaimRequest request) {
         synchronized (lock) {
--- a/bronzewheel-model/src/main/java/org/bronzewheel/configuration/RulesFile.java
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/configuration/RulesFile.java
@@ -9,13 +9,11 @@
 /** The form of the rules file. */
 record RulesFile(
         Long retentionMillis,
-        Long maxClockSkewMillis,
         Integer maxBodyBytes,
         List<RequestClassForm> requestClasses,
         List<PipelineForm> pipelines)
         implements FileForm<Rules> {
     private static final long DEFAULT_RETENTION_MILLIS = 600_000;
-    private static final long DEFAULT_CLOCK_SKEW_MILLIS = 2_000;
     private static final int DEFAULT_BODY_BYTES = 1 << 20;
     private static final int DEFAULT_EXTRA_COST_PERCENT = 5;
 
@@ -23,7 +21,6 @@
     public Rules toRecord() {
         return new Rules(
                 Defaults.orElse(retentionMillis, DEFAULT_RETENTION_MILLIS),
-                Defaults.orElse(maxClockSkewMillis, DEFAULT_CLOCK_SKEW_MILLIS),
                 Defaults.orElse(maxBodyBytes, DEFAULT_BODY_BYTES),
                 Defaults.records(requestClasses),
                 Defaults.records(pipelines));
--- a/bronzewheel-model/src/main/java/org/bronzewheel/configuration/RulesValidator.java
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/configuration/RulesValidator.java
@@ -12,8 +12,10 @@
 /** A validator of the rules as a whole, against the inventory of the same document. */
 final class RulesValidator {
     private static final long MIN_RETENTION_MILLIS = 1_000;
-    private static final long MAX_RETENTION_MILLIS = 86_400_000;
-    private static final long MAX_SKEW_MILLIS = 60_000;
+
+    /** What voters remember; a longer retention would admit keys that they have forgotten. */
+    private static final long MAX_RETENTION_MILLIS = 600_000;
+
     private static final int MAX_BODY_BYTES = 64 << 20;
     private static final int MAX_PRIORITY = 15;
     private static final int MAX_TOKENS = 1_000_000;
@@ -34,7 +36,6 @@
                 rules.retentionMillis(),
                 MIN_RETENTION_MILLIS,
                 MAX_RETENTION_MILLIS);
-        checks.range("/maxClockSkewMillis", rules.maxClockSkewMillis(), 0, MAX_SKEW_MILLIS);
         checks.range("/maxBodyBytes", rules.maxBodyBytes(), 1, MAX_BODY_BYTES);
         validateRequestClasses(checks);
         validatePipelines(checks);
--- a/bronzewheel-model/src/main/java/org/bronzewheel/rules/Rules.java
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/rules/Rules.java
@@ -6,16 +6,14 @@
 /**
  * The operators' rules.
  *
- * @param retentionMillis how long keys and answers are remembered, in milliseconds
- * @param maxClockSkewMillis the largest difference between clocks of callers and VMs, in
- *     milliseconds
+ * @param retentionMillis how old an idempotency key with its own time may be, in milliseconds; an
+ *     older one is refused
  * @param maxBodyBytes the largest body of a request, in bytes
  * @param requestClasses classes of requests
  * @param pipelines pipelines that callers may use
  */
 public record Rules(
         long retentionMillis,
-        long maxClockSkewMillis,
         int maxBodyBytes,
         List<RequestClass> requestClasses,
         List<Pipeline> pipelines) {
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
@@ -5,6 +5,8 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.bronzewheel.answer.AnswerService;
 import org.bronzewheel.claim.ClaimDecision;
 import org.bronzewheel.claim.ClaimRequest;
@@ -17,6 +19,7 @@
 import org.bronzewheel.request.RequestId;
 import org.bronzewheel.rules.Pipeline;
 import org.bronzewheel.rules.RequestClass;
+import org.bronzewheel.rules.Rules;
 
 /** The router's requests: taking them in, running them, reading and cancelling them. */
 public final class RequestService {
@@ -171,20 +174,32 @@
                 pipeline,
                 requestClass,
                 deadline,
-                claim(id, request, requestClass),
+                claim(id, request, requestClass, configuration.rules()),
                 request.trace());
     }
 
-    private static Optional<ClaimRequest> claim(
-            RequestId id, PipelineRequest request, RequestClass requestClass) {
+    private Optional<ClaimRequest> claim(
+            RequestId id, PipelineRequest request, RequestClass requestClass, Rules rules) {
         if (!request.keyed()) {
             return Optional.empty();
         }
         IdempotencyKey key = new IdempotencyKey(request.workspace(), request.idempotencyKey());
+        if (isExpired(key, rules.retentionMillis())) {
+            throw new RefusalException(
+                    ErrorCode.KEY_EXPIRED, claimDetail(ErrorCode.KEY_EXPIRED), 0);
+        }
         long waitMillis = Math.min(MAX_CLAIM_MILLIS, requestClass.deadlineMillis());
         return Optional.of(new ClaimRequest(key, id, request.fingerprint(), waitMillis));
     }
 
+    /** Tells whether a key carries a time that is older than the operators' retention. */
+    private boolean isExpired(IdempotencyKey key, long retentionMillis) {
+        OptionalLong created = key.createdAtEpochMillis();
+        return created.isPresent()
+                && services.scheduler().now(TimeUnit.MILLISECONDS) - created.getAsLong()
+                        > retentionMillis;
+    }
+
     private static RunContext withTrace(RunContext run, Span span) {
         return new RunContext(
                 run.id(),
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/Fleet.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/Fleet.java
@@ -78,7 +78,10 @@
                 new PeerClaimService(
                         transport,
                         membership,
-                        ClaimSettings.DEFAULT.withOpaqueKeyAgeMillis(settings.opaqueKeyAgeMillis()),
+                        ClaimSettings.DEFAULT
+                                .withOpaqueKeyAgeMillis(settings.opaqueKeyAgeMillis())
+                                .withEvidence(
+                                        settings.evidenceMillis(), settings.maxClockSkewMillis()),
                         scheduler,
                         nanoClock,
                         System::currentTimeMillis);
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/Router.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/Router.java
@@ -188,13 +188,15 @@
     /**
      * Tells whether the router reports ready to the balancer.
      *
-     * @return true with a configuration, a VM list and open ports, until a planned stop begins
+     * @return true with a configuration, a VM list, open ports and a vote on new keys, until a
+     *     planned stop begins
      */
     public boolean isReady() {
         MembershipView view = fleet.membership().current();
         return state == RouterState.SERVING
                 && fleet.configurations().current().isPresent()
-                && view.list().revision() > 0;
+                && view.list().revision() > 0
+                && fleet.claims().isWarm();
     }
 
     private String status() {
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterFlags.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterFlags.java
@@ -13,6 +13,9 @@
     private static final int MAX_PORT = 65_535;
     private static final long MAX_MILLIS = 3_600_000;
     private static final long MAX_KEY_AGE_MILLIS = 600_000;
+    private static final long MIN_EVIDENCE_MILLIS = 100;
+    private static final long MAX_EVIDENCE_MILLIS = 120_000;
+    private static final long MAX_CLOCK_SKEW_MILLIS = 60_000;
     private static final int MAX_COUNT = 1_000_000;
     private static final Pattern VM_ID = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
     private static final Pattern IP_NUMBER =
@@ -88,6 +91,21 @@
                             + " that started later does not vote for such keys")
     long opaqueKeyAgeMillis = 600_000;
 
+    @Parameter(
+            names = "--evidence-millis",
+            description =
+                    "age in milliseconds of the evidence on VM lists in use, the same for the"
+                            + " fleet; peers are asked four times within it, so raise it with the"
+                            + " fleet's size")
+    long evidenceMillis = 2_000;
+
+    @Parameter(
+            names = "--max-clock-skew-millis",
+            description =
+                    "largest difference in milliseconds between the wall clocks of two routers,"
+                            + " the same for the fleet")
+    long maxClockSkewMillis = 500;
+
     @Parameter(names = "--event-loops", description = "threads that serve connections")
     int eventLoops = 2;
 
@@ -122,6 +140,8 @@
         range("--max-answer-bytes", maxAnswerBytes, 1, 1 << 30);
         range("--answer-megabytes", answerMegabytes, 1, 1 << 20);
         range("--opaque-key-age-millis", opaqueKeyAgeMillis, 0, MAX_KEY_AGE_MILLIS);
+        range("--evidence-millis", evidenceMillis, MIN_EVIDENCE_MILLIS, MAX_EVIDENCE_MILLIS);
+        range("--max-clock-skew-millis", maxClockSkewMillis, 0, MAX_CLOCK_SKEW_MILLIS);
         range("--event-loops", eventLoops, 1, 1 << 10);
         String level = logLevel.toUpperCase(Locale.ROOT);
         require("--log-level", logLevel, LEVELS.contains(level), "one of " + LEVELS);
@@ -142,6 +162,8 @@
                 maxAnswerBytes,
                 answerMegabytes,
                 opaqueKeyAgeMillis,
+                evidenceMillis,
+                maxClockSkewMillis,
                 eventLoops,
                 otlpEndpoint,
                 Level.parse(level));
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterSettings.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterSettings.java
@@ -24,6 +24,10 @@
  * @param answerMegabytes memory for answers that are kept for repeated sends, in megabytes
  * @param opaqueKeyAgeMillis how old a key without its own time may be, in milliseconds; a router
  *     that started later does not vote for such keys
+ * @param evidenceMillis how old the evidence on VM lists in use may be, in milliseconds; the same
+ *     for the fleet
+ * @param maxClockSkewMillis the largest difference between the wall clocks of two routers, in
+ *     milliseconds; the same for the fleet
  * @param eventLoops threads that serve connections
  * @param otlpEndpoint the URL that takes spans by OTLP over HTTP, empty for none
  * @param logLevel the least level that is logged
@@ -45,6 +49,8 @@
         int maxAnswerBytes,
         int answerMegabytes,
         long opaqueKeyAgeMillis,
+        long evidenceMillis,
+        long maxClockSkewMillis,
         int eventLoops,
         String otlpEndpoint,
         Level logLevel) {
@@ -103,6 +109,8 @@
                 maxAnswerBytes,
                 answerMegabytes,
                 opaqueKeyAgeMillis,
+                evidenceMillis,
+                maxClockSkewMillis,
                 eventLoops,
                 otlpEndpoint,
                 logLevel);
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/FakeFleet.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/FakeFleet.java
@@ -138,6 +138,11 @@
                     decision == null ? new ClaimDecision.Granted(request.requestId()) : decision);
         }
 
+        @Override
+        public boolean isWarm() {
+            return true;
+        }
+
         @Override
         public boolean stillGranted(ClaimRequest request) {
             return stillGranted;
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/Fixture.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/Fixture.java
@@ -57,6 +57,7 @@
             """;
     static final String RULES =
             """
+            retentionMillis: 20000
             requestClasses:
               - {name: urgent, priority: 0, deadlineMillis: 3000}
             pipelines:
@@ -77,6 +78,8 @@
     private static final long SEED = 7;
     private static final JsonMapper MAPPER = new JsonMapper();
 
+    static final long RETENTION_MILLIS = 20_000;
+
     final TestScheduler scheduler = new TestScheduler();
     final FakeStageClient client = new FakeStageClient();
     final FakeFleet fleet = new FakeFleet();
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/KeyedRequestTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/KeyedRequestTest.java
@@ -42,6 +42,27 @@
         assertThat(client.calls).hasSize(1);
     }
 
+    @Test
+    void aKeyThatIsOlderThanTheRetentionIsRefusedWithoutAClaim() {
+        fixture.advanceMillis(Fixture.RETENTION_MILLIS + 1);
+
+        TestObserver<RequestId> refused =
+                fixture.submit(request("voucher", "00000000-0000-7000-8000-000000000001"));
+
+        refused.assertError(e -> ((BronzewheelException) e).code() == ErrorCode.KEY_EXPIRED);
+        refused.assertError(e -> ((BronzewheelException) e).outcome() == Outcome.NOT_RUN);
+        assertThat(fixture.fleet.claims.requests).isEmpty();
+    }
+
+    @Test
+    void aKeyWithinTheRetentionIsClaimed() {
+        fixture.advanceMillis(Fixture.RETENTION_MILLIS - 1);
+
+        fixture.submit(request("voucher", "00000000-0000-7000-8000-000000000001"));
+
+        assertThat(fixture.fleet.claims.requests).hasSize(1);
+    }
+
     @Test
     void aRepeatedSendJoinsTheHolderAndRunsNothing() {
         fixture.fleet.claims.decision = new ClaimDecision.HeldBy(OTHER);
