--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/answer/CopyHolders.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/answer/CopyHolders.java
@@ -5,7 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import org.bronzewheel.claim.Rendezvous;
+import org.bronzewheel.membership.RendezvousHash;
 import org.bronzewheel.request.RequestId;
 import org.bronzewheel.vm.Vm;
 import org.bronzewheel.vm.VmList;
@@ -26,7 +26,7 @@
                         .filter(vm -> !vm.vmId().equals(requestId.vmId()))
                         .sorted(
                                 Comparator.comparingLong(
-                                                (Vm vm) -> Rendezvous.score(item, vm.vmId()))
+                                                (Vm vm) -> RendezvousHash.score(item, vm.vmId()))
                                         .thenComparing(Vm::vmId))
                         .toList();
         Set<String> usedDomains = new HashSet<>(Set.of(homeDomain));
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ListEvidence.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ListEvidence.java
@@ -16,6 +16,7 @@
 import org.bronzewheel.claim.ClaimMessage.Ping;
 import org.bronzewheel.claim.ClaimMessage.Pong;
 import org.bronzewheel.machine.Outgoing;
+import org.bronzewheel.membership.RendezvousHash;
 import org.bronzewheel.request.IdempotencyKey;
 import org.bronzewheel.transport.Peer;
 
@@ -182,7 +183,7 @@
                         Comparator.comparing(
                                         (Voter voter) -> ownDomain.contains(voter.failureDomain()))
                                 .thenComparingLong(
-                                        voter -> Rendezvous.score(self.vmId(), voter.vmId())))
+                                        voter -> RendezvousHash.score(self.vmId(), voter.vmId())))
                 .map(voter -> new Peer(voter.vmId(), evidence.get(voter.vmId()).incarnation()));
     }
 
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/VoterGroups.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/VoterGroups.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.bronzewheel.membership.RendezvousHash;
 import org.bronzewheel.request.IdempotencyKey;
 
 /** A chooser of the voter group of a key by rendezvous hashing. */
@@ -22,7 +23,7 @@
         String keyText = key.workspace() + '\n' + key.text();
         List<ScoredVoter> candidates = new ArrayList<>(list.voters().size());
         for (Voter voter : list.voters()) {
-            candidates.add(new ScoredVoter(voter, Rendezvous.score(keyText, voter.vmId())));
+            candidates.add(new ScoredVoter(voter, RendezvousHash.score(keyText, voter.vmId())));
         }
         candidates.sort(
                 Comparator.comparingLong(ScoredVoter::score)
