--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimSettings.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/ClaimSettings.java
@@ -74,19 +74,18 @@
     }
 
     /**
-     * Returns these settings with another age of evidence and another clock skew.
+     * Returns these settings with another clock skew.
      *
-     * @param newEvidenceMillis the age in milliseconds
-     * @param newMaxClockSkewMillis the skew in milliseconds
+     * @param millis the skew in milliseconds
      * @return changed settings
      */
-    public ClaimSettings withEvidence(long newEvidenceMillis, long newMaxClockSkewMillis) {
+    public ClaimSettings withMaxClockSkewMillis(long millis) {
         return new ClaimSettings(
                 retentionMillis,
                 opaqueKeyAgeMillis,
                 grantMillis,
-                newEvidenceMillis,
-                newMaxClockSkewMillis,
+                evidenceMillis,
+                millis,
                 claimMillis,
                 resendMillis,
                 yieldMillis,
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/KeyClock.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/claim/KeyClock.java
@@ -15,9 +15,7 @@
 
     /** Tells whether a key carries a time that is older than the retention. */
     boolean isExpired(IdempotencyKey key, ClaimSettings settings) {
-        OptionalLong created = key.createdAtEpochMillis();
-        return created.isPresent()
-                && epochMillis - created.getAsLong() > settings.retentionMillis();
+        return key.isOlderThan(settings.retentionMillis(), epochMillis);
     }
 
     /** Tells whether a key carries a time that lies too far ahead to be believed. */
--- a/bronzewheel-model/src/main/java/org/bronzewheel/request/IdempotencyKey.java
+++ b/bronzewheel-model/src/main/java/org/bronzewheel/request/IdempotencyKey.java
@@ -41,4 +41,16 @@
         }
         return OptionalLong.of(Long.parseLong(text.substring(0, 8) + text.substring(9, 13), 16));
     }
+
+    /**
+     * Tells whether the key carries a time that is older than an age.
+     *
+     * @param ageMillis the age in milliseconds
+     * @param epochMillis the present time in milliseconds since the epoch
+     * @return true for an older key, false for a younger one and for one without a time
+     */
+    public boolean isOlderThan(long ageMillis, long epochMillis) {
+        OptionalLong created = createdAtEpochMillis();
+        return created.isPresent() && epochMillis - created.getAsLong() > ageMillis;
+    }
 }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestService.java
@@ -5,7 +5,6 @@
 import io.reactivex.rxjava3.core.Flowable;
 import io.reactivex.rxjava3.core.Single;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.bronzewheel.answer.AnswerService;
 import org.bronzewheel.claim.ClaimDecision;
@@ -184,7 +183,8 @@
             return Optional.empty();
         }
         IdempotencyKey key = new IdempotencyKey(request.workspace(), request.idempotencyKey());
-        if (isExpired(key, rules.retentionMillis())) {
+        if (key.isOlderThan(
+                rules.retentionMillis(), services.scheduler().now(TimeUnit.MILLISECONDS))) {
             throw new RefusalException(
                     ErrorCode.KEY_EXPIRED, claimDetail(ErrorCode.KEY_EXPIRED), 0);
         }
@@ -192,14 +192,6 @@
         return Optional.of(new ClaimRequest(key, id, request.fingerprint(), waitMillis));
     }
 
-    /** Tells whether a key carries a time that is older than the operators' retention. */
-    private boolean isExpired(IdempotencyKey key, long retentionMillis) {
-        OptionalLong created = key.createdAtEpochMillis();
-        return created.isPresent()
-                && services.scheduler().now(TimeUnit.MILLISECONDS) - created.getAsLong()
-                        > retentionMillis;
-    }
-
     private static RunContext withTrace(RunContext run, Span span) {
         return new RunContext(
                 run.id(),
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/Fleet.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/Fleet.java
@@ -80,8 +80,8 @@
                         membership,
                         ClaimSettings.DEFAULT
                                 .withOpaqueKeyAgeMillis(settings.opaqueKeyAgeMillis())
-                                .withEvidence(
-                                        settings.evidenceMillis(), settings.maxClockSkewMillis()),
+                                .withEvidenceMillis(settings.evidenceMillis())
+                                .withMaxClockSkewMillis(settings.maxClockSkewMillis()),
                         scheduler,
                         nanoClock,
                         System::currentTimeMillis);
