Serve whole requests on the users' platform: serving module and platform adapter

Cause: the platform speaks of routes, stages and raw bodies, which the pipeline execution cannot carry. A new library, bronzewheel-serving, runs opaque requests through shared stage calls to one upstream; platform/ translates settings, store, callers and upstreams.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/Channel.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/Channel.java
@@ -15,7 +15,9 @@
     /** Digests of upstream load and of spent limits. */
     LOAD(6),
     /** Requests forwarded to the router that holds them. */
-    REQUEST(7);
+    REQUEST(7),
+    /** Stage work that is handed to the owner of a service's upstreams. */
+    STAGE(8);
 
     private final int number;
 
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/NettyChannels.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/NettyChannels.java
@@ -8,7 +8,7 @@
  * the handler of the connection learns of that.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
-final class NettyChannels {
+public final class NettyChannels {
     private NettyChannels() {}
 
     static void write(Channel channel, PeerFrame frame) {
@@ -26,7 +26,12 @@
                         });
     }
 
-    static void close(Channel channel) {
+    /**
+     * Closes a connection.
+     *
+     * @param channel the connection
+     */
+    public static void close(Channel channel) {
         channel.close();
     }
 }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestRun.java
@@ -11,8 +11,8 @@
 import org.bronzewheel.answer.StoredAnswer;
 import org.bronzewheel.error.BronzewheelException;
 import org.bronzewheel.error.ErrorCode;
+import org.bronzewheel.logging.LogKeys;
 import org.bronzewheel.request.Outcome;
-import org.bronzewheel.telemetry.LogKeys;
 
 /** The run of one request from its grant to the answer that is kept for its readers. */
 final class RequestRun {
--- a/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterMain.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/router/RouterMain.java
@@ -2,7 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import org.bronzewheel.error.BronzewheelException;
-import org.bronzewheel.telemetry.JsonLogs;
+import org.bronzewheel.logging.JsonLogs;
 
 /** The entry of the router process. */
 public final class RouterMain {
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Catalog.java
@@ -0,0 +1,123 @@
+package org.bronzewheel.catalog;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of everything that operators configure, with the lookups that requests need. */
+public final class Catalog {
+    private final long version;
+    private final List<ServiceRoute> routes;
+    private final CallerLimits limits;
+    private final Map<String, List<ServiceRoute>> routesByHost = new HashMap<>();
+    private final Map<String, ServiceEntry> services = new HashMap<>();
+    private final Map<String, WorkspaceEntry> workspacesByKey = new HashMap<>();
+    private final boolean keyed;
+
+    /**
+     * Creates a catalog.
+     *
+     * @param version the version, which grows with each change
+     * @param routes the routes
+     * @param services the services
+     * @param workspaces the workspaces; where there are none, no request needs a key
+     * @param limits the bounds of callers
+     */
+    public Catalog(
+            long version,
+            List<ServiceRoute> routes,
+            List<ServiceEntry> services,
+            List<WorkspaceEntry> workspaces,
+            CallerLimits limits) {
+        this.version = version;
+        this.routes = List.copyOf(routes);
+        this.limits = limits;
+        this.keyed = !workspaces.isEmpty();
+        for (ServiceRoute route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<ServiceRoute> longestFirst =
+                Comparator.comparingInt(route -> -route.prefix().length());
+        routesByHost.values().forEach(list -> list.sort(longestFirst));
+        services.forEach(service -> this.services.put(service.name(), service));
+        for (WorkspaceEntry workspace : workspaces) {
+            workspace.keys().forEach(key -> workspacesByKey.put(key, workspace));
+        }
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return the version, which grows with each change
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the bounds of callers.
+     *
+     * @return the bounds
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Returns all routes.
+     *
+     * @return the routes in the order of the configuration
+     */
+    public List<ServiceRoute> routes() {
+        return routes;
+    }
+
+    /**
+     * Finds the route with the longest prefix of a path.
+     *
+     * @param host the host of the request, without a port
+     * @param path the path without its query
+     * @return the route, or empty where no route takes the request
+     */
+    public Optional<ServiceRoute> route(String host, String path) {
+        return routesByHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()).stream()
+                .filter(route -> path.startsWith(route.prefix()))
+                .findFirst();
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name the name of the service
+     * @return the service, or empty where it is unknown
+     */
+    public Optional<ServiceEntry> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Finds the workspace of a key.
+     *
+     * @param key the key of a caller
+     * @return the workspace, or empty where the key is unknown
+     */
+    public Optional<WorkspaceEntry> workspace(String key) {
+        return Optional.ofNullable(workspacesByKey.get(key));
+    }
+
+    /**
+     * Tells whether requests to a route need a key.
+     *
+     * @param route the route
+     * @return whether a key is needed
+     */
+    public boolean needsKey(ServiceRoute route) {
+        return keyed && !route.open();
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Instants.java
@@ -0,0 +1,29 @@
+package org.bronzewheel.catalog;
+
+/**
+ * One moment by both clocks of a machine.
+ *
+ * @param steadyMillis the steady clock, which stops while the machine is suspended, in milliseconds
+ * @param wallMillis the time of day, which may jump, in milliseconds since 1970
+ */
+public record Instants(long steadyMillis, long wallMillis) {
+    /**
+     * Returns the time since an earlier moment, by the clock that says more.
+     *
+     * @param earlier the earlier moment
+     * @return the time in milliseconds
+     */
+    public long millisSince(Instants earlier) {
+        return Math.max(steadyMillis - earlier.steadyMillis, wallMillis - earlier.wallMillis);
+    }
+
+    /**
+     * Tells whether this moment is the later one by the steady clock.
+     *
+     * @param other the other moment
+     * @return whether this moment is later
+     */
+    public boolean isAfter(Instants other) {
+        return steadyMillis > other.steadyMillis;
+    }
+}
--- a/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/JsonLogFormatter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/logging/JsonLogFormatter.java
@@ -1,4 +1,4 @@
-package org.bronzewheel.telemetry;
+package org.bronzewheel.logging;
 
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
--- a/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/JsonLogs.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/logging/JsonLogs.java
@@ -1,4 +1,4 @@
-package org.bronzewheel.telemetry;
+package org.bronzewheel.logging;
 
 import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
--- a/bronzewheel-router/src/main/java/org/bronzewheel/telemetry/LogKeys.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/logging/LogKeys.java
@@ -1,4 +1,4 @@
-package org.bronzewheel.telemetry;
+package org.bronzewheel.logging;
 
 import com.google.common.flogger.MetadataKey;
 
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Logs as lines of JSON. */
+package org.bronzewheel.logging;
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/loop/Loop.java
@@ -0,0 +1,74 @@
+package org.bronzewheel.loop;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.bronzewheel.catalog.Instants;
+
+/** The one thread of a router's serving part, with its clocks and timers. */
+public final class Loop {
+    private final Scheduler scheduler;
+    private final LongSupplier wallMillis;
+
+    /**
+     * Creates a loop.
+     *
+     * @param scheduler runs tasks one after the other; its time is the steady clock
+     * @param wallMillis the time of day, in milliseconds since 1970
+     */
+    public Loop(Scheduler scheduler, LongSupplier wallMillis) {
+        this.scheduler = scheduler;
+        this.wallMillis = wallMillis;
+    }
+
+    /**
+     * Returns the steady clock.
+     *
+     * @return the time in milliseconds
+     */
+    public long nowMillis() {
+        return scheduler.now(TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns both clocks.
+     *
+     * @return this moment
+     */
+    public Instants now() {
+        return new Instants(nowMillis(), wallMillis.getAsLong());
+    }
+
+    /**
+     * Runs a task on the loop.
+     *
+     * @param task the task
+     */
+    public void execute(Runnable task) {
+        scheduler.scheduleDirect(task);
+    }
+
+    /**
+     * Runs a task later.
+     *
+     * @param delayMillis the delay in milliseconds
+     * @param task the task
+     * @return cancels the task
+     */
+    public Disposable after(long delayMillis, Runnable task) {
+        return scheduler.scheduleDirect(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Runs a task again and again.
+     *
+     * @param periodMillis the time between two runs, in milliseconds
+     * @param task the task
+     * @return cancels the task
+     */
+    public Disposable every(long periodMillis, Runnable task) {
+        return scheduler.schedulePeriodicallyDirect(
+                task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
@@ -0,0 +1,128 @@
+package org.bronzewheel.peering;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.service.Service;
+import org.bronzewheel.transport.Channel;
+import org.bronzewheel.transport.Peer;
+import org.bronzewheel.transport.PeerTransport;
+import org.bronzewheel.wire.SeedHello;
+import org.bronzewheel.wire.StageBacklog;
+
+/** The exchange of signs of life and of the backlogs of stage services between routers. */
+public final class PeerNetwork implements Service {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long HELLO_MILLIS = 350;
+
+    private final PeerTransport transport;
+    private final SeedMembership membership;
+    private final Loop loop;
+    private final Supplier<Map<String, Long>> ownBacklogs;
+    private final Map<String, Long> backlogMillis = new HashMap<>();
+    private List<String> lastLive = List.of();
+    private Disposable ticks = Disposable.disposed();
+
+    /**
+     * Creates a network that is not started.
+     *
+     * @param transport carries the messages
+     * @param membership takes them
+     * @param loop runs the work
+     * @param ownBacklogs the expected waits of the services that this router owns
+     */
+    public PeerNetwork(
+            PeerTransport transport,
+            SeedMembership membership,
+            Loop loop,
+            Supplier<Map<String, Long>> ownBacklogs) {
+        this.transport = transport;
+        this.membership = membership;
+        this.loop = loop;
+        this.ownBacklogs = ownBacklogs;
+        transport.listen(
+                Channel.MEMBERSHIP, (from, bytes) -> loop.execute(() -> receive(from, bytes)));
+    }
+
+    @Override
+    public void start() {
+        ticks = loop.every(HELLO_MILLIS, this::tick);
+        loop.execute(this::tick);
+    }
+
+    @Override
+    public void stop() {
+        ticks.dispose();
+    }
+
+    /** Tells all peers at once that this router stops. */
+    public void leave() {
+        membership.leave();
+        tick();
+    }
+
+    /**
+     * Returns the wait that the owner of a service told last.
+     *
+     * @param service the service
+     * @return the time in milliseconds; 0 where nothing is known
+     */
+    public long backlogMillis(String service) {
+        return backlogMillis.getOrDefault(service, 0L);
+    }
+
+    private void tick() {
+        Hello hello = membership.hello();
+        SeedHello.Builder message =
+                SeedHello.newBuilder()
+                        .setVmId(hello.vmId())
+                        .setIncarnation(hello.incarnation())
+                        .setLeaving(hello.leaving())
+                        .addAllKnownVmIds(hello.knownVmIds());
+        ownBacklogs
+                .get()
+                .forEach(
+                        (service, millis) ->
+                                message.addBacklogs(
+                                        StageBacklog.newBuilder()
+                                                .setService(service)
+                                                .setWaitMillis(millis)));
+        byte[] bytes = message.build().toByteArray();
+        long nowMillis = loop.nowMillis();
+        for (String target : membership.targets(nowMillis)) {
+            transport.send(target, Channel.MEMBERSHIP, bytes);
+        }
+        logChange(nowMillis);
+    }
+
+    private void receive(Peer from, byte[] bytes) {
+        try {
+            SeedHello message = SeedHello.parseFrom(bytes);
+            membership.receive(
+                    new Hello(
+                            message.getVmId(),
+                            message.getIncarnation(),
+                            message.getLeaving(),
+                            message.getKnownVmIdsList()),
+                    loop.nowMillis());
+            for (StageBacklog backlog : message.getBacklogsList()) {
+                backlogMillis.put(backlog.getService(), backlog.getWaitMillis());
+            }
+        } catch (InvalidProtocolBufferException e) {
+            logger.atWarning().withCause(e).log("peer %s sent no sign of life", from.vmId());
+        }
+    }
+
+    private void logChange(long nowMillis) {
+        List<String> live = membership.live(nowMillis);
+        if (!live.equals(lastLive)) {
+            logger.atInfo().log("members live: %s", live);
+            lastLive = live;
+        }
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/repeats/RepeatBudget.java
@@ -0,0 +1,81 @@
+package org.bronzewheel.repeats;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The budget of repeated sends of each service, split over the routers without shared state.
+ *
+ * <p>In any window this router repeats at most a share of its own requests and its part of a fixed
+ * number. The parts of all routers add up to no more than the whole as long as no router assumes
+ * fewer routers than there are.
+ */
+public final class RepeatBudget {
+    private final double ratio;
+    private final double slack;
+    private final long windowMillis;
+    private final Map<String, ArrayDeque<Long>> requests = new HashMap<>();
+    private final Map<String, ArrayDeque<Long>> repeats = new HashMap<>();
+    private int routers;
+
+    /**
+     * Creates a budget.
+     *
+     * @param ratio the repeats that each request allows
+     * @param slack the repeats in a window that all routers share beside
+     * @param windowMillis the length of the window, in milliseconds
+     * @param routers the number of routers at first; better too large than too small
+     */
+    public RepeatBudget(double ratio, double slack, long windowMillis, int routers) {
+        this.ratio = ratio;
+        this.slack = slack;
+        this.windowMillis = windowMillis;
+        this.routers = routers;
+    }
+
+    /**
+     * Sets the number of routers that share the budget.
+     *
+     * @param count the number, this router included
+     */
+    public void setRouters(int count) {
+        routers = Math.max(1, count);
+    }
+
+    /**
+     * Books a request of a caller.
+     *
+     * @param service the service that is to run it
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    public void request(String service, long nowMillis) {
+        window(requests, service, nowMillis).add(nowMillis);
+    }
+
+    /**
+     * Takes a repeat where the budget allows one.
+     *
+     * @param service the service that is to run it
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return whether the repeat may be sent
+     */
+    public boolean tryRepeat(String service, long nowMillis) {
+        ArrayDeque<Long> spent = window(repeats, service, nowMillis);
+        double allowed = ratio * window(requests, service, nowMillis).size() + slack / routers;
+        if (spent.size() + 1 > allowed) {
+            return false;
+        }
+        spent.add(nowMillis);
+        return true;
+    }
+
+    private ArrayDeque<Long> window(
+            Map<String, ArrayDeque<Long>> times, String service, long nowMillis) {
+        ArrayDeque<Long> window = times.computeIfAbsent(service, s -> new ArrayDeque<>());
+        while (!window.isEmpty() && window.peek() <= nowMillis - windowMillis) {
+            window.poll();
+        }
+        return window;
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/repeats/package-info.java
@@ -0,0 +1,2 @@
+/** The limits of repeated sends that all routers share. */
+package org.bronzewheel.repeats;
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingParts.java
@@ -0,0 +1,35 @@
+package org.bronzewheel.serving;
+
+import java.util.random.RandomGenerator;
+import org.bronzewheel.catalog.CatalogState;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.repeats.RepeatBudget;
+import org.bronzewheel.stages.StageService;
+import org.bronzewheel.upstreams.EngineChoice;
+import org.bronzewheel.upstreams.UpstreamTable;
+
+/**
+ * The parts that the execution of requests works with.
+ *
+ * @param catalog the catalog in force
+ * @param upstreams the upstreams that may get work
+ * @param port the way to them
+ * @param stages the work of stages
+ * @param budget the budget of repeats
+ * @param engines the choice of model engines
+ * @param failureDomain the failure domain of this router
+ * @param loop the thread that owns it all
+ * @param random draws shares and jitter
+ * @param observer takes what became of requests
+ */
+public record ServingParts(
+        CatalogState catalog,
+        UpstreamTable upstreams,
+        UpstreamPort port,
+        StageService stages,
+        RepeatBudget budget,
+        EngineChoice engines,
+        String failureDomain,
+        Loop loop,
+        RandomGenerator random,
+        RequestObserver observer) {}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
@@ -0,0 +1,79 @@
+package org.bronzewheel.stages;
+
+import java.util.List;
+import java.util.Optional;
+import org.bronzewheel.wire.StageHandle;
+import org.bronzewheel.wire.StageJobCall;
+import org.bronzewheel.wire.StageJobReply;
+
+/** The translation of jobs and results to and from the messages between routers. */
+final class StageCodec {
+    private StageCodec() {}
+
+    /** Encodes a job; times are sent as what is left, as clocks are not shared. */
+    static StageJobCall encode(StageJob job, long nowMillis) {
+        return StageJobCall.newBuilder()
+                .setRequestId(job.requestId())
+                .setStage(job.stage())
+                .setService(job.service())
+                .setPieces(job.pieces())
+                .setKey(job.key().orElse(""))
+                .addAllInputs(job.inputs())
+                .setResultBytes(job.resultBytes())
+                .setRank(job.rank())
+                .setObjectiveLeftMillis(job.objectiveAtMillis() - nowMillis)
+                .setDeadlineLeftMillis(job.deadlineAtMillis() - nowMillis)
+                .setLaterMillis(job.laterMillis())
+                .setFailureDomain(job.failureDomain())
+                .build();
+    }
+
+    static StageJob decode(StageJobCall call, long nowMillis) {
+        return new StageJob(
+                call.getRequestId(),
+                call.getStage(),
+                call.getService(),
+                call.getPieces(),
+                Optional.of(call.getKey()).filter(key -> !key.isEmpty()),
+                List.copyOf(call.getInputsList()),
+                call.getResultBytes(),
+                call.getRank(),
+                nowMillis + call.getObjectiveLeftMillis(),
+                nowMillis + call.getDeadlineLeftMillis(),
+                call.getLaterMillis(),
+                call.getFailureDomain());
+    }
+
+    static StageJobReply encodeResults(List<StageResult> results) {
+        return StageJobReply.newBuilder().addAllHandles(encode(results)).build();
+    }
+
+    static StageJobReply encodeFailure(StageFailure failure) {
+        return StageJobReply.newBuilder().setFailure(failure.name()).build();
+    }
+
+    static List<StageHandle> encode(List<StageResult> results) {
+        return results.stream()
+                .map(
+                        result ->
+                                StageHandle.newBuilder()
+                                        .setText(result.handle())
+                                        .setMakerId(result.makerId())
+                                        .setFailureDomain(result.failureDomain())
+                                        .setBytes(result.bytes())
+                                        .build())
+                .toList();
+    }
+
+    static List<StageResult> decode(List<StageHandle> handles) {
+        return handles.stream()
+                .map(
+                        handle ->
+                                new StageResult(
+                                        handle.getText(),
+                                        handle.getMakerId(),
+                                        handle.getFailureDomain(),
+                                        handle.getBytes()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -0,0 +1,339 @@
+package org.bronzewheel.stages;
+
+import com.google.common.flogger.FluentLogger;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.bronzewheel.catalog.StagePool;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.repeats.RepeatBudget;
+import org.bronzewheel.upstreams.Upstream;
+import org.bronzewheel.upstreams.UpstreamTable;
+
+/**
+ * The owner of the upstreams of one stage service: one queue for the pieces of all routers, from
+ * which it fills a call whenever an upstream is idle.
+ */
+final class StageDispatcher {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int MOST_FAILURES = 4;
+    private static final double SLOW = 1.8;
+    private static final long SLOW_PROBE_MILLIS = 2_500;
+    private static final long FULL_PAUSE_MILLIS = 120;
+    private static final long BROKEN_PAUSE_MILLIS = 600;
+    private static final double TIMEOUT_FACTOR = 2.5;
+    private static final long TIMEOUT_FLOOR_MILLIS = 700;
+    private static final double TIMEOUT_FACTOR_WHEN_SLOW = 8;
+    private static final long FREE_DELAY_MILLIS = 15;
+    private static final long WAKE_UP_MILLIS = 50;
+
+    private final String service;
+    private final Supplier<Optional<StagePool>> pool;
+    private final UpstreamTable upstreams;
+    private final StagePort port;
+    private final RepeatBudget budget;
+    private final Loop loop;
+    private final StageOrder order = new StageOrder();
+    private final List<StageTask> tasks = new ArrayList<>();
+    private final Map<String, StageWorker> workers = new LinkedHashMap<>();
+    private final Map<String, List<String>> toFree = new HashMap<>();
+    private Disposable wakeUp = Disposable.disposed();
+    private boolean freeing;
+
+    StageDispatcher(
+            String service,
+            Supplier<Optional<StagePool>> pool,
+            UpstreamTable upstreams,
+            StagePort port,
+            RepeatBudget budget,
+            Loop loop) {
+        this.service = service;
+        this.pool = pool;
+        this.upstreams = upstreams;
+        this.port = port;
+        this.budget = budget;
+        this.loop = loop;
+    }
+
+    void submit(StageJob job, StageListener listener) {
+        budget.request(service, loop.nowMillis());
+        tasks.add(new StageTask(job, listener, loop.nowMillis()));
+        loop.execute(this::pump);
+    }
+
+    void cancel(String requestId) {
+        for (StageTask task : List.copyOf(tasks)) {
+            if (task.job().requestId().equals(requestId)) {
+                tasks.remove(task);
+                task.drop();
+                release(task.made());
+            }
+        }
+    }
+
+    void release(List<StageResult> results) {
+        for (StageResult result : results) {
+            StageWorker worker = workers.get(result.makerId());
+            if (worker != null) {
+                worker.free(result.handle());
+            }
+            toFree.computeIfAbsent(result.makerId(), id -> new ArrayList<>()).add(result.handle());
+        }
+        if (!freeing && !results.isEmpty()) {
+            freeing = true;
+            loop.after(FREE_DELAY_MILLIS, this::free);
+        }
+    }
+
+    private void free() {
+        freeing = false;
+        for (Map.Entry<String, List<String>> entry : toFree.entrySet()) {
+            upstreams.all().stream()
+                    .map(Upstream::entry)
+                    .filter(maker -> maker.id().equals(entry.getKey()))
+                    .findFirst()
+                    .ifPresent(maker -> port.free(maker, entry.getValue()));
+        }
+        toFree.clear();
+        pump();
+    }
+
+    int openJobs() {
+        return tasks.size();
+    }
+
+    /** Returns the time until a new piece would be in a call, by the pieces that wait. */
+    long expectedWaitMillis() {
+        Optional<StagePool> limits = pool.get();
+        int serving = upstreams.serving(service).size();
+        if (limits.isEmpty() || serving == 0) {
+            return 0;
+        }
+        int waiting = tasks.stream().mapToInt(task -> task.waiting().size()).sum();
+        StagePool p = limits.get();
+        double fullCallMillis = p.callMillis() + p.batch() * p.pieceMillis();
+        return Math.round(fullCallMillis * waiting / p.batch() / serving);
+    }
+
+    /** Ends tasks that cannot be served in time and fills the idle upstreams. */
+    void pump() {
+        Optional<StagePool> limits = pool.get();
+        if (limits.isEmpty()) {
+            return;
+        }
+        long nowMillis = loop.nowMillis();
+        failLate(limits.get(), nowMillis);
+        refreshWorkers();
+        for (StageWorker worker : idle(limits.get(), nowMillis)) {
+            if (!hasWaiting()) {
+                break;
+            }
+            fill(worker, limits.get(), nowMillis);
+        }
+        scheduleWakeUp();
+    }
+
+    private boolean hasWaiting() {
+        return tasks.stream().anyMatch(task -> !task.waiting().isEmpty());
+    }
+
+    private void failLate(StagePool limits, long nowMillis) {
+        for (StageTask task : List.copyOf(tasks)) {
+            double left = task.job().deadlineAtMillis() - nowMillis - task.job().laterMillis();
+            if (!task.waiting().isEmpty() && left < limits.callMillis()) {
+                fail(task, StageFailure.LATE);
+            }
+        }
+    }
+
+    private void fail(StageTask task, StageFailure failure) {
+        if (tasks.remove(task)) {
+            release(task.made());
+            task.fail(failure);
+        }
+    }
+
+    private void refreshWorkers() {
+        List<Upstream> serving = upstreams.serving(service);
+        workers.values().removeIf(worker -> !serving.contains(worker.upstream()));
+        for (Upstream upstream : serving) {
+            workers.computeIfAbsent(upstream.entry().id(), id -> new StageWorker(upstream));
+        }
+    }
+
+    private List<StageWorker> idle(StagePool limits, long nowMillis) {
+        return workers.values().stream()
+                .filter(worker -> worker.isIdle(nowMillis, limits.slots()))
+                .filter(worker -> !isTooSlow(worker, nowMillis))
+                .sorted(Comparator.comparingDouble(StageWorker::slowness))
+                .toList();
+    }
+
+    /** Keeps a slow upstream idle but for a call now and then that measures it anew. */
+    private boolean isTooSlow(StageWorker worker, long nowMillis) {
+        if (worker.slowness() < SLOW || nowMillis - worker.lastCallMillis() > SLOW_PROBE_MILLIS) {
+            return false;
+        }
+        return workers.values().stream().anyMatch(other -> other.slowness() < SLOW);
+    }
+
+    private void fill(StageWorker worker, StagePool limits, long nowMillis) {
+        StageBatch batch = new StageBatch(limits, limits.roomBytes() - worker.usedBytes(nowMillis));
+        boolean probe = worker.slowness() >= SLOW;
+        for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis)) {
+            if (!task.waiting().isEmpty()) {
+                batch.take(task);
+            }
+            if (batch.isFull() || (probe && !batch.isEmpty())) {
+                break;
+            }
+        }
+        if (!batch.isEmpty()) {
+            send(worker, batch, limits, nowMillis);
+        }
+    }
+
+    private void send(StageWorker worker, StageBatch batch, StagePool limits, long nowMillis) {
+        List<StageItem> items = batch.parts().stream().map(part -> item(part, nowMillis)).toList();
+        worker.begin(batch.bytes(), nowMillis);
+        StageCallRun run = new StageCallRun(worker, batch, limits, nowMillis);
+        run.disposable = port.run(worker.upstream().entry(), items, run);
+        double factor = worker.slowness() >= SLOW ? TIMEOUT_FACTOR_WHEN_SLOW : TIMEOUT_FACTOR;
+        long timeout = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
+        run.timeout = loop.after(timeout, run::timedOut);
+    }
+
+    private static StageItem item(StageBatch.Part part, long nowMillis) {
+        StageJob job = part.task().job();
+        return new StageItem(
+                job.requestId(),
+                job.stage(),
+                part.piece(),
+                Math.max(1, job.deadlineAtMillis() - nowMillis),
+                job.key(),
+                job.inputs());
+    }
+
+    private void scheduleWakeUp() {
+        wakeUp.dispose();
+        if (tasks.isEmpty()) {
+            return;
+        }
+        wakeUp = loop.after(WAKE_UP_MILLIS, this::pump);
+    }
+
+    private void requeue(StageBatch.Part part) {
+        StageTask task = part.task();
+        if (task.isEnded()) {
+            return;
+        }
+        if (!task.mayFailAgain(MOST_FAILURES) || !budget.tryRepeat(service, loop.nowMillis())) {
+            fail(task, StageFailure.UPSTREAM_FAILED);
+            return;
+        }
+        task.waiting().add(part.piece());
+    }
+
+    /** One call in progress. */
+    private final class StageCallRun implements StageCallListener {
+        private final StageWorker worker;
+        private final StageBatch batch;
+        private final StagePool limits;
+        private final long beganMillis;
+        private Disposable disposable = Disposable.disposed();
+        private Disposable timeout = Disposable.disposed();
+        private boolean ended;
+
+        StageCallRun(StageWorker worker, StageBatch batch, StagePool limits, long beganMillis) {
+            this.worker = worker;
+            this.batch = batch;
+            this.limits = limits;
+            this.beganMillis = beganMillis;
+        }
+
+        private boolean end() {
+            if (ended) {
+                return false;
+            }
+            ended = true;
+            timeout.dispose();
+            worker.end(batch.bytes());
+            return true;
+        }
+
+        @Override
+        public void onOutcomes(List<StageItemOutcome> outcomes) {
+            if (!end()) {
+                return;
+            }
+            worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
+            for (int i = 0; i < outcomes.size(); i++) {
+                take(batch.parts().get(i), outcomes.get(i));
+            }
+            pump();
+        }
+
+        private void take(StageBatch.Part part, StageItemOutcome outcome) {
+            StageTask task = part.task();
+            switch (outcome.kind()) {
+                case MADE -> keep(part, outcome.handle());
+                case LATE -> fail(task, StageFailure.LATE);
+                case INPUT_GONE -> fail(task, StageFailure.INPUT_GONE);
+                case NO_ROOM -> {
+                    worker.pause(loop.nowMillis() + FULL_PAUSE_MILLIS);
+                    requeue(part);
+                }
+                case FAILED -> requeue(part);
+            }
+        }
+
+        private void keep(StageBatch.Part part, String handle) {
+            StageJob job = part.task().job();
+            StageResult result =
+                    new StageResult(
+                            handle,
+                            worker.upstream().entry().id(),
+                            worker.upstream().entry().failureDomain(),
+                            job.resultBytes());
+            worker.keep(handle, job.resultBytes(), loop.nowMillis() + limits.resultMillis());
+            if (part.task().isEnded()) {
+                release(List.of(result));
+                return;
+            }
+            part.task().made(part.piece(), result);
+            if (part.task().isWhole()) {
+                tasks.remove(part.task());
+                part.task().finish();
+            }
+        }
+
+        @Override
+        public void onFailure(boolean neverRan, String reason) {
+            if (!end()) {
+                return;
+            }
+            logger.atInfo().log(
+                    "stage call failed: service=%s upstream=%s pieces=%d neverRan=%s reason=%s",
+                    service,
+                    worker.upstream().entry().id(),
+                    batch.parts().size(),
+                    neverRan,
+                    reason);
+            worker.pause(loop.nowMillis() + (neverRan ? FULL_PAUSE_MILLIS : BROKEN_PAUSE_MILLIS));
+            batch.parts().forEach(StageDispatcher.this::requeue);
+            pump();
+        }
+
+        private void timedOut() {
+            disposable.dispose();
+            worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
+            onFailure(false, "no answer in time");
+        }
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
@@ -0,0 +1,34 @@
+package org.bronzewheel.stages;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * All pieces of one stage of one request.
+ *
+ * @param requestId the id of the caller's attempt
+ * @param stage the index of the stage in the request's route
+ * @param service the stage service
+ * @param pieces the number of pieces
+ * @param key the key of the pieces, for a stage without inputs
+ * @param inputs the handles of all results that the stage needs
+ * @param resultBytes the approximate size of each result, in bytes
+ * @param rank the rank of the request, 0 first
+ * @param objectiveAtMillis when the request should have its answer, by the steady clock
+ * @param deadlineAtMillis when the request has no use any more, by the steady clock
+ * @param laterMillis the expected time from the end of this stage to the answer, in milliseconds
+ * @param failureDomain the failure domain that is to take the results
+ */
+public record StageJob(
+        String requestId,
+        int stage,
+        String service,
+        int pieces,
+        Optional<String> key,
+        List<String> inputs,
+        long resultBytes,
+        int rank,
+        long objectiveAtMillis,
+        long deadlineAtMillis,
+        long laterMillis,
+        String failureDomain) {}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageService.java
@@ -0,0 +1,38 @@
+package org.bronzewheel.stages;
+
+import java.util.List;
+
+/** The work of stages, wherever it is done. */
+public interface StageService {
+    /**
+     * Submits a job.
+     *
+     * @param job the pieces
+     * @param listener takes the outcome, never before this method returns
+     */
+    void submit(StageJob job, StageListener listener);
+
+    /**
+     * Gives up results.
+     *
+     * @param service the service of their makers
+     * @param results the results
+     */
+    void release(String service, List<StageResult> results);
+
+    /**
+     * Gives up the pieces of a request that have not begun.
+     *
+     * @param service the stage service
+     * @param requestId the id of the caller's attempt
+     */
+    void cancel(String service, String requestId);
+
+    /**
+     * Returns the time that a new job is expected to wait.
+     *
+     * @param service the stage service
+     * @return the time in milliseconds; 0 where it is unknown
+     */
+    long expectedWaitMillis(String service);
+}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTask.java
@@ -0,0 +1,79 @@
+package org.bronzewheel.stages;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A job in the queue of its owner, with the pieces that are still to be made. */
+final class StageTask {
+    private final StageJob job;
+    private final StageListener listener;
+    private final long arrivedMillis;
+    private final StageResult[] results;
+    private final List<Integer> waiting = new ArrayList<>();
+    private int failures;
+    private boolean ended;
+
+    StageTask(StageJob job, StageListener listener, long arrivedMillis) {
+        this.job = job;
+        this.listener = listener;
+        this.arrivedMillis = arrivedMillis;
+        this.results = new StageResult[job.pieces()];
+        for (int piece = 0; piece < job.pieces(); piece++) {
+            waiting.add(piece);
+        }
+    }
+
+    StageJob job() {
+        return job;
+    }
+
+    long arrivedMillis() {
+        return arrivedMillis;
+    }
+
+    List<Integer> waiting() {
+        return waiting;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    /** Returns whether another failure may be followed by another try. */
+    boolean mayFailAgain(int most) {
+        failures++;
+        return failures <= most;
+    }
+
+    void made(int piece, StageResult result) {
+        results[piece] = result;
+    }
+
+    List<StageResult> made() {
+        List<StageResult> made = new ArrayList<>();
+        for (StageResult result : results) {
+            if (result != null) {
+                made.add(result);
+            }
+        }
+        return made;
+    }
+
+    boolean isWhole() {
+        return made().size() == results.length;
+    }
+
+    void finish() {
+        ended = true;
+        listener.onResults(List.of(results));
+    }
+
+    void fail(StageFailure failure) {
+        ended = true;
+        listener.onFailure(failure);
+    }
+
+    void drop() {
+        ended = true;
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamHealth.java
@@ -0,0 +1,58 @@
+package org.bronzewheel.upstreams;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+
+/**
+ * The rule that takes outliers out of the choice, from the answers of ordinary calls alone.
+ *
+ * <p>An upstream is judged against the others of its service, as some requests fail wherever they
+ * run. At most half of a service is out at a time.
+ */
+public final class UpstreamHealth {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int MIN_SAMPLES = 3;
+    private static final double EXCESS_FAILURE_SHARE = 0.3;
+    private static final int BROKEN_IN_A_ROW = 2;
+    private static final long EJECTION_MILLIS = 2_000;
+
+    private UpstreamHealth() {}
+
+    /**
+     * Books the failure of a call and judges the upstream.
+     *
+     * @param upstream the upstream that failed
+     * @param peers all upstreams of its service
+     * @param broken whether the connection broke or stayed silent, rather than an error answered
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    public static void failed(
+            Upstream upstream, List<Upstream> peers, boolean broken, long nowMillis) {
+        upstream.failed();
+        if (upstream.isEjected(nowMillis) || !isOutlier(upstream, peers, broken)) {
+            return;
+        }
+        long out = peers.stream().filter(peer -> peer.isEjected(nowMillis)).count();
+        if ((out + 1) * 2 > peers.size()) {
+            return;
+        }
+        logger.atInfo().log(
+                "upstream ejected: id=%s failureShare=%.2f millis=%d",
+                upstream.entry().id(), upstream.failureShare(), EJECTION_MILLIS);
+        upstream.eject(nowMillis + EJECTION_MILLIS);
+    }
+
+    private static boolean isOutlier(Upstream upstream, List<Upstream> peers, boolean broken) {
+        if (broken && upstream.consecutiveFailures() >= BROKEN_IN_A_ROW) {
+            return true;
+        }
+        double others =
+                peers.stream()
+                        .filter(peer -> peer != upstream)
+                        .mapToDouble(Upstream::failureShare)
+                        .average()
+                        .orElse(1);
+        return upstream.samples() >= MIN_SAMPLES
+                && upstream.failureShare() > others + EXCESS_FAILURE_SHARE;
+    }
+}
--- a/bronzewheel-router/src/test/java/org/bronzewheel/telemetry/JsonLogFormatterTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/logging/JsonLogFormatterTest.java
@@ -1,4 +1,4 @@
-package org.bronzewheel.telemetry;
+package org.bronzewheel.logging;
 
 import static com.google.common.truth.Truth.assertThat;
 
