--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
@@ -3,9 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.reactivex.rxjava3.disposables.Disposable;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.service.Service;
@@ -23,8 +23,8 @@
     private final PeerTransport transport;
     private final SeedMembership membership;
     private final Loop loop;
-    private final Supplier<Map<String, Long>> ownBacklogs;
-    private final Map<String, Long> backlogMillis = new HashMap<>();
+    private final Supplier<Map<String, List<Long>>> ownBacklogs;
+    private final BiConsumer<String, List<Long>> onBacklog;
     private List<String> lastLive = List.of();
     private Disposable ticks = Disposable.disposed();
 
@@ -34,17 +34,21 @@
      * @param transport carries the messages
      * @param membership takes them
      * @param loop runs the work
-     * @param ownBacklogs the expected waits of the services that this router owns
+     * @param ownBacklogs the expected waits by rank of the services that this router owns, in
+     *     milliseconds
+     * @param onBacklog takes those that other owners tell
      */
     public PeerNetwork(
             PeerTransport transport,
             SeedMembership membership,
             Loop loop,
-            Supplier<Map<String, Long>> ownBacklogs) {
+            Supplier<Map<String, List<Long>>> ownBacklogs,
+            BiConsumer<String, List<Long>> onBacklog) {
         this.transport = transport;
         this.membership = membership;
         this.loop = loop;
         this.ownBacklogs = ownBacklogs;
+        this.onBacklog = onBacklog;
         transport.listen(
                 Channel.MEMBERSHIP, (from, bytes) -> loop.execute(() -> receive(from, bytes)));
     }
@@ -66,16 +70,6 @@
         tick();
     }
 
-    /**
-     * Returns the wait that the owner of a service told last.
-     *
-     * @param service the service
-     * @return the time in milliseconds; 0 where nothing is known
-     */
-    public long backlogMillis(String service) {
-        return backlogMillis.getOrDefault(service, 0L);
-    }
-
     private void tick() {
         Hello hello = membership.hello();
         SeedHello.Builder message =
@@ -87,11 +81,11 @@
         ownBacklogs
                 .get()
                 .forEach(
-                        (service, millis) ->
+                        (service, byRank) ->
                                 message.addBacklogs(
                                         StageBacklog.newBuilder()
                                                 .setService(service)
-                                                .setWaitMillis(millis)));
+                                                .addAllWaitMillis(byRank)));
         byte[] bytes = message.build().toByteArray();
         long nowMillis = loop.nowMillis();
         for (String target : membership.targets(nowMillis)) {
@@ -111,7 +105,7 @@
                             message.getKnownVmIdsList()),
                     loop.nowMillis());
             for (StageBacklog backlog : message.getBacklogsList()) {
-                backlogMillis.put(backlog.getService(), backlog.getWaitMillis());
+                onBacklog.accept(backlog.getService(), backlog.getWaitMillisList());
             }
         } catch (InvalidProtocolBufferException e) {
             logger.atWarning().withCause(e).log("peer %s sent no sign of life", from.vmId());
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/LoggingObserver.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/LoggingObserver.java
@@ -8,9 +8,7 @@
 
     @Override
     public void decided(String requestId, Decision decision, String detail) {
-        if (decision == Decision.ADMITTED
-                || decision == Decision.SENT
-                || decision == Decision.STAGE) {
+        if (decision == Decision.SENT) {
             logger.atFine().log("%s request=%s %s", decision, requestId, detail);
         } else {
             logger.atInfo().log("%s request=%s %s", decision, requestId, detail);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -29,6 +29,7 @@
     private static final long LEAST_SEND_MILLIS = 5;
     private static final long STAGE_MILLIS = 330;
     private static final long ENGINE_MILLIS = 160;
+    private static final double LONGEST_WAIT_SHARE = 0.6;
     private static final int MOST_STAGE_ROUNDS = 2;
     private static final int MOST_REJECTIONS = 4;
     private static final long REJECTION_PAUSE_MILLIS = 40;
@@ -52,6 +53,7 @@
     private int stageRounds;
     private int runs;
     private int rejections;
+    private String intendedFailureDomain = "";
     private boolean mayHaveRun;
     private boolean resultsFreed;
     private boolean ended;
@@ -90,12 +92,35 @@
                 .decided(
                         request.id(),
                         Decision.ADMITTED,
-                        "route=" + route.name() + " rank=" + rank());
+                        "route=%s rank=%d expectedMillis=%d patienceMillis=%d prompt=%s"
+                                .formatted(
+                                        route.name(),
+                                        rank(),
+                                        expectedMillis(),
+                                        deadlineAtMillis - arrivedMillis,
+                                        request.promptParts()));
         parts.budget().request(service(), arrivedMillis);
+        if (expectedMillis() > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
+            refuse("the queues are too long for the deadline");
+            return;
+        }
         timeout = loop.after(deadlineAtMillis - arrivedMillis, this::timedOut);
+        intendedFailureDomain =
+                choose(service(), arrivedMillis)
+                        .map(engine -> engine.entry().failureDomain())
+                        .orElse(parts.failureDomain());
         beginStages();
     }
 
+    /** Returns the expected time until the request can be sent, by the queues of its stages. */
+    private long expectedMillis() {
+        long millis = 0;
+        for (String stageService : stages.longestWay()) {
+            millis += parts.stages().expectedWaitMillis(stageService, rank()) + STAGE_MILLIS;
+        }
+        return millis;
+    }
+
     CallerRequest request() {
         return request;
     }
@@ -153,7 +178,7 @@
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
                         later,
-                        parts.failureDomain());
+                        intendedFailureDomain);
         parts.observer()
                 .decided(
                         request.id(),
@@ -174,7 +199,7 @@
     }
 
     private void releaseResults() {
-        stages.takeResults().forEach(parts.stages()::release);
+        parts.stages().release(stages.takeResults());
     }
 
     /** The wait for one stage of one round. */
@@ -190,11 +215,11 @@
         @Override
         public void onResults(List<StageResult> results) {
             if (ended || round != stages) {
-                parts.stages().release(route.stages().get(stage).service(), results);
+                parts.stages().release(results);
                 return;
             }
             stages.done(stage, results);
-            stages.takeUsedResults().forEach(parts.stages()::release);
+            parts.stages().release(stages.takeUsedResults());
             beginStages();
         }
 
@@ -256,7 +281,7 @@
                 .choose(candidates, tried, prompt(), parts.failureDomain(), nowMillis);
     }
 
-    Prompt prompt() {
+    private Prompt prompt() {
         return new Prompt(
                 request.promptTokens(), request.promptParts(), stages.outputBytesByFailureDomain());
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
@@ -144,7 +144,6 @@
         if (!promptRead && engine && (first || run.relay().hasBegun())) {
             promptRead = true;
             upstream.promptRead(promptTokens);
-            parts.engines().read(upstream, run.prompt());
             run.inputsRead();
         }
         if (run.relay().isTooLarge()) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -11,6 +11,8 @@
 
 /** The progress of one request through the stages of its route. */
 final class StageProgress {
+    private static final long LARGE_RESULT_BYTES = 200_000;
+
     private final ServiceRoute route;
     private final List<Integer> pieces;
     private final Map<Integer, List<StageResult>> results = new TreeMap<>();
@@ -25,7 +27,7 @@
     List<Integer> begin() {
         List<Integer> ready = new ArrayList<>();
         for (int stage = 0; stage < route.stages().size(); stage++) {
-            if (piecesOf(stage) > 0 && !begun.contains(stage) && hasInputs(stage)) {
+            if (piecesOf(stage) > 0 && !begun.contains(stage) && hasInputs(stage) && isDue(stage)) {
                 ready.add(stage);
             }
         }
@@ -33,6 +35,23 @@
         return ready;
     }
 
+    /**
+     * Tells whether a stage is to begin now: large results take room from their making to the
+     * request's end, so those of a short branch wait until the long branch is nearly done.
+     */
+    private boolean isDue(int stage) {
+        if (route.stages().get(stage).resultBytes() < LARGE_RESULT_BYTES) {
+            return true;
+        }
+        int longest = 0;
+        for (int other = 0; other < route.stages().size(); other++) {
+            if (!isDone(other)) {
+                longest = Math.max(longest, stagesAfter(other));
+            }
+        }
+        return longest <= stagesAfter(stage) + 1;
+    }
+
     int piecesOf(int stage) {
         return stage < pieces.size() ? pieces.get(stage) : 0;
     }
@@ -58,12 +77,12 @@
         return true;
     }
 
-    List<String> inputsOf(int stage) {
-        List<String> handles = new ArrayList<>();
+    List<StageResult> inputsOf(int stage) {
+        List<StageResult> inputs = new ArrayList<>();
         for (int before : route.stages().get(stage).after()) {
-            results.getOrDefault(before, List.of()).forEach(r -> handles.add(r.handle()));
+            inputs.addAll(results.getOrDefault(before, List.of()));
         }
-        return handles;
+        return inputs;
     }
 
     /** Returns the results that the request itself takes. */
@@ -84,33 +103,25 @@
         return bytes;
     }
 
-    /** Takes all results out, by the service of their makers. */
-    Map<String, List<StageResult>> takeResults() {
-        Map<String, List<StageResult>> byService = new HashMap<>();
-        results.forEach(
-                (stage, made) ->
-                        byService
-                                .computeIfAbsent(
-                                        route.stages().get(stage).service(), s -> new ArrayList<>())
-                                .addAll(made));
+    /** Takes all results out. */
+    List<StageResult> takeResults() {
+        List<StageResult> taken = results.values().stream().flatMap(List::stream).toList();
         results.clear();
-        return byService;
+        return taken;
     }
 
     /** Takes out the results of stages that fed only stages that are done. */
-    Map<String, List<StageResult>> takeUsedResults() {
-        Map<String, List<StageResult>> byService = new HashMap<>();
+    List<StageResult> takeUsedResults() {
+        List<StageResult> used = new ArrayList<>();
         for (int stage = 0; stage < route.stages().size(); stage++) {
             List<StageResult> made = results.getOrDefault(stage, List.of());
             if (made.isEmpty() || route.isLastStage(stage) || !followersAreDone(stage)) {
                 continue;
             }
-            byService
-                    .computeIfAbsent(route.stages().get(stage).service(), s -> new ArrayList<>())
-                    .addAll(made);
+            used.addAll(made);
             results.put(stage, List.of());
         }
-        return byService;
+        return used;
     }
 
     private boolean followersAreDone(int stage) {
@@ -123,6 +134,36 @@
         return true;
     }
 
+    /** Returns the services on the longest way through the stages, in order. */
+    List<String> longestWay() {
+        List<String> way = new ArrayList<>();
+        int next = -1;
+        for (int stage = 0; stage < route.stages().size(); stage++) {
+            boolean follows =
+                    next < 0
+                            ? route.stages().get(stage).after().isEmpty()
+                            : route.stages().get(stage).after().contains(next);
+            if (piecesOf(stage) > 0 && follows && isLongest(stage, next)) {
+                way.add(route.stages().get(stage).service());
+                next = stage;
+            }
+        }
+        return way;
+    }
+
+    private boolean isLongest(int stage, int before) {
+        for (int other = stage + 1; other < route.stages().size(); other++) {
+            boolean rival =
+                    before < 0
+                            ? route.stages().get(other).after().isEmpty()
+                            : route.stages().get(other).after().contains(before);
+            if (piecesOf(other) > 0 && rival && stagesAfter(other) > stagesAfter(stage)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns the number of stages on the longest way from a stage to the request, beside it. */
     int stagesAfter(int stage) {
         int longest = 0;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -5,12 +5,14 @@
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Function;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.peering.SeedMembership;
 import org.bronzewheel.repeats.RepeatBudget;
@@ -28,21 +30,30 @@
 public final class SharedStages implements StageService {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MOST_OWNERS = 3;
+    private static final int TOLD_RANKS = 4;
+    private static final int TICKS_PER_LOG = 10;
+
+    /** Creates the dispatcher of a service, which gives up the inputs that its upstreams read. */
+    interface DispatcherFactory {
+        StageDispatcher create(String service, Consumer<List<StageResult>> releaseInputs);
+    }
 
     private final PeerTransport transport;
     private final SeedMembership membership;
     private final RepeatBudget budget;
     private final Loop loop;
-    private final Function<String, StageDispatcher> newDispatcher;
+    private final DispatcherFactory newDispatcher;
     private final Map<String, StageDispatcher> dispatchers = new HashMap<>();
     private final Set<RemoteJob> remoteJobs = new HashSet<>();
+    private final Map<String, List<Long>> toldWaits = new HashMap<>();
+    private int ticks;
 
     SharedStages(
             PeerTransport transport,
             SeedMembership membership,
             RepeatBudget budget,
             Loop loop,
-            Function<String, StageDispatcher> newDispatcher) {
+            DispatcherFactory newDispatcher) {
         this.transport = transport;
         this.membership = membership;
         this.budget = budget;
@@ -61,10 +72,13 @@
     }
 
     @Override
-    public void release(String service, List<StageResult> results) {
-        if (results.isEmpty()) {
-            return;
-        }
+    public void release(List<StageResult> results) {
+        results.stream()
+                .collect(Collectors.groupingBy(StageResult::service))
+                .forEach(this::release);
+    }
+
+    private void release(String service, List<StageResult> results) {
         String owner = owner(service, Set.of());
         if (isSelf(owner)) {
             dispatcher(service).release(results);
@@ -92,26 +106,44 @@
     }
 
     @Override
-    public long expectedWaitMillis(String service) {
-        return isSelf(owner(service, Set.of())) ? dispatcher(service).expectedWaitMillis() : 0;
+    public long expectedWaitMillis(String service, int rank) {
+        if (isSelf(owner(service, Set.of()))) {
+            return dispatcher(service).expectedWaitMillis(rank);
+        }
+        List<Long> told = toldWaits.getOrDefault(service, List.of());
+        return told.isEmpty() ? 0 : told.get(Math.min(rank, told.size() - 1));
     }
 
     /**
-     * Returns the expected waits of the services that this router owns.
+     * Returns the expected waits at the services that this router owns.
      *
-     * @return the waits in milliseconds, by service
+     * @return the waits in milliseconds of the ranks from 0, by service
      */
-    public Map<String, Long> ownBacklogs() {
-        Map<String, Long> waits = new HashMap<>();
+    public Map<String, List<Long>> ownBacklogs() {
+        Map<String, List<Long>> waits = new HashMap<>();
         dispatchers.forEach(
                 (service, dispatcher) -> {
                     if (isSelf(owner(service, Set.of()))) {
-                        waits.put(service, dispatcher.expectedWaitMillis());
+                        List<Long> byRank = new ArrayList<>();
+                        for (int rank = 0; rank < TOLD_RANKS; rank++) {
+                            byRank.add(dispatcher.expectedWaitMillis(rank));
+                        }
+                        waits.put(service, byRank);
                     }
                 });
         return waits;
     }
 
+    /**
+     * Takes the expected waits that the owner of a service tells.
+     *
+     * @param service the service
+     * @param byRank the waits in milliseconds of the ranks from 0
+     */
+    public void takeBacklog(String service, List<Long> byRank) {
+        toldWaits.put(service, byRank);
+    }
+
     /**
      * Returns the jobs that wait for the upstreams of this router.
      *
@@ -130,6 +162,9 @@
             }
         }
         dispatchers.values().forEach(StageDispatcher::pump);
+        if (++ticks % TICKS_PER_LOG == 0) {
+            dispatchers.values().forEach(StageDispatcher::logState);
+        }
     }
 
     private String owner(String service, Set<String> excluded) {
@@ -141,7 +176,8 @@
     }
 
     private StageDispatcher dispatcher(String service) {
-        return dispatchers.computeIfAbsent(service, newDispatcher);
+        return dispatchers.computeIfAbsent(
+                service, name -> newDispatcher.create(name, this::release));
     }
 
     private void send(String owner, StageFrame frame) {
@@ -236,7 +272,7 @@
             }
             List<StageResult> results = StageCodec.decode(reply.getHandlesList());
             if (!asked.equals(owner) || !remoteJobs.remove(this)) {
-                release(job.service(), results);
+                release(results);
                 return;
             }
             if (reply.getFailure().isEmpty()) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageBatch.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageBatch.java
@@ -41,6 +41,11 @@
         return (int) Math.max(0, Math.min(pool.batch() - parts.size(), byRoom));
     }
 
+    /** Tells whether all pieces of a task are in this call. */
+    boolean holdsAllOf(StageTask task) {
+        return parts.stream().filter(part -> part.task() == task).count() == task.job().pieces();
+    }
+
     boolean isFull() {
         return parts.size() >= pool.batch();
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
@@ -18,7 +18,7 @@
                 .setService(job.service())
                 .setPieces(job.pieces())
                 .setKey(job.key().orElse(""))
-                .addAllInputs(job.inputs())
+                .addAllInputs(encode(job.inputs()))
                 .setResultBytes(job.resultBytes())
                 .setRank(job.rank())
                 .setObjectiveLeftMillis(job.objectiveAtMillis() - nowMillis)
@@ -35,7 +35,7 @@
                 call.getService(),
                 call.getPieces(),
                 Optional.of(call.getKey()).filter(key -> !key.isEmpty()),
-                List.copyOf(call.getInputsList()),
+                decode(call.getInputsList()),
                 call.getResultBytes(),
                 call.getRank(),
                 nowMillis + call.getObjectiveLeftMillis(),
@@ -57,6 +57,7 @@
                 .map(
                         result ->
                                 StageHandle.newBuilder()
+                                        .setService(result.service())
                                         .setText(result.handle())
                                         .setMakerId(result.makerId())
                                         .setFailureDomain(result.failureDomain())
@@ -70,6 +71,7 @@
                 .map(
                         handle ->
                                 new StageResult(
+                                        handle.getService(),
                                         handle.getText(),
                                         handle.getMakerId(),
                                         handle.getFailureDomain(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
@@ -23,6 +24,10 @@
 final class StageDispatcher {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MOST_FAILURES = 4;
+    private static final double MIN_SPEED = 0.2;
+    private static final long LOCAL_WAIT_MILLIS = 60;
+    private static final double USABLE_ROOM_SHARE = 0.95;
+    private static final long INPUT_READ_MILLIS = 40;
     private static final double SLOW = 1.8;
     private static final long SLOW_PROBE_MILLIS = 2_500;
     private static final long FULL_PAUSE_MILLIS = 120;
@@ -39,7 +44,9 @@
     private final StagePort port;
     private final RepeatBudget budget;
     private final Loop loop;
+    private final Consumer<List<StageResult>> releaseInputs;
     private final StageOrder order = new StageOrder();
+    private final DrainMeter drain = new DrainMeter();
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
     private final Map<String, List<String>> toFree = new HashMap<>();
@@ -52,13 +59,15 @@
             UpstreamTable upstreams,
             StagePort port,
             RepeatBudget budget,
-            Loop loop) {
+            Loop loop,
+            Consumer<List<StageResult>> releaseInputs) {
         this.service = service;
         this.pool = pool;
         this.upstreams = upstreams;
         this.port = port;
         this.budget = budget;
         this.loop = loop;
+        this.releaseInputs = releaseInputs;
     }
 
     void submit(StageJob job, StageListener listener) {
@@ -80,8 +89,8 @@
     void release(List<StageResult> results) {
         for (StageResult result : results) {
             StageWorker worker = workers.get(result.makerId());
-            if (worker != null) {
-                worker.free(result.handle());
+            if (worker != null && !worker.free(result.handle())) {
+                continue;
             }
             toFree.computeIfAbsent(result.makerId(), id -> new ArrayList<>()).add(result.handle());
         }
@@ -104,21 +113,48 @@
         pump();
     }
 
+    /** Logs the queue and the upstreams, where anything waits. */
+    void logState() {
+        if (tasks.isEmpty()) {
+            return;
+        }
+        long nowMillis = loop.nowMillis();
+        logger.atInfo().log(
+                "stage queue: service=%s tasks=%d waiting=%d workers=%s",
+                service,
+                tasks.size(),
+                tasks.stream().mapToInt(task -> task.waiting().size()).sum(),
+                workers.values().stream().map(w -> w.describe(nowMillis)).toList());
+    }
+
     int openJobs() {
         return tasks.size();
     }
 
-    /** Returns the time until a new piece would be in a call, by the pieces that wait. */
-    long expectedWaitMillis() {
+    /** Returns the time until a new piece of a rank would be in a call. */
+    long expectedWaitMillis(int rank) {
         Optional<StagePool> limits = pool.get();
-        int serving = upstreams.serving(service).size();
-        if (limits.isEmpty() || serving == 0) {
+        if (limits.isEmpty()) {
             return 0;
         }
-        int waiting = tasks.stream().mapToInt(task -> task.waiting().size()).sum();
-        StagePool p = limits.get();
-        double fullCallMillis = p.callMillis() + p.batch() * p.pieceMillis();
-        return Math.round(fullCallMillis * waiting / p.batch() / serving);
+        long nowMillis = loop.nowMillis();
+        int ahead =
+                tasks.stream()
+                        .filter(
+                                task ->
+                                        StageOrder.rank(task, limits.get().callMillis(), nowMillis)
+                                                <= StageOrder.onTimeRank(rank))
+                        .mapToInt(task -> task.waiting().size())
+                        .sum();
+        return Math.round(ahead * millisPerPiece(limits.get()));
+    }
+
+    /** Returns the time that one piece takes when all upstreams run full calls, or as observed. */
+    private double millisPerPiece(StagePool limits) {
+        double speed = workers.values().stream().mapToDouble(w -> 1 / w.slowness()).sum();
+        double fullCallMillis = limits.callMillis() + limits.batch() * limits.pieceMillis();
+        double full = fullCallMillis / limits.batch() / Math.max(MIN_SPEED, speed);
+        return Math.max(full, drain.millisPerPiece(loop.nowMillis()));
     }
 
     /** Ends tasks that cannot be served in time and fills the idle upstreams. */
@@ -128,26 +164,27 @@
             return;
         }
         long nowMillis = loop.nowMillis();
-        failLate(limits.get(), nowMillis);
         refreshWorkers();
+        failLate(limits.get(), nowMillis);
         for (StageWorker worker : idle(limits.get(), nowMillis)) {
-            if (!hasWaiting()) {
-                break;
-            }
             fill(worker, limits.get(), nowMillis);
         }
+        drain.observe(tasks.stream().anyMatch(task -> !task.waiting().isEmpty()), nowMillis);
         scheduleWakeUp();
     }
 
-    private boolean hasWaiting() {
-        return tasks.stream().anyMatch(task -> !task.waiting().isEmpty());
-    }
-
+    /** Ends the tasks that will not be done in time, behind all that is served before them. */
     private void failLate(StagePool limits, long nowMillis) {
-        for (StageTask task : List.copyOf(tasks)) {
-            double left = task.job().deadlineAtMillis() - nowMillis - task.job().laterMillis();
-            if (!task.waiting().isEmpty() && left < limits.callMillis()) {
+        double pieceMillis = millisPerPiece(limits);
+        int ahead = 0;
+        for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis)) {
+            int waiting = task.waiting().size();
+            double doneMillis = nowMillis + ahead * pieceMillis + limits.callMillis();
+            double latest = task.job().deadlineAtMillis() - (double) task.job().laterMillis();
+            if (waiting > 0 && doneMillis > latest) {
                 fail(task, StageFailure.LATE);
+            } else {
+                ahead += waiting;
             }
         }
     }
@@ -184,10 +221,10 @@
     }
 
     private void fill(StageWorker worker, StagePool limits, long nowMillis) {
-        StageBatch batch = new StageBatch(limits, limits.roomBytes() - worker.usedBytes(nowMillis));
+        StageBatch batch = new StageBatch(limits, usableRoom(limits) - worker.usedBytes(nowMillis));
         boolean probe = worker.slowness() >= SLOW;
         for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis)) {
-            if (!task.waiting().isEmpty()) {
+            if (!task.waiting().isEmpty() && mayTake(worker, task, nowMillis)) {
                 batch.take(task);
             }
             if (batch.isFull() || (probe && !batch.isEmpty())) {
@@ -199,6 +236,20 @@
         }
     }
 
+    /** Returns the room less a margin, as the sizes of results are approximate. */
+    private static long usableRoom(StagePool limits) {
+        return Math.round(limits.roomBytes() * USABLE_ROOM_SHARE);
+    }
+
+    /** Keeps a task for an upstream in its failure domain for a moment, as results are large. */
+    private boolean mayTake(StageWorker worker, StageTask task, long nowMillis) {
+        String wanted = task.job().failureDomain();
+        return nowMillis - task.arrivedMillis() >= LOCAL_WAIT_MILLIS
+                || worker.upstream().entry().failureDomain().equals(wanted)
+                || workers.values().stream()
+                        .noneMatch(w -> w.upstream().entry().failureDomain().equals(wanted));
+    }
+
     private void send(StageWorker worker, StageBatch batch, StagePool limits, long nowMillis) {
         List<StageItem> items = batch.parts().stream().map(part -> item(part, nowMillis)).toList();
         worker.begin(batch.bytes(), nowMillis);
@@ -207,6 +258,8 @@
         double factor = worker.slowness() >= SLOW ? TIMEOUT_FACTOR_WHEN_SLOW : TIMEOUT_FACTOR;
         long timeout = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
         run.timeout = loop.after(timeout, run::timedOut);
+        drain.took(items.size(), nowMillis);
+        loop.after(INPUT_READ_MILLIS, run::inputsRead);
     }
 
     private static StageItem item(StageBatch.Part part, long nowMillis) {
@@ -217,7 +270,7 @@
                 part.piece(),
                 Math.max(1, job.deadlineAtMillis() - nowMillis),
                 job.key(),
-                job.inputs());
+                job.inputs().stream().map(StageResult::handle).toList());
     }
 
     private void scheduleWakeUp() {
@@ -297,6 +350,7 @@
             StageJob job = part.task().job();
             StageResult result =
                     new StageResult(
+                            service,
                             handle,
                             worker.upstream().entry().id(),
                             worker.upstream().entry().failureDomain(),
@@ -330,6 +384,20 @@
             pump();
         }
 
+        /**
+         * Gives up the inputs of the tasks that are whole in this call, which fetched them first.
+         */
+        private void inputsRead() {
+            if (ended) {
+                return;
+            }
+            batch.parts().stream()
+                    .map(StageBatch.Part::task)
+                    .distinct()
+                    .filter(batch::holdsAllOf)
+                    .forEach(task -> releaseInputs.accept(task.job().inputs()));
+        }
+
         private void timedOut() {
             disposable.dispose();
             worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
@@ -11,7 +11,7 @@
  * @param service the stage service
  * @param pieces the number of pieces
  * @param key the key of the pieces, for a stage without inputs
- * @param inputs the handles of all results that the stage needs
+ * @param inputs all results that the stage needs
  * @param resultBytes the approximate size of each result, in bytes
  * @param rank the rank of the request, 0 first
  * @param objectiveAtMillis when the request should have its answer, by the steady clock
@@ -25,7 +25,7 @@
         String service,
         int pieces,
         Optional<String> key,
-        List<String> inputs,
+        List<StageResult> inputs,
         long resultBytes,
         int rank,
         long objectiveAtMillis,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -7,9 +7,10 @@
 /**
  * The order in which an owner serves waiting tasks.
  *
- * <p>Rank decides first, and within a rank the arrival. A task that will miss its objective anyway
- * falls behind the on-time tasks of the next rank, for its answer is worth little more by being
- * less late. Every few calls the oldest task goes first, so that no rank starves.
+ * <p>Rank decides first, and within a rank the earliest objective, so that requests that are nearly
+ * done go before those that begin. A task that will miss its objective anyway falls behind the
+ * on-time tasks of the next rank, for its answer is worth little more by being less late. Every few
+ * calls the oldest task goes first, so that no rank starves.
  */
 final class StageOrder {
     private static final int STEP = 2;
@@ -21,13 +22,12 @@
     List<StageTask> order(List<StageTask> tasks, double callMillis, long nowMillis) {
         calls++;
         List<StageTask> ordered = new ArrayList<>(tasks);
-        Comparator<StageTask> byArrival = Comparator.comparingLong(StageTask::arrivedMillis);
         ordered.sort(
                 Comparator.<StageTask>comparingInt(task -> rank(task, callMillis, nowMillis))
-                        .thenComparing(byArrival));
+                        .thenComparingLong(task -> task.job().objectiveAtMillis()));
         if (calls % OLDEST_FIRST_EVERY == 0) {
             tasks.stream()
-                    .min(byArrival)
+                    .min(Comparator.comparingLong(StageTask::arrivedMillis))
                     .ifPresent(
                             oldest -> {
                                 ordered.remove(oldest);
@@ -37,9 +37,15 @@
         return ordered;
     }
 
-    private static int rank(StageTask task, double callMillis, long nowMillis) {
+    /** Returns the rank in the queue of an on-time task. */
+    static int onTimeRank(int rank) {
+        return rank * STEP;
+    }
+
+    /** Returns the rank of a task in the queue, which falls once its objective cannot be met. */
+    static int rank(StageTask task, double callMillis, long nowMillis) {
         StageJob job = task.job();
         boolean late = nowMillis + callMillis + job.laterMillis() > job.objectiveAtMillis();
-        return job.rank() * STEP + (late ? LATE_PENALTY : 0);
+        return onTimeRank(job.rank()) + (late ? LATE_PENALTY : 0);
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageParts.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageParts.java
@@ -40,9 +40,15 @@
                 membership,
                 budget,
                 loop,
-                service ->
+                (service, releaseInputs) ->
                         new StageDispatcher(
-                                service, () -> pool(service), upstreams, port, budget, loop));
+                                service,
+                                () -> pool(service),
+                                upstreams,
+                                port,
+                                budget,
+                                loop,
+                                releaseInputs));
     }
 
     private Optional<StagePool> pool(String service) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageService.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageService.java
@@ -15,10 +15,9 @@
     /**
      * Gives up results.
      *
-     * @param service the service of their makers
-     * @param results the results
+     * @param results the results, of any services
      */
-    void release(String service, List<StageResult> results);
+    void release(List<StageResult> results);
 
     /**
      * Gives up the pieces of a request that have not begun.
@@ -32,7 +31,8 @@
      * Returns the time that a new job is expected to wait.
      *
      * @param service the stage service
+     * @param rank the rank of the job
      * @return the time in milliseconds; 0 where it is unknown
      */
-    long expectedWaitMillis(String service);
+    long expectedWaitMillis(String service, int rank);
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -1,16 +1,20 @@
 package org.bronzewheel.stages;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Set;
 import org.bronzewheel.upstreams.Upstream;
 
 /** A stage upstream as its owner sees it: its calls, its speed and its room for results. */
 final class StageWorker {
     private static final double SMOOTHING = 0.4;
+    private static final int REMEMBERED_FREED = 2_000;
 
     private final Upstream upstream;
     private final Map<String, Kept> kept = new HashMap<>();
+    private final Set<String> freed = new HashSet<>();
     private int running;
     private long reservedBytes;
     private long keptBytes;
@@ -24,6 +28,16 @@
         this.upstream = upstream;
     }
 
+    String describe(long nowMillis) {
+        return "%s running=%d slowness=%.2f usedKilobytes=%d pausedMillis=%d"
+                .formatted(
+                        upstream.entry().id(),
+                        running,
+                        slowness,
+                        usedBytes(nowMillis) / 1_000,
+                        Math.max(0, pausedUntilMillis - nowMillis));
+    }
+
     Upstream upstream() {
         return upstream;
     }
@@ -70,12 +84,16 @@
         }
     }
 
+    /** Frees a result; tells whether it was not freed before. */
     boolean free(String handle) {
-        Kept freed = kept.remove(handle);
-        if (freed != null) {
-            keptBytes -= freed.bytes();
+        Kept held = kept.remove(handle);
+        if (held != null) {
+            keptBytes -= held.bytes();
+        }
+        if (freed.size() >= REMEMBERED_FREED) {
+            freed.clear();
         }
-        return freed != null;
+        return freed.add(handle);
     }
 
     long usedBytes(long nowMillis) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineChoice.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineChoice.java
@@ -1,31 +1,26 @@
 package org.bronzewheel.upstreams;
 
-import java.util.LinkedHashMap;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.bronzewheel.membership.RendezvousHash;
 
 /**
  * The choice of the model engine for a prompt: the shortest expected time to its first token, with
- * the bytes of its inputs that would cross failure domains as a cost.
+ * the shared parts that would be read again and the bytes of its inputs that would cross failure
+ * domains as costs.
  */
 public final class EngineChoice {
     private static final double PREFILL_TOKENS_PER_MILLI = 60;
     private static final double MILLIS_PER_OPEN_CALL = 3;
     private static final double FULL_MILLIS = 2_000;
-    private static final double MILLIS_PER_CROSSING_MEGABYTE = 40;
-    private static final int REMEMBERED_PROMPTS = 4_096;
-
-    private final Map<String, String> keeperByPromptPart =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-                    return size() > REMEMBERED_PROMPTS;
-                }
-            };
+    private static final double OTHER_DOMAIN_MILLIS = 2;
+    private static final double BYTES_PER_MEGABYTE = 1e6;
+    private static final double MILLIS_PER_CROSSING_MEGABYTE = 30;
+    private static final double MILLIS_PER_THOUSAND_REREAD = 100;
+    private static final double TOKENS_PER_THOUSAND = 1_000;
 
     /**
      * Chooses an engine.
@@ -43,46 +38,53 @@
             Prompt prompt,
             String ownFailureDomain,
             long nowMillis) {
+        int kept = prompt.sharedTokens();
+        Optional<Upstream> keeper =
+                kept == 0
+                        ? Optional.empty()
+                        : candidates.stream()
+                                .filter(u -> isUsable(u, tried, nowMillis))
+                                .max(Comparator.comparingLong(u -> keeperScore(prompt, u)));
         return UpstreamChoice.least(
-                candidates, tried, nowMillis, u -> cost(u, prompt, ownFailureDomain));
+                candidates,
+                tried,
+                nowMillis,
+                u ->
+                        cost(u, prompt, keeper.filter(k -> k == u).isPresent() ? kept : 0)
+                                + (isAt(u, ownFailureDomain) ? 0 : OTHER_DOMAIN_MILLIS));
     }
 
-    /**
-     * Books that an engine has read a prompt.
-     *
-     * @param upstream the engine
-     * @param prompt the prompt
-     */
-    public void read(Upstream upstream, Prompt prompt) {
-        for (PromptPart part : prompt.parts()) {
-            keeperByPromptPart.put(part.id(), upstream.entry().id());
-        }
+    private static boolean isUsable(Upstream upstream, Set<String> tried, long nowMillis) {
+        return !upstream.isEjected(nowMillis)
+                && !upstream.isMisdirected()
+                && !tried.contains(upstream.entry().id());
     }
 
-    private double cost(Upstream upstream, Prompt prompt, String ownFailureDomain) {
-        int unread = prompt.tokens() - keptTokens(upstream, prompt);
+    /** All routers find the same keeper of a prompt, without telling each other. */
+    private static long keeperScore(Prompt prompt, Upstream upstream) {
+        return RendezvousHash.score(prompt.keeperKey(), upstream.entry().id()) >>> 1;
+    }
+
+    private static boolean isAt(Upstream upstream, String failureDomain) {
+        return upstream.entry().failureDomain().equals(failureDomain);
+    }
+
+    private static double cost(Upstream upstream, Prompt prompt, int keptTokens) {
+        int unread = prompt.tokens() - keptTokens;
         double millis = (upstream.openTokens() + unread) / PREFILL_TOKENS_PER_MILLI;
+        millis +=
+                (prompt.sharedTokens() - keptTokens)
+                        / TOKENS_PER_THOUSAND
+                        * MILLIS_PER_THOUSAND_REREAD;
         millis += upstream.openCalls() * MILLIS_PER_OPEN_CALL;
         if (upstream.openCalls() >= upstream.entry().slots()) {
             millis += FULL_MILLIS;
         }
         long crossing =
                 prompt.inputBytes().entrySet().stream()
-                        .filter(e -> !e.getKey().equals(upstream.entry().failureDomain()))
+                        .filter(e -> !isAt(upstream, e.getKey()))
                         .mapToLong(Map.Entry::getValue)
                         .sum();
-        millis += crossing / 1e6 * MILLIS_PER_CROSSING_MEGABYTE;
-        return millis + (upstream.entry().failureDomain().equals(ownFailureDomain) ? 0 : 2);
-    }
-
-    private int keptTokens(Upstream upstream, Prompt prompt) {
-        int kept = 0;
-        for (PromptPart part : prompt.parts()) {
-            if (!upstream.entry().id().equals(keeperByPromptPart.get(part.id()))) {
-                break;
-            }
-            kept += part.tokens();
-        }
-        return kept;
+        return millis + crossing / BYTES_PER_MEGABYTE * MILLIS_PER_CROSSING_MEGABYTE;
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Prompt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Prompt.java
@@ -10,4 +10,27 @@
  * @param parts its parts in order
  * @param inputBytes the bytes of stage results that the engine fetches, by failure domain
  */
-public record Prompt(int tokens, List<PromptPart> parts, Map<String, Long> inputBytes) {}
+public record Prompt(int tokens, List<PromptPart> parts, Map<String, Long> inputBytes) {
+    /**
+     * Returns the length of the parts that other requests may share.
+     *
+     * @return the tokens of all parts but the last, which belongs to the request
+     */
+    public int sharedTokens() {
+        return shared().stream().mapToInt(PromptPart::tokens).sum();
+    }
+
+    /**
+     * Returns the key by which requests with the same shared parts find the same engine.
+     *
+     * @return the id of the last shared part; empty without one
+     */
+    public String keeperKey() {
+        List<PromptPart> shared = shared();
+        return shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
+    }
+
+    private List<PromptPart> shared() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+}
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -80,26 +80,27 @@
       "\001(\003\022\017\n\007leaving\030\003 \001(\010\022\024\n\014known_vm_ids\030\004 \003" +
       "(\t\0220\n\010backlogs\030\005 \003(\0132\036.bronzewheel.wire." +
       "StageBacklog\"4\n\014StageBacklog\022\017\n\007service\030" +
-      "\001 \001(\t\022\023\n\013wait_millis\030\002 \001(\003\"\247\001\n\nStageFram" +
+      "\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\"\247\001\n\nStageFram" +
       "e\022-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.StageJ" +
       "obCallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel." +
       "wire.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.br" +
-      "onzewheel.wire.StageCancelH\000B\006\n\004body\"\376\001\n" +
+      "onzewheel.wire.StageCancelH\000B\006\n\004body\"\235\002\n" +
       "\014StageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005sta" +
       "ge\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(" +
-      "\005\022\013\n\003key\030\005 \001(\t\022\016\n\006inputs\030\006 \003(\t\022\024\n\014result" +
-      "_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_" +
-      "left_millis\030\t \001(\003\022\034\n\024deadline_left_milli" +
-      "s\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016failure" +
-      "_domain\030\014 \001(\t\"P\n\rStageJobReply\022\017\n\007failur" +
-      "e\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.w" +
-      "ire.StageHandle\"T\n\013StageHandle\022\014\n\004text\030\001" +
-      " \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure_domain" +
-      "\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\"O\n\014StageRelease\022\017\n" +
-      "\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronze" +
-      "wheel.wire.StageHandle\"2\n\013StageCancel\022\022\n" +
-      "\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024or" +
-      "g.bronzewheel.wireP\001b\006proto3"
+      "\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzew" +
+      "heel.wire.StageHandle\022\024\n\014result_bytes\030\007 " +
+      "\001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_mill" +
+      "is\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022\024" +
+      "\n\014later_millis\030\013 \001(\003\022\026\n\016failure_domain\030\014" +
+      " \001(\t\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001(\t\022." +
+      "\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Stage" +
+      "Handle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010m" +
+      "aker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n" +
+      "\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRe" +
+      "lease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132" +
+      "\035.bronzewheel.wire.StageHandle\"2\n\013StageC" +
+      "ancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 \001" +
+      "(\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -140,7 +141,7 @@
     internal_static_bronzewheel_wire_StageHandle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageHandle_descriptor,
-        new java.lang.String[] { "Text", "MakerId", "FailureDomain", "Bytes", });
+        new java.lang.String[] { "Text", "MakerId", "FailureDomain", "Bytes", "Service", });
     internal_static_bronzewheel_wire_StageRelease_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_bronzewheel_wire_StageRelease_fieldAccessorTable = new
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageBacklog.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageBacklog.java
@@ -33,6 +33,7 @@
   }
   private StageBacklog() {
     service_ = "";
+    waitMillis_ = emptyLongList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -93,15 +94,46 @@
   }
 
   public static final int WAIT_MILLIS_FIELD_NUMBER = 2;
-  private long waitMillis_ = 0L;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.Internal.LongList waitMillis_ =
+      emptyLongList();
   /**
-   * <code>int64 wait_millis = 2;</code>
-   * @return The waitMillis.
+   * <pre>
+   * For the ranks from 0.
+   * </pre>
+   *
+   * <code>repeated int64 wait_millis = 2;</code>
+   * @return A list containing the waitMillis.
    */
   @java.lang.Override
-  public long getWaitMillis() {
+  public java.util.List<java.lang.Long>
+      getWaitMillisList() {
     return waitMillis_;
   }
+  /**
+   * <pre>
+   * For the ranks from 0.
+   * </pre>
+   *
+   * <code>repeated int64 wait_millis = 2;</code>
+   * @return The count of waitMillis.
+   */
+  public int getWaitMillisCount() {
+    return waitMillis_.size();
+  }
+  /**
+   * <pre>
+   * For the ranks from 0.
+   * </pre>
+   *
+   * <code>repeated int64 wait_millis = 2;</code>
+   * @param index The index of the element to return.
+   * @return The waitMillis at the given index.
+   */
+  public long getWaitMillis(int index) {
+    return waitMillis_.getLong(index);
+  }
+  private int waitMillisMemoizedSerializedSize = -1;
 
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
@@ -117,11 +149,16 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
+    getSerializedSize();
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
     }
-    if (waitMillis_ != 0L) {
-      output.writeInt64(2, waitMillis_);
+    if (getWaitMillisList().size() > 0) {
+      output.writeUInt32NoTag(18);
+      output.writeUInt32NoTag(waitMillisMemoizedSerializedSize);
+    }
+    for (int i = 0; i < waitMillis_.size(); i++) {
+      output.writeInt64NoTag(waitMillis_.getLong(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -130,9 +167,19 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
     }
-    if (waitMillis_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(2, waitMillis_);
+    {
+      int dataSize = 0;
+      for (int i = 0; i < waitMillis_.size(); i++) {
+        dataSize += com.google.protobuf.CodedOutputStream
+          .computeInt64SizeNoTag(waitMillis_.getLong(i));
+      }
+      size += dataSize;
+      if (!getWaitMillisList().isEmpty()) {
+        size += 1;
+        size += com.google.protobuf.CodedOutputStream
+            .computeInt32SizeNoTag(dataSize);
+      }
+      waitMillisMemoizedSerializedSize = dataSize;
     }
     return size;
   }
@@ -160,8 +207,8 @@
 
     if (!getService()
         .equals(other.getService())) return false;
-    if (getWaitMillis()
-        != other.getWaitMillis()) return false;
+    if (!getWaitMillisList()
+        .equals(other.getWaitMillisList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -175,9 +222,10 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + SERVICE_FIELD_NUMBER;
     hash = (53 * hash) + getService().hashCode();
-    hash = (37 * hash) + WAIT_MILLIS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getWaitMillis());
+    if (getWaitMillisCount() > 0) {
+      hash = (37 * hash) + WAIT_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getWaitMillisList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -314,7 +362,7 @@
       super.clear();
       bitField0_ = 0;
       service_ = "";
-      waitMillis_ = 0L;
+      waitMillis_ = emptyLongList();
       return this;
     }
 
@@ -352,6 +400,7 @@
         result.service_ = service_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
+        waitMillis_.makeImmutable();
         result.waitMillis_ = waitMillis_;
       }
     }
@@ -373,8 +422,16 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getWaitMillis() != 0L) {
-        setWaitMillis(other.getWaitMillis());
+      if (!other.waitMillis_.isEmpty()) {
+        if (waitMillis_.isEmpty()) {
+          waitMillis_ = other.waitMillis_;
+          waitMillis_.makeImmutable();
+          bitField0_ |= 0x00000002;
+        } else {
+          ensureWaitMillisIsMutable();
+          waitMillis_.addAll(other.waitMillis_);
+        }
+        onChanged();
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -406,10 +463,21 @@
               break;
             } // case 10
             case 16: {
-              waitMillis_ = input.readInt64();
-              bitField0_ |= 0x00000002;
+              long v = input.readInt64();
+              ensureWaitMillisIsMutable();
+              waitMillis_.addLong(v);
               break;
             } // case 16
+            case 18: {
+              int length = input.readRawVarint32();
+              int limit = input.pushLimit(length);
+              ensureWaitMillisIsMutable();
+              while (input.getBytesUntilLimit() > 0) {
+                waitMillis_.addLong(input.readInt64());
+              }
+              input.popLimit(limit);
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -499,34 +567,114 @@
       return this;
     }
 
-    private long waitMillis_ ;
+    private com.google.protobuf.Internal.LongList waitMillis_ = emptyLongList();
+    private void ensureWaitMillisIsMutable() {
+      if (!waitMillis_.isModifiable()) {
+        waitMillis_ = makeMutableCopy(waitMillis_);
+      }
+      bitField0_ |= 0x00000002;
+    }
     /**
-     * <code>int64 wait_millis = 2;</code>
-     * @return The waitMillis.
+     * <pre>
+     * For the ranks from 0.
+     * </pre>
+     *
+     * <code>repeated int64 wait_millis = 2;</code>
+     * @return A list containing the waitMillis.
      */
-    @java.lang.Override
-    public long getWaitMillis() {
+    public java.util.List<java.lang.Long>
+        getWaitMillisList() {
+      waitMillis_.makeImmutable();
       return waitMillis_;
     }
     /**
-     * <code>int64 wait_millis = 2;</code>
+     * <pre>
+     * For the ranks from 0.
+     * </pre>
+     *
+     * <code>repeated int64 wait_millis = 2;</code>
+     * @return The count of waitMillis.
+     */
+    public int getWaitMillisCount() {
+      return waitMillis_.size();
+    }
+    /**
+     * <pre>
+     * For the ranks from 0.
+     * </pre>
+     *
+     * <code>repeated int64 wait_millis = 2;</code>
+     * @param index The index of the element to return.
+     * @return The waitMillis at the given index.
+     */
+    public long getWaitMillis(int index) {
+      return waitMillis_.getLong(index);
+    }
+    /**
+     * <pre>
+     * For the ranks from 0.
+     * </pre>
+     *
+     * <code>repeated int64 wait_millis = 2;</code>
+     * @param index The index to set the value at.
      * @param value The waitMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setWaitMillis(long value) {
+    public Builder setWaitMillis(
+        int index, long value) {
+
+      ensureWaitMillisIsMutable();
+      waitMillis_.setLong(index, value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * For the ranks from 0.
+     * </pre>
+     *
+     * <code>repeated int64 wait_millis = 2;</code>
+     * @param value The waitMillis to add.
+     * @return This builder for chaining.
+     */
+    public Builder addWaitMillis(long value) {
 
-      waitMillis_ = value;
+      ensureWaitMillisIsMutable();
+      waitMillis_.addLong(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * For the ranks from 0.
+     * </pre>
+     *
+     * <code>repeated int64 wait_millis = 2;</code>
+     * @param values The waitMillis to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllWaitMillis(
+        java.lang.Iterable<? extends java.lang.Long> values) {
+      ensureWaitMillisIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, waitMillis_);
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>int64 wait_millis = 2;</code>
+     * <pre>
+     * For the ranks from 0.
+     * </pre>
+     *
+     * <code>repeated int64 wait_millis = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearWaitMillis() {
+      waitMillis_ = emptyLongList();
       bitField0_ = (bitField0_ & ~0x00000002);
-      waitMillis_ = 0L;
       onChanged();
       return this;
     }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageBacklogOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageBacklogOrBuilder.java
@@ -23,8 +23,31 @@
       getServiceBytes();
 
   /**
-   * <code>int64 wait_millis = 2;</code>
-   * @return The waitMillis.
+   * <pre>
+   * For the ranks from 0.
+   * </pre>
+   *
+   * <code>repeated int64 wait_millis = 2;</code>
+   * @return A list containing the waitMillis.
    */
-  long getWaitMillis();
+  java.util.List<java.lang.Long> getWaitMillisList();
+  /**
+   * <pre>
+   * For the ranks from 0.
+   * </pre>
+   *
+   * <code>repeated int64 wait_millis = 2;</code>
+   * @return The count of waitMillis.
+   */
+  int getWaitMillisCount();
+  /**
+   * <pre>
+   * For the ranks from 0.
+   * </pre>
+   *
+   * <code>repeated int64 wait_millis = 2;</code>
+   * @param index The index of the element to return.
+   * @return The waitMillis at the given index.
+   */
+  long getWaitMillis(int index);
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageHandle.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageHandle.java
@@ -35,6 +35,7 @@
     text_ = "";
     makerId_ = "";
     failureDomain_ = "";
+    service_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -183,6 +184,45 @@
     return bytes_;
   }
 
+  public static final int SERVICE_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object service_ = "";
+  /**
+   * <code>string service = 5;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      service_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string service = 5;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      service_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -209,6 +249,9 @@
     if (bytes_ != 0L) {
       output.writeInt64(4, bytes_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, service_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -226,6 +269,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(4, bytes_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, service_);
+    }
     return size;
   }
   @java.lang.Override
@@ -258,6 +304,8 @@
         .equals(other.getFailureDomain())) return false;
     if (getBytes()
         != other.getBytes()) return false;
+    if (!getService()
+        .equals(other.getService())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -278,6 +326,8 @@
     hash = (37 * hash) + BYTES_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getBytes());
+    hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getService().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -417,6 +467,7 @@
       makerId_ = "";
       failureDomain_ = "";
       bytes_ = 0L;
+      service_ = "";
       return this;
     }
 
@@ -462,6 +513,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.bytes_ = bytes_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.service_ = service_;
+      }
     }
 
     @java.lang.Override
@@ -494,6 +548,11 @@
       if (other.getBytes() != 0L) {
         setBytes(other.getBytes());
       }
+      if (!other.getService().isEmpty()) {
+        service_ = other.service_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -538,6 +597,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              service_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -803,6 +867,78 @@
       return this;
     }
 
+    private java.lang.Object service_ = "";
+    /**
+     * <code>string service = 5;</code>
+     * @return The service.
+     */
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string service = 5;</code>
+     * @return The bytes for service.
+     */
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string service = 5;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      service_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string service = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      service_ = getDefaultInstance().getService();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string service = 5;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      service_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.StageHandle)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageHandleOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageHandleOrBuilder.java
@@ -51,4 +51,16 @@
    * @return The bytes.
    */
   long getBytes();
+
+  /**
+   * <code>string service = 5;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <code>string service = 5;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCall.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCall.java
@@ -35,8 +35,7 @@
     requestId_ = "";
     service_ = "";
     key_ = "";
-    inputs_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
+    inputs_ = java.util.Collections.emptyList();
     failureDomain_ = "";
   }
 
@@ -199,39 +198,43 @@
 
   public static final int INPUTS_FIELD_NUMBER = 6;
   @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList inputs_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
+  private java.util.List<org.bronzewheel.wire.StageHandle> inputs_;
   /**
-   * <code>repeated string inputs = 6;</code>
-   * @return A list containing the inputs.
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
    */
-  public com.google.protobuf.ProtocolStringList
-      getInputsList() {
+  @java.lang.Override
+  public java.util.List<org.bronzewheel.wire.StageHandle> getInputsList() {
+    return inputs_;
+  }
+  /**
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bronzewheel.wire.StageHandleOrBuilder> 
+      getInputsOrBuilderList() {
     return inputs_;
   }
   /**
-   * <code>repeated string inputs = 6;</code>
-   * @return The count of inputs.
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
    */
+  @java.lang.Override
   public int getInputsCount() {
     return inputs_.size();
   }
   /**
-   * <code>repeated string inputs = 6;</code>
-   * @param index The index of the element to return.
-   * @return The inputs at the given index.
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
    */
-  public java.lang.String getInputs(int index) {
+  @java.lang.Override
+  public org.bronzewheel.wire.StageHandle getInputs(int index) {
     return inputs_.get(index);
   }
   /**
-   * <code>repeated string inputs = 6;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the inputs at the given index.
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
    */
-  public com.google.protobuf.ByteString
-      getInputsBytes(int index) {
-    return inputs_.getByteString(index);
+  @java.lang.Override
+  public org.bronzewheel.wire.StageHandleOrBuilder getInputsOrBuilder(
+      int index) {
+    return inputs_.get(index);
   }
 
   public static final int RESULT_BYTES_FIELD_NUMBER = 7;
@@ -358,7 +361,7 @@
       com.google.protobuf.GeneratedMessage.writeString(output, 5, key_);
     }
     for (int i = 0; i < inputs_.size(); i++) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 6, inputs_.getRaw(i));
+      output.writeMessage(6, inputs_.get(i));
     }
     if (resultBytes_ != 0L) {
       output.writeInt64(7, resultBytes_);
@@ -399,14 +402,15 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, key_);
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < inputs_.size(); i++) {
-        dataSize += computeStringSizeNoTag(inputs_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getInputsList().size();
-    }
+
+        {
+          final int count = inputs_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(inputs_.get(i));
+          }
+          size += 1 * count;
+        }
     if (resultBytes_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(7, resultBytes_);
@@ -659,8 +663,13 @@
       service_ = "";
       pieces_ = 0;
       key_ = "";
-      inputs_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
+      if (inputsBuilder_ == null) {
+        inputs_ = java.util.Collections.emptyList();
+      } else {
+        inputs_ = null;
+        inputsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       resultBytes_ = 0L;
       rank_ = 0;
       objectiveLeftMillis_ = 0L;
@@ -693,11 +702,24 @@
     @java.lang.Override
     public org.bronzewheel.wire.StageJobCall buildPartial() {
       org.bronzewheel.wire.StageJobCall result = new org.bronzewheel.wire.StageJobCall(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.bronzewheel.wire.StageJobCall result) {
+      if (inputsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          inputs_ = java.util.Collections.unmodifiableList(inputs_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.inputs_ = inputs_;
+      } else {
+        result.inputs_ = inputsBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.bronzewheel.wire.StageJobCall result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -715,10 +737,6 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.key_ = key_;
       }
-      if (((from_bitField0_ & 0x00000020) != 0)) {
-        inputs_.makeImmutable();
-        result.inputs_ = inputs_;
-      }
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.resultBytes_ = resultBytes_;
       }
@@ -772,15 +790,31 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
-      if (!other.inputs_.isEmpty()) {
-        if (inputs_.isEmpty()) {
-          inputs_ = other.inputs_;
-          bitField0_ |= 0x00000020;
-        } else {
-          ensureInputsIsMutable();
-          inputs_.addAll(other.inputs_);
+      if (inputsBuilder_ == null) {
+        if (!other.inputs_.isEmpty()) {
+          if (inputs_.isEmpty()) {
+            inputs_ = other.inputs_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureInputsIsMutable();
+            inputs_.addAll(other.inputs_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.inputs_.isEmpty()) {
+          if (inputsBuilder_.isEmpty()) {
+            inputsBuilder_.dispose();
+            inputsBuilder_ = null;
+            inputs_ = other.inputs_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            inputsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetInputsFieldBuilder() : null;
+          } else {
+            inputsBuilder_.addAllMessages(other.inputs_);
+          }
         }
-        onChanged();
       }
       if (other.getResultBytes() != 0L) {
         setResultBytes(other.getResultBytes());
@@ -852,8 +886,16 @@
               break;
             } // case 42
             case 50: {
-              ensureInputsIsMutable();
-              inputs_.add(input.readStringRequireUtf8());
+              org.bronzewheel.wire.StageHandle m =
+                  input.readMessage(
+                      org.bronzewheel.wire.StageHandle.parser(),
+                      extensionRegistry);
+              if (inputsBuilder_ == null) {
+                ensureInputsIsMutable();
+                inputs_.add(m);
+              } else {
+                inputsBuilder_.addMessage(m);
+              }
               break;
             } // case 50
             case 56: {
@@ -1183,116 +1225,239 @@
       return this;
     }
 
-    private com.google.protobuf.LazyStringArrayList inputs_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
+    private java.util.List<org.bronzewheel.wire.StageHandle> inputs_ =
+      java.util.Collections.emptyList();
     private void ensureInputsIsMutable() {
-      if (!inputs_.isModifiable()) {
-        inputs_ = new com.google.protobuf.LazyStringArrayList(inputs_);
-      }
-      bitField0_ |= 0x00000020;
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        inputs_ = new java.util.ArrayList<org.bronzewheel.wire.StageHandle>(inputs_);
+        bitField0_ |= 0x00000020;
+       }
     }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.bronzewheel.wire.StageHandle, org.bronzewheel.wire.StageHandle.Builder, org.bronzewheel.wire.StageHandleOrBuilder> inputsBuilder_;
+
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @return A list containing the inputs.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
-    public com.google.protobuf.ProtocolStringList
-        getInputsList() {
-      inputs_.makeImmutable();
-      return inputs_;
+    public java.util.List<org.bronzewheel.wire.StageHandle> getInputsList() {
+      if (inputsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(inputs_);
+      } else {
+        return inputsBuilder_.getMessageList();
+      }
     }
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @return The count of inputs.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
     public int getInputsCount() {
-      return inputs_.size();
+      if (inputsBuilder_ == null) {
+        return inputs_.size();
+      } else {
+        return inputsBuilder_.getCount();
+      }
     }
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @param index The index of the element to return.
-     * @return The inputs at the given index.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
-    public java.lang.String getInputs(int index) {
-      return inputs_.get(index);
+    public org.bronzewheel.wire.StageHandle getInputs(int index) {
+      if (inputsBuilder_ == null) {
+        return inputs_.get(index);
+      } else {
+        return inputsBuilder_.getMessage(index);
+      }
     }
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the inputs at the given index.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
-    public com.google.protobuf.ByteString
-        getInputsBytes(int index) {
-      return inputs_.getByteString(index);
+    public Builder setInputs(
+        int index, org.bronzewheel.wire.StageHandle value) {
+      if (inputsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureInputsIsMutable();
+        inputs_.set(index, value);
+        onChanged();
+      } else {
+        inputsBuilder_.setMessage(index, value);
+      }
+      return this;
     }
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @param index The index to set the value at.
-     * @param value The inputs to set.
-     * @return This builder for chaining.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
     public Builder setInputs(
-        int index, java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      ensureInputsIsMutable();
-      inputs_.set(index, value);
-      bitField0_ |= 0x00000020;
-      onChanged();
+        int index, org.bronzewheel.wire.StageHandle.Builder builderForValue) {
+      if (inputsBuilder_ == null) {
+        ensureInputsIsMutable();
+        inputs_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        inputsBuilder_.setMessage(index, builderForValue.build());
+      }
       return this;
     }
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @param value The inputs to add.
-     * @return This builder for chaining.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public Builder addInputs(org.bronzewheel.wire.StageHandle value) {
+      if (inputsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureInputsIsMutable();
+        inputs_.add(value);
+        onChanged();
+      } else {
+        inputsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
     public Builder addInputs(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      ensureInputsIsMutable();
-      inputs_.add(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
+        int index, org.bronzewheel.wire.StageHandle value) {
+      if (inputsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureInputsIsMutable();
+        inputs_.add(index, value);
+        onChanged();
+      } else {
+        inputsBuilder_.addMessage(index, value);
+      }
       return this;
     }
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @param values The inputs to add.
-     * @return This builder for chaining.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public Builder addInputs(
+        org.bronzewheel.wire.StageHandle.Builder builderForValue) {
+      if (inputsBuilder_ == null) {
+        ensureInputsIsMutable();
+        inputs_.add(builderForValue.build());
+        onChanged();
+      } else {
+        inputsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public Builder addInputs(
+        int index, org.bronzewheel.wire.StageHandle.Builder builderForValue) {
+      if (inputsBuilder_ == null) {
+        ensureInputsIsMutable();
+        inputs_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        inputsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
     public Builder addAllInputs(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureInputsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, inputs_);
-      bitField0_ |= 0x00000020;
-      onChanged();
+        java.lang.Iterable<? extends org.bronzewheel.wire.StageHandle> values) {
+      if (inputsBuilder_ == null) {
+        ensureInputsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, inputs_);
+        onChanged();
+      } else {
+        inputsBuilder_.addAllMessages(values);
+      }
       return this;
     }
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @return This builder for chaining.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
     public Builder clearInputs() {
-      inputs_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000020);;
-      onChanged();
+      if (inputsBuilder_ == null) {
+        inputs_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        inputsBuilder_.clear();
+      }
       return this;
     }
     /**
-     * <code>repeated string inputs = 6;</code>
-     * @param value The bytes of the inputs to add.
-     * @return This builder for chaining.
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
      */
-    public Builder addInputsBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      ensureInputsIsMutable();
-      inputs_.add(value);
-      bitField0_ |= 0x00000020;
-      onChanged();
+    public Builder removeInputs(int index) {
+      if (inputsBuilder_ == null) {
+        ensureInputsIsMutable();
+        inputs_.remove(index);
+        onChanged();
+      } else {
+        inputsBuilder_.remove(index);
+      }
       return this;
     }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public org.bronzewheel.wire.StageHandle.Builder getInputsBuilder(
+        int index) {
+      return internalGetInputsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public org.bronzewheel.wire.StageHandleOrBuilder getInputsOrBuilder(
+        int index) {
+      if (inputsBuilder_ == null) {
+        return inputs_.get(index);  } else {
+        return inputsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public java.util.List<? extends org.bronzewheel.wire.StageHandleOrBuilder> 
+         getInputsOrBuilderList() {
+      if (inputsBuilder_ != null) {
+        return inputsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(inputs_);
+      }
+    }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public org.bronzewheel.wire.StageHandle.Builder addInputsBuilder() {
+      return internalGetInputsFieldBuilder().addBuilder(
+          org.bronzewheel.wire.StageHandle.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public org.bronzewheel.wire.StageHandle.Builder addInputsBuilder(
+        int index) {
+      return internalGetInputsFieldBuilder().addBuilder(
+          index, org.bronzewheel.wire.StageHandle.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+     */
+    public java.util.List<org.bronzewheel.wire.StageHandle.Builder> 
+         getInputsBuilderList() {
+      return internalGetInputsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.bronzewheel.wire.StageHandle, org.bronzewheel.wire.StageHandle.Builder, org.bronzewheel.wire.StageHandleOrBuilder> 
+        internalGetInputsFieldBuilder() {
+      if (inputsBuilder_ == null) {
+        inputsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.bronzewheel.wire.StageHandle, org.bronzewheel.wire.StageHandle.Builder, org.bronzewheel.wire.StageHandleOrBuilder>(
+                inputs_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        inputs_ = null;
+      }
+      return inputsBuilder_;
+    }
 
     private long resultBytes_ ;
     /**
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCallOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCallOrBuilder.java
@@ -59,29 +59,28 @@
       getKeyBytes();
 
   /**
-   * <code>repeated string inputs = 6;</code>
-   * @return A list containing the inputs.
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
    */
-  java.util.List<java.lang.String>
+  java.util.List<org.bronzewheel.wire.StageHandle> 
       getInputsList();
   /**
-   * <code>repeated string inputs = 6;</code>
-   * @return The count of inputs.
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
+   */
+  org.bronzewheel.wire.StageHandle getInputs(int index);
+  /**
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
    */
   int getInputsCount();
   /**
-   * <code>repeated string inputs = 6;</code>
-   * @param index The index of the element to return.
-   * @return The inputs at the given index.
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
    */
-  java.lang.String getInputs(int index);
+  java.util.List<? extends org.bronzewheel.wire.StageHandleOrBuilder> 
+      getInputsOrBuilderList();
   /**
-   * <code>repeated string inputs = 6;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the inputs at the given index.
+   * <code>repeated .bronzewheel.wire.StageHandle inputs = 6;</code>
    */
-  com.google.protobuf.ByteString
-      getInputsBytes(int index);
+  org.bronzewheel.wire.StageHandleOrBuilder getInputsOrBuilder(
+      int index);
 
   /**
    * <code>int64 result_bytes = 7;</code>
