--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -178,7 +178,7 @@
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
                         later,
-                        intendedFailureDomain);
+                        stages.inputFailureDomain(stage).orElse(intendedFailureDomain));
         parts.observer()
                 .decided(
                         request.id(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.StageStep;
@@ -85,6 +86,15 @@
         return inputs;
     }
 
+    /** Returns where the inputs of a stage lie, where they are large enough to matter. */
+    Optional<String> inputFailureDomain(int stage) {
+        Map<String, Long> bytes = bytesByFailureDomain(inputsOf(stage));
+        return bytes.entrySet().stream()
+                .filter(entry -> entry.getValue() >= LARGE_RESULT_BYTES)
+                .max(Map.Entry.comparingByValue())
+                .map(Map.Entry::getKey);
+    }
+
     /** Returns the results that the request itself takes. */
     List<StageResult> outputs() {
         List<StageResult> outputs = new ArrayList<>();
@@ -98,8 +108,12 @@
     }
 
     Map<String, Long> outputBytesByFailureDomain() {
+        return bytesByFailureDomain(outputs());
+    }
+
+    private static Map<String, Long> bytesByFailureDomain(List<StageResult> results) {
         Map<String, Long> bytes = new HashMap<>();
-        outputs().forEach(r -> bytes.merge(r.failureDomain(), r.bytes(), Long::sum));
+        results.forEach(r -> bytes.merge(r.failureDomain(), r.bytes(), Long::sum));
         return bytes;
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -177,7 +177,7 @@
     private void failLate(StagePool limits, long nowMillis) {
         double pieceMillis = millisPerPiece(limits);
         int ahead = 0;
-        for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis)) {
+        for (StageTask task : StageOrder.byRank(tasks, limits.callMillis(), nowMillis)) {
             int waiting = task.waiting().size();
             double doneMillis = nowMillis + ahead * pieceMillis + limits.callMillis();
             double latest = task.job().deadlineAtMillis() - (double) task.job().laterMillis();
@@ -223,7 +223,8 @@
     private void fill(StageWorker worker, StagePool limits, long nowMillis) {
         StageBatch batch = new StageBatch(limits, usableRoom(limits) - worker.usedBytes(nowMillis));
         boolean probe = worker.slowness() >= SLOW;
-        for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis)) {
+        String failureDomain = worker.upstream().entry().failureDomain();
+        for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis, failureDomain)) {
             if (!task.waiting().isEmpty() && mayTake(worker, task, nowMillis)) {
                 batch.take(task);
             }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -16,14 +16,29 @@
     private static final int STEP = 2;
     private static final int LATE_PENALTY = 3;
     private static final int OLDEST_FIRST_EVERY = 6;
+    private static final long LONGEST_LOCAL_WAIT_MILLIS = 400;
 
     private int calls;
 
-    List<StageTask> order(List<StageTask> tasks, double callMillis, long nowMillis) {
+    /** Returns the order in which a queue is worked off. */
+    static List<StageTask> byRank(List<StageTask> tasks, double callMillis, long nowMillis) {
+        List<StageTask> ordered = new ArrayList<>(tasks);
+        ordered.sort(
+                Comparator.<StageTask>comparingInt(task -> rank(task, callMillis, nowMillis))
+                        .thenComparingLong(task -> task.job().objectiveAtMillis()));
+        return ordered;
+    }
+
+    /**
+     * Returns the order for a call in a failure domain, which goes to tasks of that domain first.
+     */
+    List<StageTask> order(
+            List<StageTask> tasks, double callMillis, long nowMillis, String failureDomain) {
         calls++;
         List<StageTask> ordered = new ArrayList<>(tasks);
         ordered.sort(
                 Comparator.<StageTask>comparingInt(task -> rank(task, callMillis, nowMillis))
+                        .thenComparing(task -> isForeign(task, failureDomain, nowMillis))
                         .thenComparingLong(task -> task.job().objectiveAtMillis()));
         if (calls % OLDEST_FIRST_EVERY == 0) {
             tasks.stream()
@@ -37,6 +52,11 @@
         return ordered;
     }
 
+    private static boolean isForeign(StageTask task, String failureDomain, long nowMillis) {
+        return nowMillis - task.arrivedMillis() < LONGEST_LOCAL_WAIT_MILLIS
+                && !task.job().failureDomain().equals(failureDomain);
+    }
+
     /** Returns the rank in the queue of an on-time task. */
     static int onTimeRank(int rank) {
         return rank * STEP;
