--- a/bronzewheel-serving/src/main/java/org/bronzewheel/logging/JsonLogs.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/logging/JsonLogs.java
@@ -1,12 +1,11 @@
 package org.bronzewheel.logging;
 
-import java.util.logging.ConsoleHandler;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
-/** The set-up of logs as JSON lines on the standard error stream. */
+/** The set-up of logs as JSON lines on the standard output. */
 public final class JsonLogs {
     private JsonLogs() {}
 
@@ -18,11 +17,17 @@
      */
     public static void install(String vmId, Level level) {
         LogManager.getLogManager().reset();
-        Handler handler = new ConsoleHandler();
+        Handler handler = new QueuedLogHandler(new JsonLogFormatter(vmId), System.out);
         handler.setLevel(level);
-        handler.setFormatter(new JsonLogFormatter(vmId));
         Logger root = Logger.getLogger("");
         root.setLevel(level);
         root.addHandler(handler);
     }
+
+    /** Writes what is queued, before the process ends. */
+    public static void flush() {
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.flush();
+        }
+    }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestObserver.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestObserver.java
@@ -16,10 +16,11 @@
      *
      * @param requestId the id of the caller's attempt
      * @param route the name of its route; empty where none took it
-     * @param outcome how it ended
+     * @param end how it ended
+     * @param detail the status or the reason
      * @param elapsedMillis the time since it arrived, in milliseconds
      */
-    void ended(String requestId, String route, String outcome, long elapsedMillis);
+    void ended(String requestId, String route, RequestEnd end, String detail, long elapsedMillis);
 
     /** The kinds of decisions. */
     enum Decision {
@@ -37,8 +38,6 @@
         ANSWER_REJECTED,
         /** A stream goes on at another upstream. */
         RESUMED,
-        /** The caller left. */
-        CANCELLED,
         /** The system answered for itself. */
         REFUSED
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -395,7 +395,7 @@
     }
 
     void answered(int status) {
-        end("answered " + status);
+        end(RequestEnd.ANSWERED, "status " + status);
     }
 
     private void timedOut() {
@@ -413,31 +413,29 @@
 
     private void refuse(String reason) {
         long after = RETRY_AFTER_MILLIS + parts.random().nextInt(JITTER_MILLIS);
-        parts.observer().decided(request.id(), Decision.REFUSED, reason);
-        if (end("refused")) {
+        if (end(RequestEnd.REFUSED, reason)) {
             exchange.refuse(Refusal.notRun(reason, after));
         }
     }
 
     private void fail(int status, String reason) {
-        if (end("failed " + status + ": " + reason)) {
+        if (end(RequestEnd.FAILED, status + " " + reason)) {
             exchange.refuse(Refusal.of(status, reason));
         }
     }
 
     private void endBroken(String reason) {
-        if (end("broken off: " + reason)) {
+        if (end(RequestEnd.BROKEN_OFF, reason)) {
             exchange.abort();
         }
     }
 
     @Override
     public void callerLeft() {
-        parts.observer().decided(request.id(), Decision.CANCELLED, "the caller left");
-        end("cancelled");
+        end(RequestEnd.CANCELLED, "the caller left");
     }
 
-    private boolean end(String outcome) {
+    private boolean end(RequestEnd end, String detail) {
         if (ended) {
             return false;
         }
@@ -456,7 +454,7 @@
         releaseResults();
         onEnd.accept(this);
         parts.observer()
-                .ended(request.id(), route.name(), outcome, loop.nowMillis() - arrivedMillis);
+                .ended(request.id(), route.name(), end, detail, loop.nowMillis() - arrivedMillis);
         return true;
     }
 
