--- a/bronzewheel-ctl/src/test/java/org/bronzewheel/architecture/ModulesTest.java
+++ b/bronzewheel-ctl/src/test/java/org/bronzewheel/architecture/ModulesTest.java
@@ -23,15 +23,17 @@
 class ModulesTest {
     private static final Pattern MODULE = Pattern.compile("/bronzewheel-([a-z]+)[/-]");
     private static final String OWN = "org.bronzewheel.";
-    private static final Set<String> LIBRARY = Set.of("model", "decision", "wire", "fleet");
+    private static final Set<String> LIBRARY =
+            Set.of("model", "decision", "wire", "fleet", "serving");
     private static final Map<String, Set<String>> MAY_USE =
             Map.of(
                     "model", Set.of(),
                     "decision", Set.of("model"),
                     "wire", Set.of(),
                     "fleet", Set.of("model", "wire"),
+                    "serving", Set.of("model", "wire", "fleet"),
                     "upstream", Set.of("model"),
-                    "router", Set.of("model", "decision", "wire", "fleet", "upstream"),
+                    "router", Set.of("model", "decision", "wire", "fleet", "serving", "upstream"),
                     "standin", Set.of("model"),
                     "measure", Set.of("model", "decision", "fleet"),
                     "ctl",
@@ -40,6 +42,7 @@
                                     "decision",
                                     "wire",
                                     "fleet",
+                                    "serving",
                                     "upstream",
                                     "router",
                                     "standin",
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/catalog/CatalogStateTest.java
@@ -0,0 +1,48 @@
+package org.bronzewheel.catalog;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class CatalogStateTest {
+    private final CatalogState state = new CatalogState(1_000);
+
+    private static Catalog version(long version) {
+        return new Catalog(version, List.of(), List.of(), List.of(), new CallerLimits(1, 1, 1, 1));
+    }
+
+    @Test
+    void anOlderVersionIsNeverPutInForce() {
+        assertThat(state.offer(version(5))).isTrue();
+        assertThat(state.offer(version(4))).isFalse();
+        assertThat(state.offer(version(5))).isFalse();
+        assertThat(state.current().get().version()).isEqualTo(5);
+    }
+
+    @Test
+    void evidenceOfAnUnknownNewerVersionDoesNotConfirmTheOneInForce() {
+        state.offer(version(5));
+        state.confirm(6, new Instants(0, 0));
+        assertThat(state.honoursKeys(new Instants(0, 0))).isFalse();
+    }
+
+    @Test
+    void ageCountsByTheClockThatSaysMore() {
+        state.offer(version(5));
+        state.confirm(5, new Instants(0, 0));
+        assertThat(state.honoursKeys(new Instants(1_000, 1_000))).isTrue();
+        // The steady clock stood still while the machine was suspended.
+        assertThat(state.honoursKeys(new Instants(100, 1_001))).isFalse();
+        // The time of day was set back.
+        assertThat(state.honoursKeys(new Instants(1_001, -5_000))).isFalse();
+    }
+
+    @Test
+    void olderEvidenceDoesNotReplaceNewerEvidence() {
+        state.offer(version(5));
+        state.confirm(5, new Instants(900, 900));
+        state.confirm(5, new Instants(100, 100));
+        assertThat(state.ageMillis(new Instants(1_000, 1_000))).isEqualTo(100);
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -0,0 +1,268 @@
+package org.bronzewheel.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.bronzewheel.catalog.RepeatRule;
+import org.bronzewheel.catalog.StageStep;
+import org.bronzewheel.repeats.RepeatBudget;
+import org.bronzewheel.stages.StageFailure;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Plays what upstreams do to a request and checks what the caller is told. */
+class RequestRunTest {
+    private static final String EVENT_1 = "id: 1\ndata: a\n\n";
+    private static final String EVENT_2 = "id: 2\ndata: b\n\n";
+
+    /** What the first upstream does, with the outcome for a request that runs at most once. */
+    @SuppressWarnings("ImmutableEnumChecker")
+    private enum Fault {
+        REJECTED(s -> s.listener.onHead(head(503, false, true)), true, 0),
+        MISDIRECTED(
+                s -> s.listener.onHead(new UpstreamHead(421, List.of(), false, true, true, false)),
+                true,
+                0),
+        NOT_CONNECTED(s -> s.listener.onFailure(CallFailure.NOT_SENT, "refused"), true, 0),
+        BROKEN_BEFORE_HEAD(s -> s.listener.onFailure(CallFailure.BROKEN, "reset"), false, 502),
+        BROKEN_IN_BODY(
+                s -> {
+                    s.head(200);
+                    s.data("par");
+                    s.listener.onFailure(CallFailure.BROKEN, "reset");
+                },
+                false,
+                502),
+        UNSIGNED_SUCCESS(s -> s.listener.onHead(head(200, false, false)), false, 502),
+        ENCODED_SUCCESS(
+                s -> s.listener.onHead(new UpstreamHead(200, List.of(), true, false, false, true)),
+                false,
+                502),
+        // A 503 without the statement that the request did not run promises nothing.
+        PLAIN_503(s -> s.listener.onHead(head(503, true, false)), false, 502),
+        UNSIGNED_500(s -> s.listener.onHead(head(500, false, false)), false, 502);
+
+        private final Consumer<World.Sent> act;
+        private final boolean proved;
+        private final int failure;
+
+        Fault(Consumer<World.Sent> act, boolean proved, int failure) {
+            this.act = act;
+            this.proved = proved;
+            this.failure = failure;
+        }
+
+        private static UpstreamHead head(int status, boolean signed, boolean neverRan) {
+            return new UpstreamHead(status, List.of(), signed, neverRan, false, false);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aRequestThatRunsAtMostOnceIsSentAgainOnlyWhereItIsProvedNotToHaveRun(Fault fault) {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1)).request();
+        fault.act.accept(world.lastSend());
+        world.advance(100);
+
+        assertThat(world.sends).hasSize(fault.proved ? 2 : 1);
+        assertThat(world.refusedWith()).isEqualTo(fault.failure);
+        if (fault.proved) {
+            world.lastSend().answer(200);
+            assertThat(world.body.toString()).isEqualTo("body");
+            assertThat(world.finished).isTrue();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void anIdempotentRequestIsAnsweredByAnotherUpstreamAfterAnyFault(Fault fault) {
+        World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2)).request();
+        fault.act.accept(world.lastSend());
+        world.advance(100);
+
+        assertThat(world.sends).hasSize(2);
+        assertThat(world.sends.get(1).call.target().id())
+                .isNotEqualTo(world.sends.get(0).call.target().id());
+        world.lastSend().answer(200);
+        assertThat(world.status).isEqualTo(200);
+        assertThat(world.body.toString()).isEqualTo("body");
+        assertThat(world.refusals).isEmpty();
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aRefusalIsToldOnlyOfARequestThatNeverRan(Fault fault) {
+        RepeatBudget none = new RepeatBudget(0, 0, 10_000, 1);
+        World world = new World(none).with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        world.request();
+        for (int i = 0; i < 8 && world.refusals.isEmpty(); i++) {
+            fault.act.accept(world.lastSend());
+            world.advance(100);
+        }
+
+        assertWithMessage("status").that(world.refusedWith()).isEqualTo(fault.proved ? 503 : 502);
+    }
+
+    @Test
+    void anUpstreamsOwnFailureIsPassedOnUnchanged() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1)).request();
+        world.lastSend().answer(500);
+
+        assertThat(world.status).isEqualTo(500);
+        assertThat(world.body.toString()).isEqualTo("body");
+        assertThat(world.sends).hasSize(1);
+    }
+
+    @Test
+    void aResumableStreamGoesOnElsewhereAfterItsLastWholeEvent() {
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2)).request();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1 + "id: 2\nda");
+        world.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+
+        World.Sent second = world.lastSend();
+        assertThat(second.call.resumeAfter()).hasValue(1L);
+        second.head(200);
+        second.data(EVENT_1 + EVENT_2);
+        second.listener.onEnd();
+        assertThat(world.body.toString()).isEqualTo(EVENT_1 + EVENT_2);
+        assertThat(world.finished).isTrue();
+        assertThat(world.aborted).isFalse();
+    }
+
+    @Test
+    void aStreamThatMayNotGoOnElsewhereIsBrokenOff() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, true, 2)).request();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        world.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+
+        assertThat(world.sends).hasSize(1);
+        assertThat(world.aborted).isTrue();
+        assertThat(world.finished).isFalse();
+    }
+
+    @Test
+    void aStreamThatEndsWithinAnEventIsNotComplete() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, true, 1)).request();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1 + "id: 2\nda");
+        world.sends.get(0).listener.onEnd();
+
+        assertThat(world.finished).isFalse();
+        assertThat(world.aborted).isTrue();
+    }
+
+    @Test
+    void aSilentUpstreamIsLeftWhereTheRequestMayBeRepeated() {
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2)).request();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        world.advance(1_000);
+
+        assertThat(world.sends).hasSize(2);
+        assertThat(world.sends.get(0).cancelled).isTrue();
+        assertThat(world.sends.get(1).call.resumeAfter()).hasValue(1L);
+    }
+
+    @Test
+    void aSilentUpstreamIsWaitedForWhereTheRequestRunsAtMostOnce() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 2)).request();
+        world.advance(2_900);
+        assertThat(world.refusals).isEmpty();
+
+        world.advance(200);
+        assertThat(world.refusedWith()).isEqualTo(504);
+        assertThat(world.sends.get(0).cancelled).isTrue();
+    }
+
+    @Test
+    void theBudgetBoundsRepeats() {
+        RepeatBudget one = new RepeatBudget(0, 1, 10_000, 1);
+        World world = new World(one).with(World.route(RepeatRule.IDEMPOTENT, false, 3)).request();
+        world.lastSend().listener.onFailure(CallFailure.BROKEN, "reset");
+        world.lastSend().listener.onFailure(CallFailure.BROKEN, "reset");
+        world.advance(100);
+
+        assertThat(world.sends).hasSize(2);
+        assertThat(world.refusedWith()).isEqualTo(502);
+    }
+
+    @Test
+    void aCallerThatLeavesCancelsTheSend() {
+        World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2)).request();
+        World.Sent sent = world.lastSend();
+        world.running.callerLeft();
+
+        assertThat(sent.cancelled).isTrue();
+        assertThat(world.end).isEqualTo(RequestEnd.CANCELLED);
+        assertThat(world.engine.runningRequests()).isEqualTo(0);
+    }
+
+    @Test
+    void keysAreHonouredOnlyWhileTheConfigurationIsKnownToBeFresh() {
+        World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2));
+        world.advance(World.LEASE_MILLIS + 1).request();
+
+        assertThat(world.refusedWith()).isEqualTo(503);
+        assertThat(world.refusals.get(0).retryAfterMillis()).isPresent();
+        assertThat(world.sends).isEmpty();
+    }
+
+    @Test
+    void anUnknownKeyIsUnauthorized() {
+        World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2));
+        world.request("other", List.of());
+        assertThat(world.refusedWith()).isEqualTo(401);
+    }
+
+    @Test
+    void aKeyThatIsRevokedWhileTheRequestWaitsForItsStagesIsNotHonoured() {
+        List<StageStep> steps = List.of(new StageStep("e", List.of(), 10));
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2, steps));
+        world.request("key", List.of(1));
+        world.with(2, World.route(RepeatRule.RESUMABLE, true, 2, steps), List.of());
+        world.jobs.get(0).done();
+        world.advance(10);
+
+        assertThat(world.sends).isEmpty();
+        assertThat(world.refusedWith()).isEqualTo(503);
+        assertThat(world.released).hasSize(1);
+    }
+
+    @Test
+    void resultsOfStagesAreHandedOnOnceAndFreedOnceRead() {
+        List<StageStep> steps =
+                List.of(new StageStep("e", List.of(), 10), new StageStep("f", List.of(0), 10));
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2, steps));
+        world.request("key", List.of(1, 2));
+        assertThat(world.jobs).hasSize(1);
+        world.jobs.get(0).done();
+        assertThat(world.jobs.get(1).job().inputs()).hasSize(1);
+        world.jobs.get(1).done();
+
+        World.Sent sent = world.lastSend();
+        assertThat(sent.call.inputs()).containsExactly("1/0", "1/1").inOrder();
+        sent.head(200);
+        sent.data(EVENT_1);
+        assertThat(world.released).hasSize(3);
+    }
+
+    @Test
+    void stagesAreMadeAgainOnceWhereAResultIsGone() {
+        List<StageStep> steps = List.of(new StageStep("e", List.of(), 10));
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, true, 1, steps));
+        world.request("key", List.of(1));
+        world.jobs.get(0).done();
+        world.lastSend()
+                .listener
+                .onHead(new UpstreamHead(409, List.of(), false, true, false, false));
+        assertThat(world.jobs).hasSize(2);
+
+        world.jobs.get(1).fail(StageFailure.LATE);
+        assertThat(world.refusedWith()).isEqualTo(503);
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -0,0 +1,271 @@
+package org.bronzewheel.serving;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerLimits;
+import org.bronzewheel.catalog.Catalog;
+import org.bronzewheel.catalog.CatalogState;
+import org.bronzewheel.catalog.EnginePool;
+import org.bronzewheel.catalog.RepeatRule;
+import org.bronzewheel.catalog.ServiceEntry;
+import org.bronzewheel.catalog.ServiceRoute;
+import org.bronzewheel.catalog.ServiceShare;
+import org.bronzewheel.catalog.StageStep;
+import org.bronzewheel.catalog.WorkspaceEntry;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.repeats.RepeatBudget;
+import org.bronzewheel.stages.StageFailure;
+import org.bronzewheel.stages.StageJob;
+import org.bronzewheel.stages.StageListener;
+import org.bronzewheel.stages.StageResult;
+import org.bronzewheel.stages.StageService;
+import org.bronzewheel.upstreams.EngineChoice;
+import org.bronzewheel.upstreams.PromptPart;
+import org.bronzewheel.upstreams.UpstreamEntry;
+import org.bronzewheel.upstreams.UpstreamTable;
+
+/** A serving engine in virtual time, with upstreams, stages and a caller that a test plays. */
+final class World implements StageService, CallerExchange, RequestObserver {
+    static final long LEASE_MILLIS = 4_000;
+
+    final TestScheduler scheduler = new TestScheduler();
+    final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
+    final CatalogState catalog = new CatalogState(LEASE_MILLIS);
+    final UpstreamTable upstreams = new UpstreamTable(2_000);
+    final List<Sent> sends = new ArrayList<>();
+    final List<Submitted> jobs = new ArrayList<>();
+    final List<StageResult> released = new ArrayList<>();
+    final List<Refusal> refusals = new ArrayList<>();
+    final StringBuilder body = new StringBuilder();
+    final ServingEngine engine;
+    int status;
+    boolean finished;
+    boolean aborted;
+    RequestEnd end;
+    RunningRequest running;
+
+    /** One send to an upstream. */
+    static final class Sent {
+        final UpstreamCall call;
+        final UpstreamListener listener;
+        boolean cancelled;
+
+        Sent(UpstreamCall call, UpstreamListener listener) {
+            this.call = call;
+            this.listener = listener;
+        }
+
+        void head(int status) {
+            listener.onHead(new UpstreamHead(status, List.of(), true, false, false, false));
+        }
+
+        void data(String text) {
+            listener.onData(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void answer(int status) {
+            head(status);
+            data("body");
+            listener.onEnd();
+        }
+    }
+
+    /** One job of a stage. */
+    record Submitted(StageJob job, StageListener listener) {
+        void done() {
+            List<StageResult> results = new ArrayList<>();
+            for (int piece = 0; piece < job.pieces(); piece++) {
+                results.add(
+                        new StageResult(
+                                job.service(),
+                                job.stage() + "/" + piece,
+                                "maker",
+                                "d",
+                                job.resultBytes()));
+            }
+            listener.onResults(results);
+        }
+
+        void fail(StageFailure failure) {
+            listener.onFailure(failure);
+        }
+    }
+
+    World(RepeatBudget budget) {
+        engine =
+                new ServingEngine(
+                        new ServingParts(
+                                catalog,
+                                upstreams,
+                                this::send,
+                                this,
+                                budget,
+                                new EngineChoice(),
+                                "d",
+                                loop,
+                                new SplittableRandom(1),
+                                this));
+    }
+
+    World() {
+        this(new RepeatBudget(0, 100, 10_000, 1));
+    }
+
+    private Disposable send(UpstreamCall call, UpstreamListener listener) {
+        Sent sent = new Sent(call, listener);
+        sends.add(sent);
+        return Disposable.fromRunnable(() -> sent.cancelled = true);
+    }
+
+    World with(ServiceRoute route) {
+        return with(1, route, List.of("key"));
+    }
+
+    World with(long version, ServiceRoute route, List<String> keys) {
+        catalog.offer(
+                new Catalog(
+                        version,
+                        List.of(route),
+                        List.of(
+                                new ServiceEntry(
+                                        "s",
+                                        9,
+                                        Optional.empty(),
+                                        route.streaming()
+                                                ? Optional.of(new EnginePool(8, 1_000))
+                                                : Optional.empty())),
+                        List.of(new WorkspaceEntry("w", keys, OptionalInt.empty())),
+                        new CallerLimits(1, 1, 1, 1)));
+        catalog.confirm(version, loop.now());
+        if (!upstreams.isLoaded()) {
+            upstreams.replaceAll(List.of(upstream("u1"), upstream("u2"), upstream("u3")), 0);
+        }
+        return this;
+    }
+
+    static UpstreamEntry upstream(String id) {
+        return new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 8, 0, false);
+    }
+
+    static ServiceRoute route(RepeatRule rule, boolean streaming, int attempts) {
+        return route(rule, streaming, attempts, List.of());
+    }
+
+    static ServiceRoute route(
+            RepeatRule rule, boolean streaming, int attempts, List<StageStep> stages) {
+        return new ServiceRoute(
+                "r",
+                "h",
+                "/r/",
+                streaming,
+                rule,
+                3_000,
+                500,
+                300,
+                0,
+                attempts,
+                List.of(new ServiceShare("s", 1)),
+                stages,
+                false);
+    }
+
+    World request() {
+        return request("key", List.of());
+    }
+
+    World request(String key, List<Integer> pieces) {
+        running =
+                engine.run(
+                        new CallerRequest(
+                                "id",
+                                "POST",
+                                "/r/x",
+                                "h",
+                                "/r/x",
+                                List.of(),
+                                new byte[0],
+                                Optional.of(5_000L),
+                                Optional.of(key),
+                                Optional.empty(),
+                                100,
+                                10,
+                                List.of(new PromptPart("p", 50), new PromptPart("q", 50)),
+                                pieces,
+                                Optional.of("k")),
+                        this);
+        return this;
+    }
+
+    Sent lastSend() {
+        scheduler.advanceTimeBy(0, TimeUnit.MILLISECONDS);
+        return sends.get(sends.size() - 1);
+    }
+
+    World advance(long millis) {
+        scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        return this;
+    }
+
+    int refusedWith() {
+        return refusals.isEmpty() ? 0 : refusals.get(0).status();
+    }
+
+    @Override
+    public void submit(StageJob job, StageListener listener) {
+        jobs.add(new Submitted(job, listener));
+    }
+
+    @Override
+    public void release(List<StageResult> results) {
+        released.addAll(results);
+    }
+
+    @Override
+    public void cancel(String service, String requestId) {}
+
+    @Override
+    public long expectedWaitMillis(String service, int rank) {
+        return 0;
+    }
+
+    @Override
+    public void begin(int answered, List<Header> headers, boolean streaming) {
+        status = answered;
+    }
+
+    @Override
+    public void write(byte[] bytes) {
+        body.append(new String(bytes, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void finish() {
+        finished = true;
+    }
+
+    @Override
+    public void abort() {
+        aborted = true;
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+        refusals.add(refusal);
+    }
+
+    @Override
+    public void decided(String requestId, Decision decision, String detail) {}
+
+    @Override
+    public void ended(
+            String requestId, String route, RequestEnd how, String detail, long elapsedMillis) {
+        end = how;
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -0,0 +1,236 @@
+package org.bronzewheel.stages;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.StagePool;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.repeats.RepeatBudget;
+import org.bronzewheel.upstreams.UpstreamEntry;
+import org.bronzewheel.upstreams.UpstreamTable;
+import org.junit.jupiter.api.Test;
+
+/** Plays an owner of stage upstreams in virtual time. */
+class StageDispatcherTest {
+    private static final StagePool POOL = new StagePool(1, 2, 4, 240, 10, 1_000, 4_000);
+
+    private final TestScheduler scheduler = new TestScheduler();
+    private final Loop loop = new Loop(scheduler, () -> 0);
+    private final UpstreamTable upstreams = new UpstreamTable(2_000);
+    private final List<Call> calls = new ArrayList<>();
+    private final List<String> freed = new ArrayList<>();
+    private final List<StageResult> inputsReleased = new ArrayList<>();
+    private final StageDispatcher dispatcher =
+            new StageDispatcher(
+                    "s",
+                    () -> Optional.of(POOL),
+                    upstreams,
+                    new Port(),
+                    new RepeatBudget(0, 100, 10_000, 1),
+                    loop,
+                    inputsReleased::addAll);
+
+    /** A call in progress. */
+    private record Call(UpstreamEntry target, List<StageItem> items, StageCallListener listener) {
+        List<String> ids() {
+            return items.stream().map(item -> item.requestId() + "/" + item.piece()).toList();
+        }
+
+        void done() {
+            listener.onOutcomes(
+                    items.stream()
+                            .map(
+                                    item ->
+                                            new StageItemOutcome(
+                                                    StageItemOutcome.Kind.MADE,
+                                                    item.requestId() + item.piece()))
+                            .toList());
+        }
+    }
+
+    private final class Port implements StagePort {
+        @Override
+        public Disposable run(
+                UpstreamEntry target, List<StageItem> items, StageCallListener listener) {
+            calls.add(new Call(target, items, listener));
+            return Disposable.empty();
+        }
+
+        @Override
+        public void free(UpstreamEntry target, List<String> handles) {
+            freed.addAll(handles);
+        }
+    }
+
+    /** Remembers the outcome of a job. */
+    private static final class Outcome implements StageListener {
+        private List<StageResult> results = List.of();
+        private StageFailure failure;
+
+        @Override
+        public void onResults(List<StageResult> made) {
+            results = made;
+        }
+
+        @Override
+        public void onFailure(StageFailure why) {
+            failure = why;
+        }
+    }
+
+    private void upstreams(String... ids) {
+        List<UpstreamEntry> entries = new ArrayList<>();
+        for (String id : ids) {
+            entries.add(new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, 0, false));
+        }
+        upstreams.replaceAll(entries, 0);
+    }
+
+    private Outcome submit(String id, int pieces, int rank, long bytes, long deadlineMillis) {
+        return submit(id, pieces, rank, bytes, deadlineMillis, List.of());
+    }
+
+    private Outcome submit(
+            String id,
+            int pieces,
+            int rank,
+            long bytes,
+            long deadlineMillis,
+            List<StageResult> inputs) {
+        Outcome outcome = new Outcome();
+        long now = loop.nowMillis();
+        dispatcher.submit(
+                new StageJob(
+                        id,
+                        0,
+                        "s",
+                        pieces,
+                        Optional.of("k"),
+                        inputs,
+                        bytes,
+                        rank,
+                        now + 2_000,
+                        now + deadlineMillis,
+                        100,
+                        "d"),
+                outcome);
+        return outcome;
+    }
+
+    private void advance(long millis) {
+        scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void piecesOfManyRequestsShareACallInOrderOfRank() {
+        upstreams("u");
+        Outcome first = submit("a", 1, 1, 10, 9_000);
+        advance(1);
+        submit("b", 2, 1, 10, 9_000);
+        submit("c", 2, 0, 10, 9_000);
+        submit("d", 1, 1, 10, 9_000);
+        advance(100);
+        assertThat(calls).hasSize(1);
+        calls.get(0).done();
+        advance(1);
+
+        assertThat(first.results).hasSize(1);
+        assertThat(calls.get(1).ids()).containsExactly("c/0", "c/1", "b/0", "b/1").inOrder();
+    }
+
+    @Test
+    void aCallHoldsNoMoreResultsThanThereIsRoomFor() {
+        upstreams("u");
+        submit("a", 1, 0, 600, 9_000);
+        Outcome waiting = submit("b", 1, 0, 600, 9_000);
+        advance(1);
+        calls.get(0).done();
+        advance(100);
+        assertThat(calls).hasSize(1);
+
+        dispatcher.release(List.of(new StageResult("s", "a0", "u", "d", 600)));
+        advance(100);
+        assertThat(freed).containsExactly("a0");
+        calls.get(1).done();
+        assertThat(waiting.results).hasSize(1);
+    }
+
+    @Test
+    void resultsThatWereNotFreedLapse() {
+        upstreams("u");
+        submit("a", 1, 0, 600, 9_000);
+        submit("b", 1, 0, 600, 9_000);
+        advance(1);
+        calls.get(0).done();
+        advance(4_100);
+        assertThat(calls).hasSize(2);
+    }
+
+    @Test
+    void whatCannotBeDoneInTimeIsEndedAtOnce() {
+        upstreams("u");
+        Outcome late = submit("a", 1, 0, 10, 300);
+        advance(1);
+        assertThat(late.failure).isEqualTo(StageFailure.LATE);
+        assertThat(calls).isEmpty();
+    }
+
+    @Test
+    void aFailedCallIsMadeAgainElsewhere() {
+        upstreams("u", "v");
+        Outcome outcome = submit("a", 1, 0, 10, 9_000);
+        advance(1);
+        calls.get(0).listener().onFailure(false, "reset");
+        advance(100);
+        assertThat(calls.get(1).target().id()).isNotEqualTo(calls.get(0).target().id());
+        calls.get(1).done();
+        assertThat(outcome.results).hasSize(1);
+    }
+
+    @Test
+    void aSilentUpstreamIsGivenUp() {
+        upstreams("u", "v");
+        submit("a", 1, 0, 10, 9_000);
+        advance(2_000);
+        assertThat(calls).hasSize(2);
+        calls.get(0).done();
+        assertThat(freed).isEmpty();
+    }
+
+    @Test
+    void inputsAreGivenUpOnceTheCallHasReadThem() {
+        upstreams("u");
+        StageResult input = new StageResult("t", "h", "m", "d", 10);
+        submit("a", 2, 0, 10, 9_000, List.of(input));
+        advance(10);
+        assertThat(inputsReleased).isEmpty();
+        advance(100);
+        assertThat(inputsReleased).containsExactly(input);
+    }
+
+    @Test
+    void resultsOfACancelledRequestAreFreed() {
+        upstreams("u");
+        Outcome outcome = submit("a", 1, 0, 10, 9_000);
+        advance(1);
+        dispatcher.cancel("a");
+        calls.get(0).done();
+        advance(100);
+        assertThat(outcome.results).isEmpty();
+        assertThat(freed).containsExactly("a0");
+    }
+
+    @Test
+    void aLeavingUpstreamGetsNoCall() {
+        upstreams("u");
+        upstreams.put(new UpstreamEntry("u", "s", "10.0.0.1:80", "d", 1, 0, true));
+        submit("a", 1, 0, 10, 9_000);
+        advance(500);
+        assertThat(calls).isEmpty();
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
@@ -0,0 +1,70 @@
+package org.bronzewheel.upstreams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class UpstreamTableTest {
+    private final UpstreamTable table = new UpstreamTable(2_000);
+
+    private static UpstreamEntry entry(String id, long startedMillis, boolean leaving) {
+        return new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, startedMillis, leaving);
+    }
+
+    private List<String> serving() {
+        return table.serving("s").stream().map(u -> u.entry().id()).toList();
+    }
+
+    @Test
+    void anUpstreamThatLeavesGetsNoNewWork() {
+        table.replaceAll(List.of(entry("a", 0, false), entry("b", 0, false)), 0);
+        table.put(entry("a", 0, true));
+        table.remove("b", 10);
+        assertThat(serving()).isEmpty();
+        assertThat(table.find("a")).isEmpty();
+    }
+
+    @Test
+    void entriesThatLapsedWhileThePlatformWasAwayAreKeptUntilTheyCanBeBack() {
+        table.replaceAll(List.of(entry("a", 0, false), entry("b", 0, false)), 0);
+        table.platformLost();
+        table.platformAnswered(10_000);
+        table.remove("a", 10_010);
+        table.remove("b", 10_010);
+        assertThat(serving()).containsExactly("a", "b");
+
+        table.put(entry("a", 0, false));
+        table.expire(12_000);
+        assertThat(serving()).containsExactly("a");
+    }
+
+    @Test
+    void anUpstreamThatWasLeavingBeforeAnOutageIsNotKept() {
+        table.replaceAll(List.of(entry("a", 0, true)), 0);
+        table.platformLost();
+        table.platformAnswered(10_000);
+        table.remove("a", 10_010);
+        assertThat(table.all()).isEmpty();
+    }
+
+    @Test
+    void anUpstreamThatStartedAgainUnderItsIdIsAnotherOne() {
+        table.put(entry("a", 1, false));
+        table.find("a").get().markMisdirected();
+        table.put(entry("a", 2, false));
+        assertThat(table.find("a").get().isMisdirected()).isFalse();
+    }
+
+    @Test
+    void anOutlierIsEjectedButNeverMoreThanHalf() {
+        table.replaceAll(List.of(entry("a", 0, false), entry("b", 0, false)), 0);
+        List<Upstream> peers = table.serving("s");
+        for (int i = 0; i < 5; i++) {
+            UpstreamHealth.failed(peers.get(0), peers, true, 100);
+            UpstreamHealth.failed(peers.get(1), peers, true, 100);
+        }
+        assertThat(peers.stream().filter(u -> u.isEjected(100)).count()).isEqualTo(1);
+        assertThat(peers.stream().filter(u -> u.isEjected(3_000)).count()).isEqualTo(0);
+    }
+}
