--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -25,7 +25,6 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MOST_FAILURES = 4;
     private static final double MIN_SPEED = 0.2;
-    private static final long LOCAL_WAIT_MILLIS = 60;
     private static final double USABLE_ROOM_SHARE = 0.95;
     private static final long INPUT_READ_MILLIS = 40;
     private static final double SLOW = 1.8;
@@ -35,7 +34,8 @@
     private static final double TIMEOUT_FACTOR = 2.5;
     private static final long TIMEOUT_FLOOR_MILLIS = 700;
     private static final double TIMEOUT_FACTOR_WHEN_SLOW = 8;
-    private static final long FREE_DELAY_MILLIS = 15;
+    private static final long FREE_DELAY_MILLIS = 10;
+    private static final long FREE_SETTLE_MILLIS = 12;
     private static final long WAKE_UP_MILLIS = 50;
 
     private final String service;
@@ -89,7 +89,7 @@
     void release(List<StageResult> results) {
         for (StageResult result : results) {
             StageWorker worker = workers.get(result.makerId());
-            if (worker != null && !worker.free(result.handle())) {
+            if (worker != null && !worker.beginFree(result.handle())) {
                 continue;
             }
             toFree.computeIfAbsent(result.makerId(), id -> new ArrayList<>()).add(result.handle());
@@ -102,15 +102,26 @@
 
     private void free() {
         freeing = false;
-        for (Map.Entry<String, List<String>> entry : toFree.entrySet()) {
-            upstreams.all().stream()
-                    .map(Upstream::entry)
-                    .filter(maker -> maker.id().equals(entry.getKey()))
-                    .findFirst()
-                    .ifPresent(maker -> port.free(maker, entry.getValue()));
-        }
+        toFree.forEach(this::free);
         toFree.clear();
-        pump();
+    }
+
+    /** Frees results at their maker; their room counts as taken until the maker had time for it. */
+    private void free(String makerId, List<String> handles) {
+        upstreams.all().stream()
+                .map(Upstream::entry)
+                .filter(maker -> maker.id().equals(makerId))
+                .findFirst()
+                .ifPresent(maker -> port.free(maker, handles));
+        loop.after(
+                FREE_SETTLE_MILLIS,
+                () -> {
+                    StageWorker worker = workers.get(makerId);
+                    if (worker != null) {
+                        handles.forEach(worker::endFree);
+                    }
+                    pump();
+                });
     }
 
     /** Logs the queue and the upstreams, where anything waits. */
@@ -225,7 +236,7 @@
         boolean probe = worker.slowness() >= SLOW;
         String failureDomain = worker.upstream().entry().failureDomain();
         for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis, failureDomain)) {
-            if (!task.waiting().isEmpty() && mayTake(worker, task, nowMillis)) {
+            if (!task.waiting().isEmpty() && mayTake(worker, task, limits, nowMillis)) {
                 batch.take(task);
             }
             if (batch.isFull() || (probe && !batch.isEmpty())) {
@@ -242,10 +253,10 @@
         return Math.round(limits.roomBytes() * USABLE_ROOM_SHARE);
     }
 
-    /** Keeps a task for an upstream in its failure domain for a moment, as results are large. */
-    private boolean mayTake(StageWorker worker, StageTask task, long nowMillis) {
+    /** Tells whether an upstream in another failure domain than the task's may take it already. */
+    private boolean mayTake(StageWorker worker, StageTask task, StagePool limits, long nowMillis) {
         String wanted = task.job().failureDomain();
-        return nowMillis - task.arrivedMillis() >= LOCAL_WAIT_MILLIS
+        return StageOrder.mayCross(task, limits.callMillis(), nowMillis)
                 || worker.upstream().entry().failureDomain().equals(wanted)
                 || workers.values().stream()
                         .noneMatch(w -> w.upstream().entry().failureDomain().equals(wanted));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -16,7 +16,11 @@
     private static final int STEP = 2;
     private static final int LATE_PENALTY = 3;
     private static final int OLDEST_FIRST_EVERY = 6;
-    private static final long LONGEST_LOCAL_WAIT_MILLIS = 400;
+    private static final long LONGEST_LOCAL_TURN_MILLIS = 400;
+    private static final long SHORTEST_LOCAL_WAIT_MILLIS = 60;
+    private static final long LONGEST_LOCAL_WAIT_MILLIS = 280;
+    private static final double LEAST_SLACK_MILLIS = 350;
+    private static final long LARGE_BYTES = 100_000;
 
     private int calls;
 
@@ -53,10 +57,29 @@
     }
 
     private static boolean isForeign(StageTask task, String failureDomain, long nowMillis) {
-        return nowMillis - task.arrivedMillis() < LONGEST_LOCAL_WAIT_MILLIS
+        return isLarge(task.job())
+                && nowMillis - task.arrivedMillis() < LONGEST_LOCAL_TURN_MILLIS
                 && !task.job().failureDomain().equals(failureDomain);
     }
 
+    /**
+     * Tells whether a task may go to another failure domain than its own: at once where little is
+     * moved, else after a wait that leaves time for the objective.
+     */
+    static boolean mayCross(StageTask task, double callMillis, long nowMillis) {
+        StageJob job = task.job();
+        long waitedMillis = nowMillis - task.arrivedMillis();
+        double slackMillis = job.objectiveAtMillis() - (nowMillis + callMillis + job.laterMillis());
+        return !isLarge(job)
+                || waitedMillis >= LONGEST_LOCAL_WAIT_MILLIS
+                || (waitedMillis >= SHORTEST_LOCAL_WAIT_MILLIS && slackMillis < LEAST_SLACK_MILLIS);
+    }
+
+    private static boolean isLarge(StageJob job) {
+        long inputBytes = job.inputs().stream().mapToLong(StageResult::bytes).sum();
+        return inputBytes + job.pieces() * job.resultBytes() >= LARGE_BYTES;
+    }
+
     /** Returns the rank in the queue of an on-time task. */
     static int onTimeRank(int rank) {
         return rank * STEP;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -84,18 +84,22 @@
         }
     }
 
-    /** Frees a result; tells whether it was not freed before. */
-    boolean free(String handle) {
-        Kept held = kept.remove(handle);
-        if (held != null) {
-            keptBytes -= held.bytes();
-        }
+    /** Notes that a result is being freed; tells whether it was not before. */
+    boolean beginFree(String handle) {
         if (freed.size() >= REMEMBERED_FREED) {
             freed.clear();
         }
         return freed.add(handle);
     }
 
+    /** Gives the room of a freed result back. */
+    void endFree(String handle) {
+        Kept held = kept.remove(handle);
+        if (held != null) {
+            keptBytes -= held.bytes();
+        }
+    }
+
     long usedBytes(long nowMillis) {
         for (Iterator<Kept> it = kept.values().iterator(); it.hasNext(); ) {
             Kept next = it.next();
