--- a/bronzewheel-serving/src/main/java/org/bronzewheel/repeats/RepeatBudget.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/repeats/RepeatBudget.java
@@ -43,6 +43,15 @@
         routers = Math.max(1, count);
     }
 
+    /**
+     * Returns the number of routers that share what is limited.
+     *
+     * @return the number, this router included
+     */
+    public int routers() {
+        return routers;
+    }
+
     /**
      * Books a request of a caller.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -35,6 +35,7 @@
     private static final long REJECTION_PAUSE_MILLIS = 40;
     private static final long RETRY_AFTER_MILLIS = 250;
     private static final int JITTER_MILLIS = 400;
+    private static final int LEAST_CONNECTIONS = 2;
     private static final int CONFLICT = 409;
 
     private final ServingParts parts;
@@ -273,7 +274,11 @@
     }
 
     private Optional<Upstream> choose(String service, long nowMillis) {
-        List<Upstream> candidates = parts.upstreams().serving(service);
+        int share = connectionShare(service);
+        List<Upstream> candidates =
+                parts.upstreams().serving(service).stream()
+                        .filter(upstream -> upstream.openCalls() < share)
+                        .toList();
         if (!isEngine(service)) {
             return UpstreamChoice.plain(candidates, tried, parts.failureDomain(), nowMillis);
         }
@@ -281,6 +286,17 @@
                 .choose(candidates, tried, prompt(), parts.failureDomain(), nowMillis);
     }
 
+    /** Returns the connections to one upstream that this router may have, as all share its cap. */
+    private int connectionShare(String service) {
+        return parts.catalog()
+                .current()
+                .flatMap(catalog -> catalog.service(service))
+                .filter(entry -> entry.maxConnections() > 0)
+                .map(entry -> entry.maxConnections() / parts.budget().routers())
+                .map(share -> Math.max(LEAST_CONNECTIONS, share))
+                .orElse(Integer.MAX_VALUE);
+    }
+
     private Prompt prompt() {
         return new Prompt(
                 request.promptTokens(), request.promptParts(), stages.outputBytesByFailureDomain());
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -191,6 +191,20 @@
         assertThat(world.refusedWith()).isEqualTo(502);
     }
 
+    @Test
+    void aRouterKeepsToItsPartOfTheConnectionsOfAnUpstream() {
+        // Nine connections of each upstream, of which three are this router's.
+        RepeatBudget three = new RepeatBudget(0, 0, 10_000, 3);
+        World world = new World(three).with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        for (int i = 0; i < 9; i++) {
+            world.request();
+        }
+        assertThat(world.sends).hasSize(9);
+        world.request();
+        assertThat(world.sends).hasSize(9);
+        assertThat(world.refusedWith()).isEqualTo(503);
+    }
+
     @Test
     void aCallerThatLeavesCancelsTheSend() {
         World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2)).request();
