Serve both front doors by one strict HTTP server

Cause: the router's front door served a request hidden behind one with a length and a transfer coding.

--- a/platform/src/main/java/org/bronzewheel/platform/StrictRequestDecoder.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictRequestDecoder.java
@@ -1,4 +1,4 @@
-package org.bronzewheel.platform;
+package org.bronzewheel.http;
 
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.http.HttpMessage;
--- /dev/null
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP servers that refuse what two readers could read in two ways. */
+package org.bronzewheel.http;
--- /dev/null
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/StrictHttpServerTest.java
@@ -0,0 +1,108 @@
+package org.bronzewheel.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Sends bytes as a client would, well-formed and not, with a request hidden behind them. */
+class StrictHttpServerTest {
+    private static final String HEAD = "POST /x HTTP/1.1\r\nHost: h\r\n";
+    private static final String HIDDEN =
+            "POST /hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    private static final int READ_MILLIS = 10_000;
+
+    private final List<String> taken = new CopyOnWriteArrayList<>();
+    private Vertx vertx;
+    private HttpServer server;
+
+    @BeforeEach
+    void start() {
+        vertx = Vertx.vertx();
+        server =
+                StrictHttpServer.create(
+                                vertx,
+                                new HttpServerOptions(),
+                                request -> {
+                                    taken.add(request.path());
+                                    if (request.path().equals("/closing")) {
+                                        request.response().putHeader("Connection", "close");
+                                    }
+                                    request.response().end("taken");
+                                })
+                        .listen(0, "127.0.0.1")
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .join();
+    }
+
+    @AfterEach
+    void stop() {
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+                "Content-Length: 0\r\nContent-Length: 5\r\n\r\n",
+                "Content-Length: 0, 5\r\n\r\n",
+                "Content-Length: +0\r\n\r\n",
+                "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+                "Content-Length : 0\r\n\r\n",
+                "Host: other\r\nContent-Length: 0\r\n\r\n",
+                "Transfer-Encoding: chunked\n\n0\n\n"
+            })
+    void anAmbiguousRequestGetsOneAnswerAndTheConnectionCloses(String framing) throws IOException {
+        String answers = exchange(HEAD + framing + HIDDEN);
+        assertWithMessage(answers).that(answers.split("HTTP/1.1 ", -1)).hasLength(2);
+        assertThat(taken).doesNotContain("/hidden");
+    }
+
+    @Test
+    void wellFramedRequestsFollowEachOther() throws IOException {
+        exchange(HEAD + "Content-Length: 2\r\n\r\nab" + HIDDEN);
+        assertThat(taken).containsExactly("/x", "/hidden").inOrder();
+    }
+
+    @Test
+    void nothingIsRunBehindAnAnswerThatCloses() throws IOException {
+        exchange("POST /closing HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" + HIDDEN);
+        assertThat(taken).containsExactly("/closing");
+    }
+
+    private String exchange(String bytes) throws IOException {
+        StringBuilder read = new StringBuilder();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.actualPort())) {
+            socket.setSoTimeout(READ_MILLIS);
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            byte[] buffer = new byte[4_096];
+            int length = socket.getInputStream().read(buffer);
+            while (length >= 0) {
+                read.append(new String(buffer, 0, length, StandardCharsets.ISO_8859_1));
+                length = socket.getInputStream().read(buffer);
+            }
+        } catch (SocketException e) {
+            assertThat(e).hasMessageThat().contains("reset");
+        }
+        return read.toString();
+    }
+}
--- a/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/FrontDoor.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/FrontDoor.java
@@ -15,6 +15,7 @@
 import org.bronzewheel.error.ErrorCode;
 import org.bronzewheel.execution.DrainGate;
 import org.bronzewheel.execution.RequestService;
+import org.bronzewheel.http.StrictHttpServer;
 import org.bronzewheel.relay.ConfigurationService;
 import org.bronzewheel.service.Service;
 import org.bronzewheel.telemetry.RouterMetrics;
@@ -90,7 +91,7 @@
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
                         .setIdleTimeout(IDLE_SECONDS);
-        server = vertx.createHttpServer(options).requestHandler(router);
+        server = StrictHttpServer.create(vertx, options, router);
         try {
             server.listen().toCompletionStage().toCompletableFuture().join();
         } catch (CompletionException e) {
