Never refuse a request that may have run; give its stages a class of their own

Cause, found by reading: a request whose first run failed and whose stages or key failed afterwards was refused with 503, and on a stream that had begun the refusal was written into the answer. Both tests of RequestRunTest failed first. What was not sent no longer draws on the repeat budget.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -10,14 +10,9 @@
 import org.bronzewheel.catalog.RepeatRule;
 import org.bronzewheel.catalog.ServiceEntry;
 import org.bronzewheel.catalog.ServiceRoute;
-import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.serving.RequestObserver.Decision;
-import org.bronzewheel.stages.StageFailure;
-import org.bronzewheel.stages.StageJob;
-import org.bronzewheel.stages.StageListener;
-import org.bronzewheel.stages.StageResult;
 import org.bronzewheel.upstreams.Prompt;
 import org.bronzewheel.upstreams.Upstream;
 import org.bronzewheel.upstreams.UpstreamChoice;
@@ -27,10 +22,7 @@
 final class RequestRun implements RunningRequest {
     private static final long DEFAULT_PATIENCE_MILLIS = 30_000;
     private static final long LEAST_SEND_MILLIS = 5;
-    private static final long STAGE_MILLIS = 330;
-    private static final long ENGINE_MILLIS = 160;
     private static final double LONGEST_WAIT_SHARE = 0.6;
-    private static final int MOST_STAGE_ROUNDS = 2;
     private static final int MOST_REJECTIONS = 4;
     private static final long REJECTION_PAUSE_MILLIS = 40;
     private static final long RETRY_AFTER_MILLIS = 250;
@@ -38,6 +30,9 @@
     private static final int LEAST_CONNECTIONS = 2;
     private static final int CONFLICT = 409;
 
+    /** In place of a status: no byte was handed to a connection. */
+    static final int NOT_SENT = 0;
+
     private final ServingParts parts;
     private final Loop loop;
     private final CallerRequest request;
@@ -49,14 +44,11 @@
     private final long deadlineAtMillis;
     private final double servicePoint;
     private final RequestRelay relay;
+    private final RequestStages stages;
     private final Set<String> tried = new HashSet<>();
-    private StageProgress stages;
-    private int stageRounds;
     private int runs;
     private int rejections;
-    private String intendedFailureDomain = "";
     private boolean mayHaveRun;
-    private boolean resultsFreed;
     private boolean ended;
     private RequestSend send;
     private Disposable timeout = Disposable.disposed();
@@ -84,7 +76,15 @@
             patience = Math.min(patience, route.timeoutMillis());
         }
         this.deadlineAtMillis = arrivedMillis + patience;
-        this.stages = new StageProgress(route, request.pieces());
+        this.stages =
+                new RequestStages(
+                        parts,
+                        request,
+                        route,
+                        arrivedMillis,
+                        deadlineAtMillis,
+                        this::dispatch,
+                        this::giveUp);
         this.relay = new RequestRelay(request, route, exchange);
     }
 
@@ -97,29 +97,19 @@
                                 .formatted(
                                         route.name(),
                                         rank(),
-                                        expectedMillis(),
+                                        stages.expectedMillis(),
                                         deadlineAtMillis - arrivedMillis,
                                         request.promptParts()));
         parts.budget().request(service(), arrivedMillis);
-        if (expectedMillis() > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
+        if (stages.expectedMillis() > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
             refuse("the queues are too long for the deadline");
             return;
         }
         timeout = loop.after(deadlineAtMillis - arrivedMillis, this::timedOut);
-        intendedFailureDomain =
+        stages.begin(
                 choose(service(), arrivedMillis)
                         .map(engine -> engine.entry().failureDomain())
-                        .orElse(parts.failureDomain());
-        beginStages();
-    }
-
-    /** Returns the expected time until the request can be sent, by the queues of its stages. */
-    private long expectedMillis() {
-        long millis = 0;
-        for (String stageService : stages.longestWay()) {
-            millis += parts.stages().expectedWaitMillis(stageService, rank()) + STAGE_MILLIS;
-        }
-        return millis;
+                        .orElse(parts.failureDomain()));
     }
 
     CallerRequest request() {
@@ -154,94 +144,6 @@
         return route.priority();
     }
 
-    private void beginStages() {
-        for (int stage : stages.begin()) {
-            submit(stage);
-        }
-        if (stages.isWhole()) {
-            dispatch();
-        }
-    }
-
-    private void submit(int stage) {
-        StageStep step = route.stages().get(stage);
-        long later = ENGINE_MILLIS + STAGE_MILLIS * stages.stagesAfter(stage);
-        StageJob job =
-                new StageJob(
-                        request.id(),
-                        stage,
-                        step.service(),
-                        stages.piecesOf(stage),
-                        step.after().isEmpty() ? request.pieceKey() : Optional.empty(),
-                        stages.inputsOf(stage),
-                        step.resultBytes(),
-                        rank(),
-                        arrivedMillis + route.objectiveMillis(),
-                        deadlineAtMillis,
-                        later,
-                        stages.inputFailureDomain(stage).orElse(intendedFailureDomain));
-        parts.observer()
-                .decided(
-                        request.id(),
-                        Decision.STAGE,
-                        "stage=" + stage + " pieces=" + job.pieces() + " round=" + stageRounds);
-        parts.stages().submit(job, new StageWait(stage, stages));
-    }
-
-    private void restartStages(String reason) {
-        stageRounds++;
-        releaseResults();
-        if (stageRounds >= MOST_STAGE_ROUNDS) {
-            refuse(reason);
-            return;
-        }
-        stages = new StageProgress(route, request.pieces());
-        beginStages();
-    }
-
-    private void releaseResults() {
-        parts.stages().release(stages.takeResults());
-    }
-
-    /** The wait for one stage of one round. */
-    private final class StageWait implements StageListener {
-        private final int stage;
-        private final StageProgress round;
-
-        StageWait(int stage, StageProgress round) {
-            this.stage = stage;
-            this.round = round;
-        }
-
-        @Override
-        public void onResults(List<StageResult> results) {
-            if (ended || round != stages) {
-                parts.stages().release(results);
-                return;
-            }
-            stages.done(stage, results);
-            parts.stages().release(stages.takeUsedResults());
-            beginStages();
-        }
-
-        @Override
-        public void onFailure(StageFailure failure) {
-            if (ended || round != stages) {
-                return;
-            }
-            parts.observer()
-                    .decided(
-                            request.id(),
-                            Decision.STAGE_FAILED,
-                            "stage=" + stage + " failure=" + failure);
-            if (failure == StageFailure.INPUT_GONE) {
-                restartStages("a result of a stage is gone");
-            } else {
-                refuse("stage " + stage + " failed: " + failure);
-            }
-        }
-    }
-
     private void dispatch() {
         long nowMillis = loop.nowMillis();
         if (ended) {
@@ -252,13 +154,13 @@
             return;
         }
         if (!isStillAllowed()) {
-            refuse("the key may no longer be honoured");
+            giveUp("the key may no longer be honoured");
             return;
         }
         String service = service();
         Optional<Upstream> upstream = choose(service, nowMillis);
         if (upstream.isEmpty()) {
-            noUpstream(service);
+            giveUp("no upstream of " + service + " can take the request");
             return;
         }
         send(service, upstream.get(), nowMillis);
@@ -299,7 +201,7 @@
 
     private Prompt prompt() {
         return new Prompt(
-                request.promptTokens(), request.promptParts(), stages.outputBytesByFailureDomain());
+                request.promptTokens(), request.promptParts(), stages.bytesByFailureDomain());
     }
 
     private boolean isEngine(String service) {
@@ -319,7 +221,7 @@
                         deadlineAtMillis - nowMillis,
                         workspace.map(WorkspaceEntry::name),
                         engine ? Optional.of(Math.min(9, 1 + 2 * rank())) : Optional.empty(),
-                        stages.outputs().stream().map(StageResult::handle).toList(),
+                        stages.handles(),
                         relay.resumePoint(),
                         route.repeatRule() == RepeatRule.IDEMPOTENT);
         parts.observer()
@@ -333,20 +235,9 @@
         send.start(call);
     }
 
-    private void noUpstream(String service) {
-        if (relay.hasBegun()) {
-            endBroken("no upstream can go on with the stream");
-        } else if (mayHaveRun) {
-            fail(Refusal.BAD_GATEWAY, "the upstream failed and no other can take the request");
-        } else {
-            refuse("no upstream of " + service + " can take the request");
-        }
-    }
-
     /** The upstream has read its inputs. */
     void inputsRead() {
-        resultsFreed = !stages.outputs().isEmpty() || resultsFreed;
-        releaseResults();
+        stages.inputsRead();
     }
 
     /** The request did not run at this upstream. */
@@ -355,10 +246,11 @@
         rejections++;
         if (status == CONFLICT && !route.stages().isEmpty() && !relay.hasBegun()) {
             tried.clear();
-            restartStages("a result of a stage is gone");
+            stages.resultGone();
             return;
         }
-        if (rejections > MOST_REJECTIONS || !mayRepeat()) {
+        // What was not sent draws on no budget, as nothing arrived anywhere.
+        if (rejections > MOST_REJECTIONS || (status != NOT_SENT && !mayRepeat())) {
             giveUp("the upstreams reject the request");
             return;
         }
@@ -380,15 +272,20 @@
                         request.id(),
                         relay.hasBegun() ? Decision.RESUMED : Decision.REPEATED,
                         reason);
-        if (resultsFreed) {
-            // The first run had read the results, and another one needs them anew.
-            resultsFreed = false;
-            stages = new StageProgress(route, request.pieces());
-            loop.execute(this::beginStages);
+        loop.execute(this::goOn);
+        return true;
+    }
+
+    /** Sends the request again, after its stages where a run that failed has used their results. */
+    private void goOn() {
+        if (ended) {
+            return;
+        }
+        if (stages.areRead()) {
+            stages.again();
         } else {
-            loop.execute(this::dispatch);
+            dispatch();
         }
-        return true;
     }
 
     private boolean mayRepeat() {
@@ -461,13 +358,7 @@
         if (send != null) {
             send.cancel();
         }
-        if (!resultsFreed && !stages.isWhole()) {
-            route.stages().stream()
-                    .map(StageStep::service)
-                    .distinct()
-                    .forEach(service -> parts.stages().cancel(service, request.id()));
-        }
-        releaseResults();
+        stages.end();
         onEnd.accept(this);
         parts.observer()
                 .ended(request.id(), route.name(), end, detail, loop.nowMillis() - arrivedMillis);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
@@ -179,7 +179,7 @@
         end();
         if (failure == CallFailure.NOT_SENT) {
             run.health(upstream, service, true);
-            run.rejected(0);
+            run.rejected(RequestRun.NOT_SENT);
         } else {
             broken(reason);
         }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -279,4 +279,32 @@
         world.jobs.get(1).fail(StageFailure.LATE);
         assertThat(world.refusedWith()).isEqualTo(503);
     }
+
+    @Test
+    void aResumedStreamWhoseStagesFailIsBrokenOffAndNotRefused() {
+        List<StageStep> steps = List.of(new StageStep("e", List.of(), 10));
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2, steps));
+        world.request("key", List.of(1));
+        world.jobs.get(0).done();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        world.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+        world.advance(10);
+        assertThat(world.jobs).hasSize(2);
+
+        world.jobs.get(1).fail(StageFailure.LATE);
+        assertThat(world.refusals).isEmpty();
+        assertThat(world.aborted).isTrue();
+    }
+
+    @Test
+    void aRequestThatMayHaveRunIsNeverToldThatItDidNot() {
+        World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2)).request();
+        world.lastSend().listener.onFailure(CallFailure.BROKEN, "reset");
+        world.with(2, World.route(RepeatRule.IDEMPOTENT, false, 2), List.of());
+        world.advance(10);
+
+        assertThat(world.sends).hasSize(1);
+        assertThat(world.refusedWith()).isEqualTo(502);
+    }
 }
