--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/FrontDoorContractTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/FrontDoorContractTest.java
@@ -204,7 +204,7 @@
                         request("briefing", headers("Accept", "text/event-stream"), BODY),
                         HttpResponse.BodyHandlers.ofString());
         awaitCall().answer("encoded");
-        FakeStageClient.Exchange call = fixture.client.last();
+        FakeStageClient.Exchange call = awaitCall(2);
         call.token(0, "a");
         call.token(1, "b");
         call.answer("ab");
@@ -283,7 +283,12 @@
     }
 
     private FakeStageClient.Exchange awaitCall() throws InterruptedException {
-        while (fixture.client.calls.isEmpty()) {
+        return awaitCall(1);
+    }
+
+    /** Waits for the call of a number, counted from 1; it may be made by the server's thread. */
+    private FakeStageClient.Exchange awaitCall(int number) throws InterruptedException {
+        while (fixture.client.calls.size() < number) {
             Thread.sleep(1);
             fixture.scheduler.triggerActions();
         }
