--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -89,6 +89,7 @@
     }
 
     void start() {
+        long expectedMillis = stages.expectedMillis();
         parts.observer()
                 .decided(
                         request.id(),
@@ -97,11 +98,11 @@
                                 .formatted(
                                         route.name(),
                                         rank(),
-                                        stages.expectedMillis(),
+                                        expectedMillis,
                                         deadlineAtMillis - arrivedMillis,
                                         request.promptParts()));
         parts.budget().request(service(), arrivedMillis);
-        if (stages.expectedMillis() > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
+        if (expectedMillis > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
             refuse("the queues are too long for the deadline");
             return;
         }
@@ -261,9 +262,7 @@
     /** The send failed, and the request may have run; tells whether it goes on elsewhere. */
     boolean failed(String reason) {
         mayHaveRun = true;
-        boolean repeatable =
-                route.repeatRule() == RepeatRule.IDEMPOTENT
-                        || route.repeatRule() == RepeatRule.RESUMABLE;
+        boolean repeatable = route.repeatRule() != RepeatRule.AT_MOST_ONCE;
         if (!repeatable || runs >= route.maxAttempts() || !mayRepeat()) {
             return false;
         }
