--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/Hello.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/Hello.java
@@ -5,9 +5,7 @@
 /**
  * A sign of life.
  *
- * @param vmId the VM of the sender
- * @param incarnation distinct for each start of its process, larger for a later one
- * @param leaving whether the sender stops
- * @param knownVmIds the VMs that the sender knows
+ * @param sender the sender's own
+ * @param others what the sender heard of others
  */
-public record Hello(String vmId, long incarnation, boolean leaving, List<String> knownVmIds) {}
+public record Hello(PeerBeat sender, List<PeerBeat> others) {}
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerBeat.java
@@ -0,0 +1,11 @@
+package org.bronzewheel.peering;
+
+/**
+ * The newest sign of life of a router, as another router passes it on.
+ *
+ * @param vmId the VM of the router
+ * @param incarnation distinct for each start of its process, larger for a later one
+ * @param beat a count that grows while the process lives; 0 where the router is only named
+ * @param leaving whether the router stops
+ */
+public record PeerBeat(String vmId, long incarnation, long beat, boolean leaving) {}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
@@ -5,6 +5,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.bronzewheel.loop.Loop;
@@ -24,6 +25,7 @@
     private final SeedMembership membership;
     private final Loop loop;
     private final Supplier<Map<String, List<Long>>> ownBacklogs;
+    private final Supplier<Set<String>> backlogReaders;
     private final BiConsumer<String, List<Long>> onBacklog;
     private List<String> lastLive = List.of();
     private Disposable ticks = Disposable.disposed();
@@ -36,6 +38,7 @@
      * @param loop runs the work
      * @param ownBacklogs the expected waits by rank of the services that this router owns, in
      *     milliseconds
+     * @param backlogReaders the VMs that are to hear of them each time
      * @param onBacklog takes those that other owners tell
      */
     public PeerNetwork(
@@ -43,11 +46,13 @@
             SeedMembership membership,
             Loop loop,
             Supplier<Map<String, List<Long>>> ownBacklogs,
+            Supplier<Set<String>> backlogReaders,
             BiConsumer<String, List<Long>> onBacklog) {
         this.transport = transport;
         this.membership = membership;
         this.loop = loop;
         this.ownBacklogs = ownBacklogs;
+        this.backlogReaders = backlogReaders;
         this.onBacklog = onBacklog;
         transport.listen(
                 Channel.MEMBERSHIP, (from, bytes) -> loop.execute(() -> receive(from, bytes)));
@@ -71,13 +76,8 @@
     }
 
     private void tick() {
-        Hello hello = membership.hello();
-        SeedHello.Builder message =
-                SeedHello.newBuilder()
-                        .setVmId(hello.vmId())
-                        .setIncarnation(hello.incarnation())
-                        .setLeaving(hello.leaving())
-                        .addAllKnownVmIds(hello.knownVmIds());
+        long nowMillis = loop.nowMillis();
+        SeedHello.Builder message = encode(membership.hello(nowMillis));
         ownBacklogs
                 .get()
                 .forEach(
@@ -87,23 +87,56 @@
                                                 .setService(service)
                                                 .addAllWaitMillis(byRank)));
         byte[] bytes = message.build().toByteArray();
-        long nowMillis = loop.nowMillis();
-        for (String target : membership.targets(nowMillis)) {
+        Set<String> targets = membership.targets(nowMillis);
+        targets.addAll(backlogReaders.get());
+        for (String target : targets) {
             transport.send(target, Channel.MEMBERSHIP, bytes);
         }
         logChange(nowMillis);
     }
 
+    static SeedHello.Builder encode(Hello hello) {
+        return SeedHello.newBuilder()
+                .setVmId(hello.sender().vmId())
+                .setIncarnation(hello.sender().incarnation())
+                .setBeat(hello.sender().beat())
+                .setLeaving(hello.sender().leaving())
+                .addAllOthers(hello.others().stream().map(PeerNetwork::encode).toList());
+    }
+
+    private static org.bronzewheel.wire.PeerBeat encode(PeerBeat sign) {
+        return org.bronzewheel.wire.PeerBeat.newBuilder()
+                .setVmId(sign.vmId())
+                .setIncarnation(sign.incarnation())
+                .setBeat(sign.beat())
+                .setLeaving(sign.leaving())
+                .build();
+    }
+
+    static Hello decode(SeedHello message) {
+        PeerBeat sender =
+                new PeerBeat(
+                        message.getVmId(),
+                        message.getIncarnation(),
+                        message.getBeat(),
+                        message.getLeaving());
+        List<PeerBeat> others =
+                message.getOthersList().stream()
+                        .map(
+                                sign ->
+                                        new PeerBeat(
+                                                sign.getVmId(),
+                                                sign.getIncarnation(),
+                                                sign.getBeat(),
+                                                sign.getLeaving()))
+                        .toList();
+        return new Hello(sender, others);
+    }
+
     private void receive(Peer from, byte[] bytes) {
         try {
             SeedHello message = SeedHello.parseFrom(bytes);
-            membership.receive(
-                    new Hello(
-                            message.getVmId(),
-                            message.getIncarnation(),
-                            message.getLeaving(),
-                            message.getKnownVmIdsList()),
-                    loop.nowMillis());
+            membership.receive(decode(message), loop.nowMillis());
             for (StageBacklog backlog : message.getBacklogsList()) {
                 onBacklog.accept(backlog.getService(), backlog.getWaitMillisList());
             }
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerRecord.java
@@ -0,0 +1,74 @@
+package org.bronzewheel.peering;
+
+/** What a router knows of another one. */
+final class PeerRecord {
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final long namedMillis;
+    private long incarnation = Long.MIN_VALUE;
+    private long beat;
+    private long heardMillis = NEVER;
+    private long suspectedMillis = NEVER;
+    private boolean leaving;
+    private boolean news;
+
+    PeerRecord(long namedMillis) {
+        this.namedMillis = namedMillis;
+    }
+
+    /** Takes a sign of life; one that is not newer than the last changes nothing. */
+    void hear(PeerBeat sign, long nowMillis) {
+        boolean newer =
+                sign.incarnation() > incarnation
+                        || (sign.incarnation() == incarnation && sign.beat() > beat);
+        if (newer) {
+            incarnation = sign.incarnation();
+            beat = sign.beat();
+            leaving = sign.leaving();
+            news = true;
+            heardMillis = nowMillis;
+        }
+    }
+
+    /** Books that the router did not answer; it counts as silent until it is heard again. */
+    void suspect(long nowMillis) {
+        suspectedMillis = nowMillis;
+    }
+
+    boolean isSuspected() {
+        return suspectedMillis >= heardMillis;
+    }
+
+    boolean wasHeard() {
+        return heardMillis > NEVER;
+    }
+
+    boolean isLive(long nowMillis, long silenceMillis) {
+        return nowMillis - heardMillis < silenceMillis;
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    /** Returns the time since the router was heard or, where it never was, since it was named. */
+    long silentMillis(long nowMillis) {
+        return nowMillis - Math.max(heardMillis, namedMillis);
+    }
+
+    boolean isNews() {
+        return news;
+    }
+
+    void told() {
+        news = false;
+    }
+
+    PeerBeat sign(String vmId) {
+        return new PeerBeat(vmId, incarnation, beat, leaving);
+    }
+
+    PeerBeat name(String vmId) {
+        return new PeerBeat(vmId, incarnation, 0, leaving);
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
@@ -6,32 +6,59 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.bronzewheel.membership.RendezvousHash;
 
 /**
- * The routers that this router hears, found through a few seeds.
+ * The routers that are heard, found through a few seeds.
  *
- * <p>Each router tells all routers it knows of, and names them to each other. Nothing about safety
- * follows from it: two routers that own the same thing for a while cost work, not correctness.
+ * <p>In a small fleet each router sends its sign of life to all. In a larger one each sends it to a
+ * few, chosen anew each time, and passes on the signs that are news to it; the pause between two
+ * signs of a router grows with the fleet, so that what a router sends stays the same. Nothing about
+ * safety follows from it: two routers that own the same thing for a while cost work, not
+ * correctness.
  */
 public final class SeedMembership {
-    private static final long LIVE_MILLIS = 1_300;
+    /** Routers up to which each sends to all. */
+    private static final int DIRECT_ROUTERS = 12;
+
+    /** Routers to which a sign is sent in a larger fleet; with 5 a sign misses 7 in 1,000. */
+    private static final int FANOUT = 5;
+
+    /** Signs that a message of a larger fleet holds on average. */
+    private static final int SIGNS_PER_MESSAGE = 40;
+
+    /** Messages of which one goes to a router that seems lost, too. */
+    private static final int TICKS_PER_LOST = 8;
+
+    private static final long BEAT_MILLIS = 350;
+    private static final long SILENCE_MILLIS = 1_300;
+
+    /** Signs of a router that may be missed in a larger fleet, and the time that one travels. */
+    private static final int MISSED_SIGNS = 4;
+
+    private static final long TRAVEL_MILLIS = 2_500;
     private static final long FORGET_MILLIS = 15_000;
+    private static final long LOST_MILLIS = 600_000;
     private static final long COUNT_WINDOW_MILLIS = 60_000;
 
     private final String self;
     private final long incarnation;
     private final long startedMillis;
     private final int assumedRouters;
+    private final SplittableRandom random;
+    private final Map<String, PeerRecord> known = new TreeMap<>();
     private Set<String> seeds;
     private boolean leaving;
-    private final Map<String, Heard> heard = new TreeMap<>();
+    private long beat = 1;
+    private long beatMillis;
+    private int present;
+    private boolean isLarge;
     private int largestCount = 1;
     private long largestCountMillis;
 
-    private record Heard(long incarnation, long atMillis, boolean leaving) {}
-
     /**
      * Creates a membership of this router alone.
      *
@@ -39,6 +66,7 @@
      * @param incarnation distinct for each start
      * @param seeds the VMs that are asked first; they may be down
      * @param assumedRouters the number of routers to assume before others had time to answer
+     * @param random chooses who is sent to in a large fleet
      * @param nowMillis the time, in milliseconds of the steady clock
      */
     public SeedMembership(
@@ -46,12 +74,15 @@
             long incarnation,
             Collection<String> seeds,
             int assumedRouters,
+            SplittableRandom random,
             long nowMillis) {
         this.self = self;
         this.incarnation = incarnation;
         this.seeds = new LinkedHashSet<>(seeds);
         this.assumedRouters = assumedRouters;
+        this.random = random;
         this.startedMillis = nowMillis;
+        this.beatMillis = nowMillis;
     }
 
     /**
@@ -66,37 +97,46 @@
     /** Books that this router stops: it owns nothing any more. */
     public void leave() {
         leaving = true;
+        beat++;
     }
 
     /**
-     * Returns what this router says of itself.
+     * Returns what this router tells now: its own sign of life, and in a large fleet what it heard
+     * since the last time.
      *
+     * @param nowMillis the time, in milliseconds of the steady clock
      * @return the message, without what others add to it
      */
-    public Hello hello() {
-        return new Hello(self, incarnation, leaving, List.copyOf(heard.keySet()));
+    public Hello hello(long nowMillis) {
+        forget(nowMillis);
+        if (!isLarge || nowMillis - beatMillis >= beatPeriodMillis()) {
+            beat++;
+            beatMillis = nowMillis;
+        }
+        List<PeerBeat> others = new ArrayList<>();
+        known.forEach(
+                (vmId, peer) -> {
+                    if (!isLarge
+                            && peer.wasHeard()
+                            && peer.silentMillis(nowMillis) < FORGET_MILLIS) {
+                        others.add(peer.name(vmId));
+                    } else if (isLarge && peer.isNews()) {
+                        others.add(peer.sign(vmId));
+                    }
+                    peer.told();
+                });
+        return new Hello(new PeerBeat(self, incarnation, beat, leaving), List.copyOf(others));
     }
 
     /**
-     * Takes what another router says of itself.
+     * Takes what another router tells.
      *
      * @param hello the message
      * @param nowMillis the time, in milliseconds of the steady clock
      */
     public void receive(Hello hello, long nowMillis) {
-        if (hello.vmId().equals(self)) {
-            return;
-        }
-        Heard before = heard.get(hello.vmId());
-        if (before != null && before.incarnation() > hello.incarnation()) {
-            return;
-        }
-        heard.put(hello.vmId(), new Heard(hello.incarnation(), nowMillis, hello.leaving()));
-        for (String vmId : hello.knownVmIds()) {
-            if (!vmId.equals(self)) {
-                heard.putIfAbsent(vmId, new Heard(Long.MIN_VALUE, Long.MIN_VALUE / 2, false));
-            }
-        }
+        hear(hello.sender(), nowMillis);
+        hello.others().forEach(sign -> hear(sign, nowMillis));
         int count = live(nowMillis).size();
         if (count >= largestCount || nowMillis - largestCountMillis > COUNT_WINDOW_MILLIS) {
             largestCount = count;
@@ -104,22 +144,76 @@
         }
     }
 
+    private void hear(PeerBeat sign, long nowMillis) {
+        if (sign.vmId().equals(self)) {
+            return;
+        }
+        PeerRecord peer = known.get(sign.vmId());
+        if (peer == null) {
+            peer = new PeerRecord(nowMillis);
+            known.put(sign.vmId(), peer);
+            count(nowMillis);
+        }
+        if (sign.beat() > 0) {
+            peer.hear(sign, nowMillis);
+        }
+    }
+
+    /** Drops routers that were only named and never heard, and after a long time the lost ones. */
+    private void forget(long nowMillis) {
+        known.values()
+                .removeIf(
+                        peer ->
+                                peer.silentMillis(nowMillis)
+                                        > (peer.wasHeard() ? LOST_MILLIS : FORGET_MILLIS));
+        count(nowMillis);
+    }
+
+    private void count(long nowMillis) {
+        long forgetMillis = forgetMillis();
+        present = idsOf(peer -> peer.silentMillis(nowMillis) < forgetMillis).size();
+        isLarge = present >= DIRECT_ROUTERS;
+    }
+
     /**
-     * Returns the routers to send the own message to.
+     * Returns the routers to send the own message to: in a small fleet the seeds and all routers
+     * that may live, in a large one a few of them; besides, one that seems lost, so that the parts
+     * of a fleet that was cut find each other again.
      *
      * @param nowMillis the time, in milliseconds of the steady clock
      * @return their VMs, without this router
      */
-    public List<String> targets(long nowMillis) {
-        heard.values()
-                .removeIf(
-                        h ->
-                                h.atMillis() > Long.MIN_VALUE / 2
-                                        && nowMillis - h.atMillis() > FORGET_MILLIS);
-        Set<String> targets = new LinkedHashSet<>(seeds);
-        targets.addAll(heard.keySet());
+    public Set<String> targets(long nowMillis) {
+        Set<String> targets = new LinkedHashSet<>();
+        long forgetMillis = forgetMillis();
+        List<String> lost = idsOf(peer -> peer.silentMillis(nowMillis) >= forgetMillis);
+        if (isLarge) {
+            List<String> live = live(nowMillis);
+            seeds.stream().filter(seed -> !live.contains(seed)).forEach(lost::add);
+            live.remove(self);
+            for (int i = 0; i < FANOUT && !live.isEmpty(); i++) {
+                targets.add(live.remove(random.nextInt(live.size())));
+            }
+        } else {
+            targets.addAll(seeds);
+            targets.addAll(idsOf(peer -> peer.silentMillis(nowMillis) < FORGET_MILLIS));
+        }
+        if (!lost.isEmpty() && random.nextInt(TICKS_PER_LOST) == 0) {
+            targets.add(lost.get(random.nextInt(lost.size())));
+        }
         targets.remove(self);
-        return List.copyOf(targets);
+        return targets;
+    }
+
+    private List<String> idsOf(Predicate<PeerRecord> condition) {
+        List<String> ids = new ArrayList<>();
+        known.forEach(
+                (vmId, peer) -> {
+                    if (condition.test(peer)) {
+                        ids.add(vmId);
+                    }
+                });
+        return ids;
     }
 
     /**
@@ -129,17 +223,25 @@
      * @return their VMs, this router included, leaving ones too
      */
     public List<String> live(long nowMillis) {
-        List<String> live = new ArrayList<>();
-        live.add(self);
-        heard.forEach(
-                (vmId, h) -> {
-                    if (isLive(h, nowMillis)) {
-                        live.add(vmId);
-                    }
-                });
+        long silenceMillis = silenceMillis();
+        List<String> live = idsOf(peer -> peer.isLive(nowMillis, silenceMillis));
+        live.add(0, self);
         return live;
     }
 
+    /**
+     * Books that a router did not answer: it owns nothing until it is heard again.
+     *
+     * @param vmId the VM of the router
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    public void suspect(String vmId, long nowMillis) {
+        PeerRecord peer = known.get(vmId);
+        if (peer != null) {
+            peer.suspect(nowMillis);
+        }
+    }
+
     /**
      * Returns the router that owns something.
      *
@@ -152,12 +254,15 @@
         String owner = self;
         long best = leaving ? Long.MIN_VALUE : RendezvousHash.score(thing, self);
         boolean own = !leaving;
-        for (Map.Entry<String, Heard> entry : heard.entrySet()) {
+        long silenceMillis = silenceMillis();
+        for (Map.Entry<String, PeerRecord> entry : known.entrySet()) {
+            PeerRecord peer = entry.getValue();
             boolean able =
-                    isLive(entry.getValue(), nowMillis)
-                            && !entry.getValue().leaving()
+                    peer.isLive(nowMillis, silenceMillis)
+                            && !peer.isSuspected()
+                            && !peer.isLeaving()
                             && !excluded.contains(entry.getKey());
-            long score = RendezvousHash.score(thing, entry.getKey());
+            long score = able ? RendezvousHash.score(thing, entry.getKey()) : 0;
             if (able && (!own || Long.compareUnsigned(score, best) > 0)) {
                 own = true;
                 best = score;
@@ -174,11 +279,21 @@
      * @return the largest number known lately; a cautious one just after the start
      */
     public int routers(long nowMillis) {
-        boolean young = nowMillis - startedMillis < LIVE_MILLIS * 3;
+        boolean young = nowMillis - startedMillis < SILENCE_MILLIS * 3;
         return Math.max(young ? assumedRouters : 1, largestCount);
     }
 
-    private static boolean isLive(Heard heard, long nowMillis) {
-        return nowMillis - heard.atMillis() < LIVE_MILLIS;
+    private long beatPeriodMillis() {
+        return isLarge
+                ? Math.max(BEAT_MILLIS, BEAT_MILLIS * present / SIGNS_PER_MESSAGE)
+                : BEAT_MILLIS;
+    }
+
+    private long silenceMillis() {
+        return isLarge ? MISSED_SIGNS * beatPeriodMillis() + TRAVEL_MILLIS : SILENCE_MILLIS;
+    }
+
+    private long forgetMillis() {
+        return Math.max(FORGET_MILLIS, 2 * silenceMillis());
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -17,6 +17,7 @@
 import org.bronzewheel.peering.SeedMembership;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.transport.Channel;
+import org.bronzewheel.transport.Peer;
 import org.bronzewheel.transport.PeerTransport;
 import org.bronzewheel.wire.StageCancel;
 import org.bronzewheel.wire.StageFrame;
@@ -32,6 +33,7 @@
     private static final int MOST_OWNERS = 3;
     private static final int TOLD_RANKS = 4;
     private static final int TICKS_PER_LOG = 10;
+    private static final long SUBMITTER_MILLIS = 5_000;
 
     /** Creates the dispatcher of a service, which gives up the inputs that its upstreams read. */
     interface DispatcherFactory {
@@ -46,6 +48,7 @@
     private final Map<String, StageDispatcher> dispatchers = new HashMap<>();
     private final Set<RemoteJob> remoteJobs = new HashSet<>();
     private final Map<String, List<Long>> toldWaits = new HashMap<>();
+    private final Map<String, Long> submitterMillis = new HashMap<>();
     private int ticks;
 
     SharedStages(
@@ -62,7 +65,7 @@
         transport.serve(
                 Channel.STAGE,
                 (from, bytes) ->
-                        Single.create(emitter -> loop.execute(() -> serve(bytes, emitter))));
+                        Single.create(emitter -> loop.execute(() -> serve(from, bytes, emitter))));
         transport.listen(Channel.STAGE, (from, bytes) -> loop.execute(() -> receive(bytes)));
     }
 
@@ -134,6 +137,18 @@
         return waits;
     }
 
+    /**
+     * Returns the routers that lately submitted jobs to this one.
+     *
+     * @return their VMs
+     */
+    public Set<String> submitters() {
+        submitterMillis
+                .values()
+                .removeIf(atMillis -> loop.nowMillis() - atMillis > SUBMITTER_MILLIS);
+        return Set.copyOf(submitterMillis.keySet());
+    }
+
     /**
      * Takes the expected waits that the owner of a service tells.
      *
@@ -186,7 +201,8 @@
         }
     }
 
-    private void serve(byte[] bytes, SingleEmitter<byte[]> emitter) {
+    private void serve(Peer from, byte[] bytes, SingleEmitter<byte[]> emitter) {
+        submitterMillis.put(from.vmId(), loop.nowMillis());
         StageFrame frame;
         try {
             frame = StageFrame.parseFrom(bytes);
@@ -284,6 +300,9 @@
 
         private void failed(String asked, Throwable error) {
             if (asked.equals(owner)) {
+                if (loop.nowMillis() < job.deadlineAtMillis()) {
+                    membership.suspect(asked, loop.nowMillis());
+                }
                 ownerLost(error.getMessage());
             }
         }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
@@ -33,9 +33,8 @@
   }
   private SeedHello() {
     vmId_ = "";
-    knownVmIds_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
     backlogs_ = java.util.Collections.emptyList();
+    others_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -117,43 +116,6 @@
     return leaving_;
   }
 
-  public static final int KNOWN_VM_IDS_FIELD_NUMBER = 4;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.LazyStringArrayList knownVmIds_ =
-      com.google.protobuf.LazyStringArrayList.emptyList();
-  /**
-   * <code>repeated string known_vm_ids = 4;</code>
-   * @return A list containing the knownVmIds.
-   */
-  public com.google.protobuf.ProtocolStringList
-      getKnownVmIdsList() {
-    return knownVmIds_;
-  }
-  /**
-   * <code>repeated string known_vm_ids = 4;</code>
-   * @return The count of knownVmIds.
-   */
-  public int getKnownVmIdsCount() {
-    return knownVmIds_.size();
-  }
-  /**
-   * <code>repeated string known_vm_ids = 4;</code>
-   * @param index The index of the element to return.
-   * @return The knownVmIds at the given index.
-   */
-  public java.lang.String getKnownVmIds(int index) {
-    return knownVmIds_.get(index);
-  }
-  /**
-   * <code>repeated string known_vm_ids = 4;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the knownVmIds at the given index.
-   */
-  public com.google.protobuf.ByteString
-      getKnownVmIdsBytes(int index) {
-    return knownVmIds_.getByteString(index);
-  }
-
   public static final int BACKLOGS_FIELD_NUMBER = 5;
   @SuppressWarnings("serial")
   private java.util.List<org.bronzewheel.wire.StageBacklog> backlogs_;
@@ -195,6 +157,82 @@
     return backlogs_.get(index);
   }
 
+  public static final int BEAT_FIELD_NUMBER = 6;
+  private long beat_ = 0L;
+  /**
+   * <pre>
+   * Grows while the process lives.
+   * </pre>
+   *
+   * <code>int64 beat = 6;</code>
+   * @return The beat.
+   */
+  @java.lang.Override
+  public long getBeat() {
+    return beat_;
+  }
+
+  public static final int OTHERS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bronzewheel.wire.PeerBeat> others_;
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bronzewheel.wire.PeerBeat> getOthersList() {
+    return others_;
+  }
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bronzewheel.wire.PeerBeatOrBuilder> 
+      getOthersOrBuilderList() {
+    return others_;
+  }
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  @java.lang.Override
+  public int getOthersCount() {
+    return others_.size();
+  }
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  @java.lang.Override
+  public org.bronzewheel.wire.PeerBeat getOthers(int index) {
+    return others_.get(index);
+  }
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  @java.lang.Override
+  public org.bronzewheel.wire.PeerBeatOrBuilder getOthersOrBuilder(
+      int index) {
+    return others_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -218,12 +256,15 @@
     if (leaving_ != false) {
       output.writeBool(3, leaving_);
     }
-    for (int i = 0; i < knownVmIds_.size(); i++) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 4, knownVmIds_.getRaw(i));
-    }
     for (int i = 0; i < backlogs_.size(); i++) {
       output.writeMessage(5, backlogs_.get(i));
     }
+    if (beat_ != 0L) {
+      output.writeInt64(6, beat_);
+    }
+    for (int i = 0; i < others_.size(); i++) {
+      output.writeMessage(7, others_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -239,14 +280,6 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, leaving_);
     }
-    {
-      int dataSize = 0;
-      for (int i = 0; i < knownVmIds_.size(); i++) {
-        dataSize += computeStringSizeNoTag(knownVmIds_.getRaw(i));
-      }
-      size += dataSize;
-      size += 1 * getKnownVmIdsList().size();
-    }
 
         {
           final int count = backlogs_.size();
@@ -256,6 +289,19 @@
           }
           size += 1 * count;
         }
+    if (beat_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, beat_);
+    }
+
+        {
+          final int count = others_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(others_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -286,10 +332,12 @@
         != other.getIncarnation()) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
-    if (!getKnownVmIdsList()
-        .equals(other.getKnownVmIdsList())) return false;
     if (!getBacklogsList()
         .equals(other.getBacklogsList())) return false;
+    if (getBeat()
+        != other.getBeat()) return false;
+    if (!getOthersList()
+        .equals(other.getOthersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -309,14 +357,17 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
-    if (getKnownVmIdsCount() > 0) {
-      hash = (37 * hash) + KNOWN_VM_IDS_FIELD_NUMBER;
-      hash = (53 * hash) + getKnownVmIdsList().hashCode();
-    }
     if (getBacklogsCount() > 0) {
       hash = (37 * hash) + BACKLOGS_FIELD_NUMBER;
       hash = (53 * hash) + getBacklogsList().hashCode();
     }
+    hash = (37 * hash) + BEAT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBeat());
+    if (getOthersCount() > 0) {
+      hash = (37 * hash) + OTHERS_FIELD_NUMBER;
+      hash = (53 * hash) + getOthersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -455,15 +506,21 @@
       vmId_ = "";
       incarnation_ = 0L;
       leaving_ = false;
-      knownVmIds_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
       if (backlogsBuilder_ == null) {
         backlogs_ = java.util.Collections.emptyList();
       } else {
         backlogs_ = null;
         backlogsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000008);
+      beat_ = 0L;
+      if (othersBuilder_ == null) {
+        others_ = java.util.Collections.emptyList();
+      } else {
+        others_ = null;
+        othersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -498,14 +555,23 @@
 
     private void buildPartialRepeatedFields(org.bronzewheel.wire.SeedHello result) {
       if (backlogsBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0)) {
+        if (((bitField0_ & 0x00000008) != 0)) {
           backlogs_ = java.util.Collections.unmodifiableList(backlogs_);
-          bitField0_ = (bitField0_ & ~0x00000010);
+          bitField0_ = (bitField0_ & ~0x00000008);
         }
         result.backlogs_ = backlogs_;
       } else {
         result.backlogs_ = backlogsBuilder_.build();
       }
+      if (othersBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          others_ = java.util.Collections.unmodifiableList(others_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.others_ = others_;
+      } else {
+        result.others_ = othersBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.bronzewheel.wire.SeedHello result) {
@@ -519,9 +585,8 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.leaving_ = leaving_;
       }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        knownVmIds_.makeImmutable();
-        result.knownVmIds_ = knownVmIds_;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.beat_ = beat_;
       }
     }
 
@@ -548,21 +613,11 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
-      if (!other.knownVmIds_.isEmpty()) {
-        if (knownVmIds_.isEmpty()) {
-          knownVmIds_ = other.knownVmIds_;
-          bitField0_ |= 0x00000008;
-        } else {
-          ensureKnownVmIdsIsMutable();
-          knownVmIds_.addAll(other.knownVmIds_);
-        }
-        onChanged();
-      }
       if (backlogsBuilder_ == null) {
         if (!other.backlogs_.isEmpty()) {
           if (backlogs_.isEmpty()) {
             backlogs_ = other.backlogs_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000008);
           } else {
             ensureBacklogsIsMutable();
             backlogs_.addAll(other.backlogs_);
@@ -575,7 +630,7 @@
             backlogsBuilder_.dispose();
             backlogsBuilder_ = null;
             backlogs_ = other.backlogs_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000008);
             backlogsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetBacklogsFieldBuilder() : null;
@@ -584,6 +639,35 @@
           }
         }
       }
+      if (other.getBeat() != 0L) {
+        setBeat(other.getBeat());
+      }
+      if (othersBuilder_ == null) {
+        if (!other.others_.isEmpty()) {
+          if (others_.isEmpty()) {
+            others_ = other.others_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureOthersIsMutable();
+            others_.addAll(other.others_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.others_.isEmpty()) {
+          if (othersBuilder_.isEmpty()) {
+            othersBuilder_.dispose();
+            othersBuilder_ = null;
+            others_ = other.others_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            othersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetOthersFieldBuilder() : null;
+          } else {
+            othersBuilder_.addAllMessages(other.others_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -623,11 +707,6 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
-            case 34: {
-              ensureKnownVmIdsIsMutable();
-              knownVmIds_.add(input.readStringRequireUtf8());
-              break;
-            } // case 34
             case 42: {
               org.bronzewheel.wire.StageBacklog m =
                   input.readMessage(
@@ -641,6 +720,24 @@
               }
               break;
             } // case 42
+            case 48: {
+              beat_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 48
+            case 58: {
+              org.bronzewheel.wire.PeerBeat m =
+                  input.readMessage(
+                      org.bronzewheel.wire.PeerBeat.parser(),
+                      extensionRegistry);
+              if (othersBuilder_ == null) {
+                ensureOthersIsMutable();
+                others_.add(m);
+              } else {
+                othersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -794,123 +891,12 @@
       return this;
     }
 
-    private com.google.protobuf.LazyStringArrayList knownVmIds_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-    private void ensureKnownVmIdsIsMutable() {
-      if (!knownVmIds_.isModifiable()) {
-        knownVmIds_ = new com.google.protobuf.LazyStringArrayList(knownVmIds_);
-      }
-      bitField0_ |= 0x00000008;
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @return A list containing the knownVmIds.
-     */
-    public com.google.protobuf.ProtocolStringList
-        getKnownVmIdsList() {
-      knownVmIds_.makeImmutable();
-      return knownVmIds_;
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @return The count of knownVmIds.
-     */
-    public int getKnownVmIdsCount() {
-      return knownVmIds_.size();
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @param index The index of the element to return.
-     * @return The knownVmIds at the given index.
-     */
-    public java.lang.String getKnownVmIds(int index) {
-      return knownVmIds_.get(index);
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @param index The index of the value to return.
-     * @return The bytes of the knownVmIds at the given index.
-     */
-    public com.google.protobuf.ByteString
-        getKnownVmIdsBytes(int index) {
-      return knownVmIds_.getByteString(index);
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @param index The index to set the value at.
-     * @param value The knownVmIds to set.
-     * @return This builder for chaining.
-     */
-    public Builder setKnownVmIds(
-        int index, java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      ensureKnownVmIdsIsMutable();
-      knownVmIds_.set(index, value);
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @param value The knownVmIds to add.
-     * @return This builder for chaining.
-     */
-    public Builder addKnownVmIds(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      ensureKnownVmIdsIsMutable();
-      knownVmIds_.add(value);
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @param values The knownVmIds to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllKnownVmIds(
-        java.lang.Iterable<java.lang.String> values) {
-      ensureKnownVmIdsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, knownVmIds_);
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearKnownVmIds() {
-      knownVmIds_ =
-        com.google.protobuf.LazyStringArrayList.emptyList();
-      bitField0_ = (bitField0_ & ~0x00000008);;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated string known_vm_ids = 4;</code>
-     * @param value The bytes of the knownVmIds to add.
-     * @return This builder for chaining.
-     */
-    public Builder addKnownVmIdsBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      ensureKnownVmIdsIsMutable();
-      knownVmIds_.add(value);
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-
     private java.util.List<org.bronzewheel.wire.StageBacklog> backlogs_ =
       java.util.Collections.emptyList();
     private void ensureBacklogsIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
+      if (!((bitField0_ & 0x00000008) != 0)) {
         backlogs_ = new java.util.ArrayList<org.bronzewheel.wire.StageBacklog>(backlogs_);
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000008;
        }
     }
 
@@ -1054,7 +1040,7 @@
     public Builder clearBacklogs() {
       if (backlogsBuilder_ == null) {
         backlogs_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000008);
         onChanged();
       } else {
         backlogsBuilder_.clear();
@@ -1131,7 +1117,7 @@
         backlogsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             org.bronzewheel.wire.StageBacklog, org.bronzewheel.wire.StageBacklog.Builder, org.bronzewheel.wire.StageBacklogOrBuilder>(
                 backlogs_,
-                ((bitField0_ & 0x00000010) != 0),
+                ((bitField0_ & 0x00000008) != 0),
                 getParentForChildren(),
                 isClean());
         backlogs_ = null;
@@ -1139,6 +1125,356 @@
       return backlogsBuilder_;
     }
 
+    private long beat_ ;
+    /**
+     * <pre>
+     * Grows while the process lives.
+     * </pre>
+     *
+     * <code>int64 beat = 6;</code>
+     * @return The beat.
+     */
+    @java.lang.Override
+    public long getBeat() {
+      return beat_;
+    }
+    /**
+     * <pre>
+     * Grows while the process lives.
+     * </pre>
+     *
+     * <code>int64 beat = 6;</code>
+     * @param value The beat to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBeat(long value) {
+
+      beat_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Grows while the process lives.
+     * </pre>
+     *
+     * <code>int64 beat = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBeat() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      beat_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.bronzewheel.wire.PeerBeat> others_ =
+      java.util.Collections.emptyList();
+    private void ensureOthersIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        others_ = new java.util.ArrayList<org.bronzewheel.wire.PeerBeat>(others_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.bronzewheel.wire.PeerBeat, org.bronzewheel.wire.PeerBeat.Builder, org.bronzewheel.wire.PeerBeatOrBuilder> othersBuilder_;
+
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public java.util.List<org.bronzewheel.wire.PeerBeat> getOthersList() {
+      if (othersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(others_);
+      } else {
+        return othersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public int getOthersCount() {
+      if (othersBuilder_ == null) {
+        return others_.size();
+      } else {
+        return othersBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public org.bronzewheel.wire.PeerBeat getOthers(int index) {
+      if (othersBuilder_ == null) {
+        return others_.get(index);
+      } else {
+        return othersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder setOthers(
+        int index, org.bronzewheel.wire.PeerBeat value) {
+      if (othersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureOthersIsMutable();
+        others_.set(index, value);
+        onChanged();
+      } else {
+        othersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder setOthers(
+        int index, org.bronzewheel.wire.PeerBeat.Builder builderForValue) {
+      if (othersBuilder_ == null) {
+        ensureOthersIsMutable();
+        others_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        othersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder addOthers(org.bronzewheel.wire.PeerBeat value) {
+      if (othersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureOthersIsMutable();
+        others_.add(value);
+        onChanged();
+      } else {
+        othersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder addOthers(
+        int index, org.bronzewheel.wire.PeerBeat value) {
+      if (othersBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureOthersIsMutable();
+        others_.add(index, value);
+        onChanged();
+      } else {
+        othersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder addOthers(
+        org.bronzewheel.wire.PeerBeat.Builder builderForValue) {
+      if (othersBuilder_ == null) {
+        ensureOthersIsMutable();
+        others_.add(builderForValue.build());
+        onChanged();
+      } else {
+        othersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder addOthers(
+        int index, org.bronzewheel.wire.PeerBeat.Builder builderForValue) {
+      if (othersBuilder_ == null) {
+        ensureOthersIsMutable();
+        others_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        othersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder addAllOthers(
+        java.lang.Iterable<? extends org.bronzewheel.wire.PeerBeat> values) {
+      if (othersBuilder_ == null) {
+        ensureOthersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, others_);
+        onChanged();
+      } else {
+        othersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder clearOthers() {
+      if (othersBuilder_ == null) {
+        others_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        othersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public Builder removeOthers(int index) {
+      if (othersBuilder_ == null) {
+        ensureOthersIsMutable();
+        others_.remove(index);
+        onChanged();
+      } else {
+        othersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public org.bronzewheel.wire.PeerBeat.Builder getOthersBuilder(
+        int index) {
+      return internalGetOthersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public org.bronzewheel.wire.PeerBeatOrBuilder getOthersOrBuilder(
+        int index) {
+      if (othersBuilder_ == null) {
+        return others_.get(index);  } else {
+        return othersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public java.util.List<? extends org.bronzewheel.wire.PeerBeatOrBuilder> 
+         getOthersOrBuilderList() {
+      if (othersBuilder_ != null) {
+        return othersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(others_);
+      }
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public org.bronzewheel.wire.PeerBeat.Builder addOthersBuilder() {
+      return internalGetOthersFieldBuilder().addBuilder(
+          org.bronzewheel.wire.PeerBeat.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public org.bronzewheel.wire.PeerBeat.Builder addOthersBuilder(
+        int index) {
+      return internalGetOthersFieldBuilder().addBuilder(
+          index, org.bronzewheel.wire.PeerBeat.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What the sender heard of others.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+     */
+    public java.util.List<org.bronzewheel.wire.PeerBeat.Builder> 
+         getOthersBuilderList() {
+      return internalGetOthersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.bronzewheel.wire.PeerBeat, org.bronzewheel.wire.PeerBeat.Builder, org.bronzewheel.wire.PeerBeatOrBuilder> 
+        internalGetOthersFieldBuilder() {
+      if (othersBuilder_ == null) {
+        othersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.bronzewheel.wire.PeerBeat, org.bronzewheel.wire.PeerBeat.Builder, org.bronzewheel.wire.PeerBeatOrBuilder>(
+                others_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        others_ = null;
+      }
+      return othersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.SeedHello)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
@@ -34,31 +34,6 @@
    */
   boolean getLeaving();
 
-  /**
-   * <code>repeated string known_vm_ids = 4;</code>
-   * @return A list containing the knownVmIds.
-   */
-  java.util.List<java.lang.String>
-      getKnownVmIdsList();
-  /**
-   * <code>repeated string known_vm_ids = 4;</code>
-   * @return The count of knownVmIds.
-   */
-  int getKnownVmIdsCount();
-  /**
-   * <code>repeated string known_vm_ids = 4;</code>
-   * @param index The index of the element to return.
-   * @return The knownVmIds at the given index.
-   */
-  java.lang.String getKnownVmIds(int index);
-  /**
-   * <code>repeated string known_vm_ids = 4;</code>
-   * @param index The index of the value to return.
-   * @return The bytes of the knownVmIds at the given index.
-   */
-  com.google.protobuf.ByteString
-      getKnownVmIdsBytes(int index);
-
   /**
    * <code>repeated .bronzewheel.wire.StageBacklog backlogs = 5;</code>
    */
@@ -82,4 +57,58 @@
    */
   org.bronzewheel.wire.StageBacklogOrBuilder getBacklogsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Grows while the process lives.
+   * </pre>
+   *
+   * <code>int64 beat = 6;</code>
+   * @return The beat.
+   */
+  long getBeat();
+
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  java.util.List<org.bronzewheel.wire.PeerBeat> 
+      getOthersList();
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  org.bronzewheel.wire.PeerBeat getOthers(int index);
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  int getOthersCount();
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  java.util.List<? extends org.bronzewheel.wire.PeerBeatOrBuilder> 
+      getOthersOrBuilderList();
+  /**
+   * <pre>
+   * What the sender heard of others.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.PeerBeat others = 7;</code>
+   */
+  org.bronzewheel.wire.PeerBeatOrBuilder getOthersOrBuilder(
+      int index);
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bronzewheel_wire_PeerBeat_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bronzewheel_wire_PeerBeat_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bronzewheel_wire_StageBacklog_descriptor;
   static final 
@@ -75,32 +80,35 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rserving.proto\022\020bronzewheel.wire\"\210\001\n\tSe" +
+      "\n\rserving.proto\022\020bronzewheel.wire\"\262\001\n\tSe" +
       "edHello\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
-      "\001(\003\022\017\n\007leaving\030\003 \001(\010\022\024\n\014known_vm_ids\030\004 \003" +
-      "(\t\0220\n\010backlogs\030\005 \003(\0132\036.bronzewheel.wire." +
-      "StageBacklog\"4\n\014StageBacklog\022\017\n\007service\030" +
-      "\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\"\247\001\n\nStageFram" +
-      "e\022-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.StageJ" +
-      "obCallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel." +
-      "wire.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.br" +
-      "onzewheel.wire.StageCancelH\000B\006\n\004body\"\235\002\n" +
-      "\014StageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005sta" +
-      "ge\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(" +
-      "\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzew" +
-      "heel.wire.StageHandle\022\024\n\014result_bytes\030\007 " +
-      "\001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_mill" +
-      "is\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022\024" +
-      "\n\014later_millis\030\013 \001(\003\022\026\n\016failure_domain\030\014" +
-      " \001(\t\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001(\t\022." +
-      "\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Stage" +
-      "Handle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010m" +
-      "aker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n" +
-      "\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRe" +
-      "lease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132" +
-      "\035.bronzewheel.wire.StageHandle\"2\n\013StageC" +
-      "ancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 \001" +
-      "(\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
+      "\001(\003\022\017\n\007leaving\030\003 \001(\010\0220\n\010backlogs\030\005 \003(\0132\036" +
+      ".bronzewheel.wire.StageBacklog\022\014\n\004beat\030\006" +
+      " \001(\003\022*\n\006others\030\007 \003(\0132\032.bronzewheel.wire." +
+      "PeerBeatJ\004\010\004\020\005\"M\n\010PeerBeat\022\r\n\005vm_id\030\001 \001(" +
+      "\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\017\n\007" +
+      "leaving\030\004 \001(\010\"4\n\014StageBacklog\022\017\n\007service" +
+      "\030\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\"\247\001\n\nStageFra" +
+      "me\022-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.Stage" +
+      "JobCallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel" +
+      ".wire.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.b" +
+      "ronzewheel.wire.StageCancelH\000B\006\n\004body\"\235\002" +
+      "\n\014StageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005st" +
+      "age\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001" +
+      "(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronze" +
+      "wheel.wire.StageHandle\022\024\n\014result_bytes\030\007" +
+      " \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_mil" +
+      "lis\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022" +
+      "\024\n\014later_millis\030\013 \001(\003\022\026\n\016failure_domain\030" +
+      "\014 \001(\t\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001(\t\022" +
+      ".\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Stag" +
+      "eHandle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010" +
+      "maker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r" +
+      "\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageR" +
+      "elease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\013" +
+      "2\035.bronzewheel.wire.StageHandle\"2\n\013Stage" +
+      "Cancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 " +
+      "\001(\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -111,45 +119,51 @@
     internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_SeedHello_descriptor,
-        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "KnownVmIds", "Backlogs", });
-    internal_static_bronzewheel_wire_StageBacklog_descriptor =
+        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", });
+    internal_static_bronzewheel_wire_PeerBeat_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_bronzewheel_wire_PeerBeat_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bronzewheel_wire_PeerBeat_descriptor,
+        new java.lang.String[] { "VmId", "Incarnation", "Beat", "Leaving", });
+    internal_static_bronzewheel_wire_StageBacklog_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_bronzewheel_wire_StageBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageBacklog_descriptor,
         new java.lang.String[] { "Service", "WaitMillis", });
     internal_static_bronzewheel_wire_StageFrame_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_bronzewheel_wire_StageFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageFrame_descriptor,
         new java.lang.String[] { "Job", "Release", "Cancel", "Body", });
     internal_static_bronzewheel_wire_StageJobCall_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_bronzewheel_wire_StageJobCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageJobCall_descriptor,
         new java.lang.String[] { "RequestId", "Stage", "Service", "Pieces", "Key", "Inputs", "ResultBytes", "Rank", "ObjectiveLeftMillis", "DeadlineLeftMillis", "LaterMillis", "FailureDomain", });
     internal_static_bronzewheel_wire_StageJobReply_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_bronzewheel_wire_StageJobReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageJobReply_descriptor,
         new java.lang.String[] { "Failure", "Handles", });
     internal_static_bronzewheel_wire_StageHandle_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_bronzewheel_wire_StageHandle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageHandle_descriptor,
         new java.lang.String[] { "Text", "MakerId", "FailureDomain", "Bytes", "Service", });
     internal_static_bronzewheel_wire_StageRelease_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_bronzewheel_wire_StageRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageRelease_descriptor,
         new java.lang.String[] { "Service", "Handles", });
     internal_static_bronzewheel_wire_StageCancel_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_bronzewheel_wire_StageCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageCancel_descriptor,
