Keep a router's connections within its share of the cap; read changes in groups

Changes are now read with one question each 250 ms, which the bounds on configuration and leaving upstreams (2 s) leave room for.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -28,6 +28,10 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long WAIT_MILLIS = 1_300;
     private static final long FIRST_PAUSE_MILLIS = 60;
+
+    /** Changes come in groups; those of a group are read with one question. */
+    private static final long GROUP_MILLIS = 250;
+
     private static final long LONGEST_PAUSE_MILLIS = 700;
 
     private final PublishedSource source;
@@ -114,7 +118,11 @@
             batch.changes().forEach(change -> takeChange(change, nowMillis));
         }
         catalog.current().ifPresent(current -> catalog.confirm(current.version(), sentAt));
-        ask();
+        if (snapshot || batch.changes().isEmpty()) {
+            ask();
+        } else {
+            step = loop.after(GROUP_MILLIS, this::ask);
+        }
     }
 
     private void takeSnapshot(PublishedBatch batch, long nowMillis) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -27,7 +27,7 @@
     private static final long REJECTION_PAUSE_MILLIS = 40;
     private static final long RETRY_AFTER_MILLIS = 250;
     private static final int JITTER_MILLIS = 400;
-    private static final int LEAST_CONNECTIONS = 2;
+    private static final int LEAST_CONNECTIONS = 1;
     private static final int CONFLICT = 409;
 
     /** In place of a status: no byte was handed to a connection. */
@@ -224,7 +224,8 @@
                         engine ? Optional.of(Math.min(9, 1 + 2 * rank())) : Optional.empty(),
                         stages.handles(),
                         relay.resumePoint(),
-                        route.repeatRule() == RepeatRule.IDEMPOTENT);
+                        route.repeatRule() == RepeatRule.IDEMPOTENT,
+                        connectionShare(service));
         parts.observer()
                 .decided(
                         request.id(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamCall.java
@@ -15,6 +15,7 @@
  * @param inputs the handles of stage results
  * @param resumeAfter the last event that the caller has
  * @param reusesConnection whether a kept connection is safe enough
+ * @param mostConnections the connections to the upstream that this router may have
  */
 public record UpstreamCall(
         UpstreamEntry target,
@@ -24,4 +25,5 @@
         Optional<Integer> urgency,
         List<String> inputs,
         Optional<Long> resumeAfter,
-        boolean reusesConnection) {}
+        boolean reusesConnection,
+        int mostConnections) {}
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -84,9 +84,23 @@
 
         assertThat(catalog.current().get().version()).isEqualTo(2);
         assertThat(upstreams.serving("s")).hasSize(1);
+        advance(250);
         assertThat(waits).hasSize(2);
     }
 
+    @Test
+    void changesThatComeOneAfterTheOtherAreReadInGroups() {
+        answer(snapshots, 5, version(1));
+        for (int i = 0; i < 20; i++) {
+            if (waits.get(waits.size() - 1).hasValue()) {
+                advance(50);
+            } else {
+                answer(waits, 6 + i, upstream("u" + i));
+            }
+        }
+        assertThat(waits.size()).isAtMost(5);
+    }
+
     @Test
     void evidenceIsAsOldAsItsQuestion() {
         answer(snapshots, 5, version(1));
