Read the platform by one router for 16 in fleets of more than 24

Its answers carry the age of the platform's word; the asker adds the time since it asked, so evidence is never younger than it is. Word that came through a router is not passed on again: a chain would cost time, and a circle would keep a revoked key alive.

Mutants caught by RelayedPublicationTest: the age left out; relayed word passed on.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/Channel.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/Channel.java
@@ -17,7 +17,9 @@
     /** Requests forwarded to the router that holds them. */
     REQUEST(7),
     /** Stage work that is handed to the owner of a service's upstreams. */
-    STAGE(8);
+    STAGE(8),
+    /** What the platform publishes, passed on by the routers that read it. */
+    PUBLISHED(9);
 
     private final int number;
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Catalog.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Catalog.java
@@ -12,6 +12,7 @@
 public final class Catalog {
     private final long version;
     private final List<ServiceRoute> routes;
+    private final List<WorkspaceEntry> workspaces;
     private final CallerLimits limits;
     private final Map<String, List<ServiceRoute>> routesByHost = new HashMap<>();
     private final Map<String, ServiceEntry> services = new HashMap<>();
@@ -35,6 +36,7 @@
             CallerLimits limits) {
         this.version = version;
         this.routes = List.copyOf(routes);
+        this.workspaces = List.copyOf(workspaces);
         this.limits = limits;
         this.keyed = !workspaces.isEmpty();
         for (ServiceRoute route : routes) {
@@ -78,6 +80,24 @@
         return routes;
     }
 
+    /**
+     * Returns all services.
+     *
+     * @return the services in no order
+     */
+    public List<ServiceEntry> services() {
+        return List.copyOf(services.values());
+    }
+
+    /**
+     * Returns all workspaces.
+     *
+     * @return the workspaces in the order of the configuration
+     */
+    public List<WorkspaceEntry> workspaces() {
+        return workspaces;
+    }
+
     /**
      * Finds the route with the longest prefix of a path.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Instants.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Instants.java
@@ -17,6 +17,16 @@
         return Math.max(steadyMillis - earlier.steadyMillis, wallMillis - earlier.wallMillis);
     }
 
+    /**
+     * Returns an earlier moment.
+     *
+     * @param millis how much earlier, in milliseconds
+     * @return the moment
+     */
+    public Instants minusMillis(long millis) {
+        return new Instants(steadyMillis - millis, wallMillis - millis);
+    }
+
     /**
      * Tells whether this moment is the later one by the steady clock.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -39,6 +39,7 @@
     private final UpstreamTable upstreams;
     private final Loop loop;
     private final RandomGenerator random;
+    private final PublishedRelay relay;
     private Disposable step = Disposable.disposed();
     private long revision;
     private boolean needsSnapshot = true;
@@ -54,18 +55,21 @@
      * @param upstreams takes the entries of upstreams
      * @param loop runs the work
      * @param random draws jitter
+     * @param relay passes on what is read
      */
     public PublishedFollower(
             PublishedSource source,
             CatalogState catalog,
             UpstreamTable upstreams,
             Loop loop,
-            RandomGenerator random) {
+            RandomGenerator random,
+            PublishedRelay relay) {
         this.source = source;
         this.catalog = catalog;
         this.upstreams = upstreams;
         this.loop = loop;
         this.random = random;
+        this.relay = relay;
     }
 
     @Override
@@ -102,6 +106,7 @@
             logger.atInfo().log("platform regained");
         }
         upstreams.platformAnswered(nowMillis);
+        Instants toldAt = sentAt.minusMillis(batch.ageMillis());
         pauseMillis = FIRST_PAUSE_MILLIS;
         // A replica that lags must not take back what another one has told.
         if (batch.revision() < revision) {
@@ -117,7 +122,8 @@
         } else {
             batch.changes().forEach(change -> takeChange(change, nowMillis));
         }
-        catalog.current().ifPresent(current -> catalog.confirm(current.version(), sentAt));
+        catalog.current().ifPresent(current -> catalog.confirm(current.version(), toldAt));
+        relay.took(batch, snapshot, sentAt);
         if (snapshot || batch.changes().isEmpty()) {
             ask();
         } else {
@@ -169,6 +175,7 @@
             logger.atWarning().log("platform lost: %s", error.getMessage());
         }
         upstreams.platformLost();
+        relay.lost();
         step = loop.after(pauseMillis / 2 + random.nextLong(pauseMillis), this::ask);
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
     }
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/peering/VirtualPeers.java
@@ -0,0 +1,120 @@
+package org.bronzewheel.peering;
+
+import io.reactivex.rxjava3.core.Scheduler;
+import io.reactivex.rxjava3.core.Single;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bronzewheel.error.BronzewheelException;
+import org.bronzewheel.error.ErrorCode;
+import org.bronzewheel.transport.CallHandler;
+import org.bronzewheel.transport.Channel;
+import org.bronzewheel.transport.MessageListener;
+import org.bronzewheel.transport.Peer;
+import org.bronzewheel.transport.PeerTransport;
+
+/** A network of routers in virtual time. */
+public final class VirtualPeers {
+    private static final long DELAY_MILLIS = 1;
+
+    private final Scheduler scheduler;
+    private final Map<String, Router> routers = new HashMap<>();
+    private final Set<String> silent = new HashSet<>();
+
+    public VirtualPeers(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    public PeerTransport add(String vmId) {
+        Router router = new Router(vmId);
+        routers.put(vmId, router);
+        return router;
+    }
+
+    /** Lets a router neither send nor receive; calls to it time out. */
+    public void silence(String vmId) {
+        silent.add(vmId);
+    }
+
+    /** Ends the silence of a router. */
+    public void heal(String vmId) {
+        silent.remove(vmId);
+    }
+
+    private boolean reaches(String from, String to) {
+        return routers.containsKey(to) && !silent.contains(from) && !silent.contains(to);
+    }
+
+    private final class Router implements PeerTransport {
+        private final Peer self;
+        private final Map<Channel, MessageListener> listeners = new EnumMap<>(Channel.class);
+        private final Map<Channel, CallHandler> handlers = new EnumMap<>(Channel.class);
+
+        Router(String vmId) {
+            self = new Peer(vmId, 1);
+        }
+
+        @Override
+        public Peer self() {
+            return self;
+        }
+
+        @Override
+        public boolean send(String toVmId, Channel channel, byte[] payload) {
+            if (!reaches(self.vmId(), toVmId)) {
+                return false;
+            }
+            scheduler.scheduleDirect(
+                    () -> routers.get(toVmId).listeners.get(channel).receive(self, payload),
+                    DELAY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+            return true;
+        }
+
+        @Override
+        public Single<byte[]> call(
+                String toVmId, Channel channel, byte[] payload, long timeoutMillis) {
+            Single<byte[]> answer =
+                    Single.timer(DELAY_MILLIS, TimeUnit.MILLISECONDS, scheduler)
+                            .flatMap(
+                                    t ->
+                                            reaches(self.vmId(), toVmId)
+                                                    ? routers.get(toVmId)
+                                                            .handlers
+                                                            .get(channel)
+                                                            .handle(self, payload)
+                                                    : Single.never())
+                            .delay(DELAY_MILLIS, TimeUnit.MILLISECONDS, scheduler)
+                            .flatMap(
+                                    bytes ->
+                                            reaches(toVmId, self.vmId())
+                                                    ? Single.just(bytes)
+                                                    : Single.never());
+            return answer.timeout(
+                    timeoutMillis,
+                    TimeUnit.MILLISECONDS,
+                    scheduler,
+                    Single.error(
+                            new BronzewheelException(ErrorCode.PEER_UNREACHABLE, "no answer")));
+        }
+
+        @Override
+        public void listen(Channel channel, MessageListener listener) {
+            listeners.put(channel, listener);
+        }
+
+        @Override
+        public void serve(Channel channel, CallHandler handler) {
+            handlers.put(channel, handler);
+        }
+
+        @Override
+        public void start() {}
+
+        @Override
+        public void stop() {}
+    }
+}
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -13,6 +13,7 @@
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.peering.VirtualPeers;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
 import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
@@ -43,7 +44,9 @@
                         return ask(waits);
                     }
                 };
-        new PublishedFollower(source, catalog, upstreams, loop, new SplittableRandom(1)).start();
+        PublishedRelay relay = new PublishedRelay(new VirtualPeers(scheduler).add("vm"), loop);
+        new PublishedFollower(source, catalog, upstreams, loop, new SplittableRandom(1), relay)
+                .start();
         advance(0);
     }
 
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedReadersTest.java
@@ -0,0 +1,58 @@
+package org.bronzewheel.published;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.peering.Hello;
+import org.bronzewheel.peering.PeerBeat;
+import org.bronzewheel.peering.SeedMembership;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PublishedReadersTest {
+    private final Loop loop = new Loop(new TestScheduler(), () -> 0);
+
+    /** Returns who reads for each router of a fleet in which all hear each other. */
+    private List<Optional<String>> readers(int routers) {
+        List<PeerBeat> all = new ArrayList<>();
+        for (int i = 0; i < routers; i++) {
+            all.add(new PeerBeat("vm-" + i, 1, 1, false));
+        }
+        List<Optional<String>> readers = new ArrayList<>();
+        for (int i = 0; i < routers; i++) {
+            SeedMembership membership =
+                    new SeedMembership(
+                            "vm-" + i, 1, List.of(), 20, new SplittableRandom(i), loop.nowMillis());
+            all.forEach(beat -> membership.receive(new Hello(beat, List.of()), loop.nowMillis()));
+            readers.add(new PublishedReaders("vm-" + i, membership, loop).readerOfThis());
+        }
+        return readers;
+    }
+
+    @ParameterizedTest
+    @CsvSource({"81, 6", "390, 25"})
+    void aFewRoutersReadForAllOthers(int routers, int most) {
+        List<Optional<String>> readers = readers(routers);
+        Set<String> asked = new HashSet<>();
+        readers.forEach(reader -> reader.ifPresent(asked::add));
+        long reading = readers.stream().filter(Optional::isEmpty).count();
+        assertThat(reading).isAtMost(most);
+        for (String vmId : asked) {
+            assertThat(readers.get(Integer.parseInt(vmId.substring(3))))
+                    .isEqualTo(Optional.empty());
+        }
+    }
+
+    @Test
+    void allRoutersOfASmallFleetRead() {
+        assertThat(readers(9).stream().noneMatch(Optional::isPresent)).isTrue();
+    }
+}
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
@@ -0,0 +1,265 @@
+package org.bronzewheel.published;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.reactivex.rxjava3.core.Single;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerLimits;
+import org.bronzewheel.catalog.Catalog;
+import org.bronzewheel.catalog.CatalogState;
+import org.bronzewheel.catalog.EnginePool;
+import org.bronzewheel.catalog.RepeatRule;
+import org.bronzewheel.catalog.ServiceEntry;
+import org.bronzewheel.catalog.ServiceRoute;
+import org.bronzewheel.catalog.ServiceShare;
+import org.bronzewheel.catalog.StagePool;
+import org.bronzewheel.catalog.StageStep;
+import org.bronzewheel.catalog.WorkspaceEntry;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.peering.VirtualPeers;
+import org.bronzewheel.published.PublishedChange.CatalogPut;
+import org.bronzewheel.published.PublishedChange.Unreadable;
+import org.bronzewheel.published.PublishedChange.UpstreamPut;
+import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
+import org.bronzewheel.transport.PeerTransport;
+import org.bronzewheel.upstreams.UpstreamEntry;
+import org.bronzewheel.upstreams.UpstreamTable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** One router reads the platform and one reads through it, in virtual time. */
+class RelayedPublicationTest {
+    private static final long LEASE_MILLIS = 4_650;
+
+    private final TestScheduler scheduler = new TestScheduler();
+    private final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
+    private final VirtualPeers peers = new VirtualPeers(scheduler);
+    private final Platform platform = new Platform();
+    private final Router reader = new Router("reader", Optional.empty());
+    private final Router follower = new Router("follower", Optional.of("reader"));
+
+    /** The platform, as a log of changes. */
+    private final class Platform {
+        private final List<PublishedChange> log = new ArrayList<>();
+        private boolean down;
+
+        void publish(PublishedChange... changes) {
+            log.addAll(List.of(changes));
+        }
+
+        Single<PublishedBatch> tell(long after, long waitMillis) {
+            return Single.timer(2, TimeUnit.MILLISECONDS, scheduler)
+                    .flatMap(
+                            t -> {
+                                if (down) {
+                                    return Single.error(new IllegalStateException("down"));
+                                }
+                                if (after < log.size() || waitMillis <= 0) {
+                                    return Single.just(
+                                            new PublishedBatch(
+                                                    log.size(),
+                                                    List.copyOf(
+                                                            log.subList((int) after, log.size()))));
+                                }
+                                return tell(after, waitMillis - 2);
+                            });
+        }
+    }
+
+    private final class Router implements PublishedSource {
+        private final CatalogState catalog = new CatalogState(LEASE_MILLIS);
+        private final UpstreamTable upstreams = new UpstreamTable(2_000);
+        private final PublishedFollower follower;
+        private int questions;
+        private boolean cut;
+
+        Router(String vmId, Optional<String> readerVmId) {
+            PeerTransport transport = peers.add(vmId);
+            follower =
+                    new PublishedFollower(
+                            new PeerPublishedSource(this, transport, () -> readerVmId, loop),
+                            catalog,
+                            upstreams,
+                            loop,
+                            new SplittableRandom(1),
+                            new PublishedRelay(transport, loop));
+        }
+
+        @Override
+        public Single<PublishedBatch> snapshot() {
+            return ask(0, 0);
+        }
+
+        @Override
+        public Single<PublishedBatch> changes(long afterRevision, long waitMillis) {
+            return ask(afterRevision, waitMillis);
+        }
+
+        private Single<PublishedBatch> ask(long after, long waitMillis) {
+            questions++;
+            return cut
+                    ? Single.error(new IllegalStateException("cut"))
+                    : platform.tell(after, waitMillis);
+        }
+
+        long ageMillis() {
+            return catalog.ageMillis(loop.now());
+        }
+    }
+
+    RelayedPublicationTest() {
+        platform.publish(version(1), upstream("a"));
+        reader.follower.start();
+        follower.follower.start();
+        advance(2_000);
+    }
+
+    private void advance(long millis) {
+        scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+    }
+
+    private static UpstreamPut upstream(String id) {
+        return new UpstreamPut(new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, 7, false));
+    }
+
+    private static CatalogPut version(long version) {
+        ServiceRoute route =
+                new ServiceRoute(
+                        "r",
+                        "h",
+                        "/r/",
+                        true,
+                        RepeatRule.RESUMABLE,
+                        1_000,
+                        200,
+                        300,
+                        2,
+                        3,
+                        List.of(new ServiceShare("m", 0.25), new ServiceShare("s", 0.75)),
+                        List.of(
+                                new StageStep("s", List.of(), 5),
+                                new StageStep("s", List.of(0), 6)),
+                        true);
+        return new CatalogPut(
+                new Catalog(
+                        version,
+                        List.of(route),
+                        List.of(
+                                new ServiceEntry(
+                                        "s",
+                                        9,
+                                        Optional.of(new StagePool(1, 2, 3, 4.5, 5.5, 6, 7)),
+                                        Optional.empty()),
+                                new ServiceEntry(
+                                        "m",
+                                        8,
+                                        Optional.empty(),
+                                        Optional.of(new EnginePool(4, 1_000)))),
+                        List.of(
+                                new WorkspaceEntry("w", List.of("k", "l"), OptionalInt.of(3)),
+                                new WorkspaceEntry("v", List.of(), OptionalInt.empty())),
+                        new CallerLimits(1, 2, 3, 4)));
+    }
+
+    @Test
+    void aFollowerHasWhatThePlatformTellsItsReaderSoonAfter() {
+        platform.publish(upstream("b"), new UpstreamRemoved("a"), version(2));
+        advance(400);
+        assertThat(follower.catalog.current().get().version()).isEqualTo(2);
+        assertThat(follower.upstreams.serving("s")).hasSize(1);
+        assertThat(follower.upstreams.serving("s").get(0).entry()).isEqualTo(upstream("b").entry());
+    }
+
+    @Test
+    void aCatalogIsTheSameAfterItsWay() {
+        Catalog sent = version(5).catalog();
+        CatalogPut received =
+                (CatalogPut) PublishedCodec.decode(PublishedCodec.encode(version(5))).get();
+        assertThat(received.catalog().routes()).isEqualTo(sent.routes());
+        assertThat(received.catalog().services()).containsExactlyElementsIn(sent.services());
+        assertThat(received.catalog().workspaces()).isEqualTo(sent.workspaces());
+        assertThat(received.catalog().limits()).isEqualTo(sent.limits());
+        Unreadable unreadable = new Unreadable("n", "why");
+        assertThat(PublishedCodec.decode(PublishedCodec.encode(unreadable)).get())
+                .isEqualTo(unreadable);
+    }
+
+    @Test
+    void aFollowerAsksThePlatformNothingWhileItsReaderAnswers() {
+        int before = follower.questions;
+        advance(60_000);
+        assertThat(follower.questions).isEqualTo(before);
+    }
+
+    @Test
+    void evidenceIsAtLeastAsOldAsThePlatformsWord() {
+        for (int i = 0; i < 200; i++) {
+            advance(37);
+            assertThat(follower.ageMillis()).isAtLeast(reader.ageMillis());
+            assertThat(follower.ageMillis()).isAtMost(LEASE_MILLIS);
+        }
+    }
+
+    @Test
+    void evidenceAgesWhenThePlatformIsDownForBoth() {
+        advance(5_000);
+        platform.down = true;
+        advance(LEASE_MILLIS + 1);
+        assertThat(follower.catalog.honoursKeys(loop.now())).isFalse();
+        assertThat(reader.catalog.honoursKeys(loop.now())).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aFollowerReadsItselfWhenItsReaderIsCutOff(boolean fromThePlatformOnly) {
+        if (fromThePlatformOnly) {
+            reader.cut = true;
+        } else {
+            peers.silence("reader");
+        }
+        for (int i = 0; i < 100; i++) {
+            advance(100);
+            assertThat(follower.catalog.honoursKeys(loop.now())).isTrue();
+        }
+        platform.publish(version(9));
+        advance(2_000);
+        assertThat(follower.catalog.current().get().version()).isEqualTo(9);
+    }
+
+    @Test
+    void aRouterThatReadsThroughAnotherIsNoReader() {
+        Router third = new Router("third", Optional.of("follower"));
+        third.follower.start();
+        advance(10_000);
+        platform.down = true;
+        advance(LEASE_MILLIS + 1);
+        assertThat(third.catalog.honoursKeys(loop.now())).isFalse();
+        platform.down = false;
+        platform.publish(version(4));
+        advance(3_000);
+        assertThat(third.catalog.current().get().version()).isEqualTo(4);
+        assertThat(third.questions).isGreaterThan(5);
+    }
+
+    @Test
+    void routersThatReadThroughEachOtherDoNotKeepKeysAlive() {
+        Router one = new Router("one", Optional.of("two"));
+        Router two = new Router("two", Optional.of("one"));
+        one.follower.start();
+        two.follower.start();
+        advance(100);
+        platform.down = true;
+        for (int i = 0; i < 50; i++) {
+            advance(100);
+        }
+        assertThat(one.catalog.honoursKeys(loop.now())).isFalse();
+        assertThat(two.catalog.honoursKeys(loop.now())).isFalse();
+    }
+}
