--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -0,0 +1,130 @@
+package org.bronzewheel.stages;
+
+import com.google.common.flogger.FluentLogger;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.List;
+import org.bronzewheel.loop.Loop;
+
+/** One call in progress at a stage upstream: hands its outcomes to the owner of the queue. */
+final class StageCall implements StageCallListener {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long INPUT_READ_MILLIS = 40;
+    private static final long FULL_PAUSE_MILLIS = 120;
+    private static final long BROKEN_PAUSE_MILLIS = 600;
+
+    private final StageDispatcher owner;
+    private final String service;
+    private final StageWorker worker;
+    private final StageBatch batch;
+    private final long resultMillis;
+    private final Loop loop;
+    private final long beganMillis;
+    private Disposable call = Disposable.disposed();
+    private Disposable timeout = Disposable.disposed();
+    private boolean ended;
+
+    StageCall(
+            StageDispatcher owner,
+            String service,
+            StageWorker worker,
+            StageBatch batch,
+            long resultMillis,
+            Loop loop) {
+        this.owner = owner;
+        this.service = service;
+        this.worker = worker;
+        this.batch = batch;
+        this.resultMillis = resultMillis;
+        this.loop = loop;
+        this.beganMillis = loop.nowMillis();
+    }
+
+    void start(StagePort port, List<StageItem> items, long timeoutMillis) {
+        call = port.run(worker.upstream().entry(), items, this);
+        timeout = loop.after(timeoutMillis, this::timedOut);
+        loop.after(INPUT_READ_MILLIS, this::inputsRead);
+    }
+
+    private boolean end() {
+        if (ended) {
+            return false;
+        }
+        ended = true;
+        timeout.dispose();
+        worker.end(batch.bytes());
+        return true;
+    }
+
+    @Override
+    public void onOutcomes(List<StageItemOutcome> outcomes) {
+        if (!end()) {
+            return;
+        }
+        measure();
+        for (int i = 0; i < outcomes.size(); i++) {
+            take(batch.parts().get(i), outcomes.get(i));
+        }
+        owner.pump();
+    }
+
+    private void measure() {
+        worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
+    }
+
+    private void take(StageBatch.Part part, StageItemOutcome outcome) {
+        switch (outcome.kind()) {
+            case MADE -> keep(part, outcome.handle());
+            case LATE -> owner.fail(part.task(), StageFailure.LATE);
+            case INPUT_GONE -> owner.fail(part.task(), StageFailure.INPUT_GONE);
+            case NO_ROOM -> {
+                worker.pause(loop.nowMillis() + FULL_PAUSE_MILLIS);
+                owner.requeue(part);
+            }
+            case FAILED -> owner.requeue(part);
+        }
+    }
+
+    private void keep(StageBatch.Part part, String handle) {
+        long bytes = part.task().job().resultBytes();
+        worker.keep(handle, bytes, loop.nowMillis() + resultMillis);
+        owner.made(
+                part,
+                new StageResult(
+                        service,
+                        handle,
+                        worker.upstream().entry().id(),
+                        worker.upstream().entry().failureDomain(),
+                        bytes));
+    }
+
+    @Override
+    public void onFailure(boolean neverRan, String reason) {
+        if (!end()) {
+            return;
+        }
+        logger.atInfo().log(
+                "stage call failed: service=%s upstream=%s pieces=%d neverRan=%s reason=%s",
+                service, worker.upstream().entry().id(), batch.parts().size(), neverRan, reason);
+        worker.pause(loop.nowMillis() + (neverRan ? FULL_PAUSE_MILLIS : BROKEN_PAUSE_MILLIS));
+        batch.parts().forEach(owner::requeue);
+        owner.pump();
+    }
+
+    /** Gives up the inputs of the tasks that are whole in this call, which fetched them first. */
+    private void inputsRead() {
+        if (ended) {
+            return;
+        }
+        batch.parts().stream()
+                .map(StageBatch.Part::task)
+                .distinct()
+                .filter(batch::holdsAllOf)
+                .forEach(owner::inputsRead);
+    }
+
+    private void timedOut() {
+        call.dispose();
+        measure();
+        onFailure(false, "no answer in time");
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -26,11 +26,8 @@
     private static final int MOST_FAILURES = 4;
     private static final double MIN_SPEED = 0.2;
     private static final double USABLE_ROOM_SHARE = 0.95;
-    private static final long INPUT_READ_MILLIS = 40;
     private static final double SLOW = 1.8;
     private static final long SLOW_PROBE_MILLIS = 2_500;
-    private static final long FULL_PAUSE_MILLIS = 120;
-    private static final long BROKEN_PAUSE_MILLIS = 600;
     private static final double TIMEOUT_FACTOR = 2.5;
     private static final long TIMEOUT_FLOOR_MILLIS = 700;
     private static final double TIMEOUT_FACTOR_WHEN_SLOW = 8;
@@ -108,11 +105,7 @@
 
     /** Frees results at their maker; their room counts as taken until the maker had time for it. */
     private void free(String makerId, List<String> handles) {
-        upstreams.all().stream()
-                .map(Upstream::entry)
-                .filter(maker -> maker.id().equals(makerId))
-                .findFirst()
-                .ifPresent(maker -> port.free(maker, handles));
+        upstreams.known(makerId).ifPresent(maker -> port.free(maker.entry(), handles));
         loop.after(
                 FREE_SETTLE_MILLIS,
                 () -> {
@@ -200,13 +193,32 @@
         }
     }
 
-    private void fail(StageTask task, StageFailure failure) {
+    void fail(StageTask task, StageFailure failure) {
         if (tasks.remove(task)) {
             release(task.made());
             task.fail(failure);
         }
     }
 
+    /** Takes a made piece; a task that is whole ends. */
+    void made(StageBatch.Part part, StageResult result) {
+        StageTask task = part.task();
+        if (task.isEnded()) {
+            release(List.of(result));
+            return;
+        }
+        task.made(part.piece(), result);
+        if (task.isWhole()) {
+            tasks.remove(task);
+            task.finish();
+        }
+    }
+
+    /** Gives up the inputs of a task whose pieces have all read them. */
+    void inputsRead(StageTask task) {
+        releaseInputs.accept(task.job().inputs());
+    }
+
     private void refreshWorkers() {
         List<Upstream> serving = upstreams.serving(service);
         workers.values().removeIf(worker -> !serving.contains(worker.upstream()));
@@ -265,13 +277,11 @@
     private void send(StageWorker worker, StageBatch batch, StagePool limits, long nowMillis) {
         List<StageItem> items = batch.parts().stream().map(part -> item(part, nowMillis)).toList();
         worker.begin(batch.bytes(), nowMillis);
-        StageCallRun run = new StageCallRun(worker, batch, limits, nowMillis);
-        run.disposable = port.run(worker.upstream().entry(), items, run);
         double factor = worker.slowness() >= SLOW ? TIMEOUT_FACTOR_WHEN_SLOW : TIMEOUT_FACTOR;
-        long timeout = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
-        run.timeout = loop.after(timeout, run::timedOut);
+        long timeoutMillis = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
+        new StageCall(this, service, worker, batch, limits.resultMillis(), loop)
+                .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
-        loop.after(INPUT_READ_MILLIS, run::inputsRead);
     }
 
     private static StageItem item(StageBatch.Part part, long nowMillis) {
@@ -293,7 +303,8 @@
         wakeUp = loop.after(WAKE_UP_MILLIS, this::pump);
     }
 
-    private void requeue(StageBatch.Part part) {
+    /** Queues a piece again that a call did not make. */
+    void requeue(StageBatch.Part part) {
         StageTask task = part.task();
         if (task.isEnded()) {
             return;
@@ -304,116 +315,4 @@
         }
         task.waiting().add(part.piece());
     }
-
-    /** One call in progress. */
-    private final class StageCallRun implements StageCallListener {
-        private final StageWorker worker;
-        private final StageBatch batch;
-        private final StagePool limits;
-        private final long beganMillis;
-        private Disposable disposable = Disposable.disposed();
-        private Disposable timeout = Disposable.disposed();
-        private boolean ended;
-
-        StageCallRun(StageWorker worker, StageBatch batch, StagePool limits, long beganMillis) {
-            this.worker = worker;
-            this.batch = batch;
-            this.limits = limits;
-            this.beganMillis = beganMillis;
-        }
-
-        private boolean end() {
-            if (ended) {
-                return false;
-            }
-            ended = true;
-            timeout.dispose();
-            worker.end(batch.bytes());
-            return true;
-        }
-
-        @Override
-        public void onOutcomes(List<StageItemOutcome> outcomes) {
-            if (!end()) {
-                return;
-            }
-            worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
-            for (int i = 0; i < outcomes.size(); i++) {
-                take(batch.parts().get(i), outcomes.get(i));
-            }
-            pump();
-        }
-
-        private void take(StageBatch.Part part, StageItemOutcome outcome) {
-            StageTask task = part.task();
-            switch (outcome.kind()) {
-                case MADE -> keep(part, outcome.handle());
-                case LATE -> fail(task, StageFailure.LATE);
-                case INPUT_GONE -> fail(task, StageFailure.INPUT_GONE);
-                case NO_ROOM -> {
-                    worker.pause(loop.nowMillis() + FULL_PAUSE_MILLIS);
-                    requeue(part);
-                }
-                case FAILED -> requeue(part);
-            }
-        }
-
-        private void keep(StageBatch.Part part, String handle) {
-            StageJob job = part.task().job();
-            StageResult result =
-                    new StageResult(
-                            service,
-                            handle,
-                            worker.upstream().entry().id(),
-                            worker.upstream().entry().failureDomain(),
-                            job.resultBytes());
-            worker.keep(handle, job.resultBytes(), loop.nowMillis() + limits.resultMillis());
-            if (part.task().isEnded()) {
-                release(List.of(result));
-                return;
-            }
-            part.task().made(part.piece(), result);
-            if (part.task().isWhole()) {
-                tasks.remove(part.task());
-                part.task().finish();
-            }
-        }
-
-        @Override
-        public void onFailure(boolean neverRan, String reason) {
-            if (!end()) {
-                return;
-            }
-            logger.atInfo().log(
-                    "stage call failed: service=%s upstream=%s pieces=%d neverRan=%s reason=%s",
-                    service,
-                    worker.upstream().entry().id(),
-                    batch.parts().size(),
-                    neverRan,
-                    reason);
-            worker.pause(loop.nowMillis() + (neverRan ? FULL_PAUSE_MILLIS : BROKEN_PAUSE_MILLIS));
-            batch.parts().forEach(StageDispatcher.this::requeue);
-            pump();
-        }
-
-        /**
-         * Gives up the inputs of the tasks that are whole in this call, which fetched them first.
-         */
-        private void inputsRead() {
-            if (ended) {
-                return;
-            }
-            batch.parts().stream()
-                    .map(StageBatch.Part::task)
-                    .distinct()
-                    .filter(batch::holdsAllOf)
-                    .forEach(task -> releaseInputs.accept(task.job().inputs()));
-        }
-
-        private void timedOut() {
-            disposable.dispose();
-            worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
-            onFailure(false, "no answer in time");
-        }
-    }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
@@ -157,6 +157,16 @@
         return byService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Finds a known upstream.
+     *
+     * @param id its id
+     * @return the upstream, also where it is leaving, or empty where it is unknown
+     */
+    public Optional<Upstream> known(String id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
     /**
      * Finds an upstream that may get new work.
      *
