--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -32,6 +32,7 @@
                             "baselines", Experiments::baselines,
                             "ablations", Experiments::ablations,
                             "herd", HerdExperiment::run,
+                            "stages", StageExperiment::run,
                             "decision-cost", DecisionCost::run));
 
     private Experiments() {}
--- /dev/null
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -0,0 +1,420 @@
+package org.bronzewheel.measure;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.bronzewheel.catalog.CallerLimits;
+import org.bronzewheel.catalog.Catalog;
+import org.bronzewheel.catalog.CatalogState;
+import org.bronzewheel.catalog.RepeatRule;
+import org.bronzewheel.catalog.ServiceEntry;
+import org.bronzewheel.catalog.ServiceRoute;
+import org.bronzewheel.catalog.ServiceShare;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.measure.StageProfile.StageRoute;
+import org.bronzewheel.peering.PeerNetwork;
+import org.bronzewheel.peering.SeedMembership;
+import org.bronzewheel.repeats.RepeatBudget;
+import org.bronzewheel.serving.CallerExchange;
+import org.bronzewheel.serving.CallerRequest;
+import org.bronzewheel.serving.Header;
+import org.bronzewheel.serving.Refusal;
+import org.bronzewheel.serving.RequestEnd;
+import org.bronzewheel.serving.RequestObserver;
+import org.bronzewheel.serving.ServingEngine;
+import org.bronzewheel.serving.ServingParts;
+import org.bronzewheel.serving.UpstreamCall;
+import org.bronzewheel.serving.UpstreamHead;
+import org.bronzewheel.serving.UpstreamListener;
+import org.bronzewheel.stages.SharedStages;
+import org.bronzewheel.stages.StageParts;
+import org.bronzewheel.standin.VirtualPeers;
+import org.bronzewheel.transport.PeerTransport;
+import org.bronzewheel.upstreams.EngineChoice;
+import org.bronzewheel.upstreams.UpstreamEntry;
+import org.bronzewheel.upstreams.UpstreamTable;
+
+/** A fleet of routers that serve requests with stages, in virtual time. */
+final class StageFleet {
+    private static final String ENGINE = "engine";
+    private static final int ENGINES = 6;
+    private static final long ENGINE_MILLIS = 150;
+    private static final long TICK_MILLIS = 100;
+    private static final long WARM_UP_MILLIS = 2_000;
+    private static final long TURN_MILLIS = 500;
+    private static final long PATIENCE_AFTER_MILLIS = 20_000;
+    private static final double REPEAT_SLACK = 52;
+    private static final int LONGEST_MILLIS = 60_000;
+    private static final int OK = 200;
+
+    private final StageProfile profile;
+    private final StageVariant variant;
+    private final SplittableRandom random;
+    private final TestScheduler scheduler = new TestScheduler();
+    private final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
+    private final VirtualPeers peers = new VirtualPeers(scheduler);
+    private final StageUpstreams upstreams;
+    private final List<Router> routers = new ArrayList<>();
+    private final Histogram latencies = new Histogram(LONGEST_MILLIS, 3);
+    private Optional<Router> dead = Optional.empty();
+    private long asked;
+    private long answered;
+    private long onTime;
+    private double owedWorth;
+    private double earnedWorth;
+    private long refused;
+    private long failed;
+
+    StageFleet(StageProfile profile, StageVariant variant, long seed) {
+        this.profile = profile;
+        this.variant = variant;
+        this.random = new SplittableRandom(seed);
+        this.upstreams = new StageUpstreams(profile, loop);
+        List<UpstreamEntry> entries = new ArrayList<>(upstreams.entries());
+        for (int i = 0; i < ENGINES; i++) {
+            entries.add(
+                    new UpstreamEntry(
+                            ENGINE + "-" + i,
+                            ENGINE,
+                            "10.0.0.2:80",
+                            failureDomain(i),
+                            1_000,
+                            0,
+                            false));
+        }
+        for (int i = 0; i < profile.routers(); i++) {
+            routers.add(new Router(i, entries));
+        }
+    }
+
+    private String failureDomain(int index) {
+        return profile.failureDomains().get(index % profile.failureDomains().size());
+    }
+
+    /** Serves requests for a while and returns once all had their deadlines. */
+    void run(double load, long millis) {
+        routers.forEach(Router::start);
+        scheduler.advanceTimeBy(WARM_UP_MILLIS, TimeUnit.MILLISECONDS);
+        for (StageRoute route : profile.routes()) {
+            double perMilli = load * route.requestsPerSecond() / 1_000;
+            double atMillis = 0;
+            for (int number = 0; atMillis < millis; number++) {
+                atMillis -= Math.log(1 - random.nextDouble()) / perMilli;
+                String id = route.name() + "/" + number;
+                Router router = routers.get(random.nextInt(routers.size()));
+                List<Integer> pieces = pieces(route);
+                loop.after(Math.round(atMillis), () -> ask(router, route, id, pieces));
+            }
+        }
+        if (variant == StageVariant.OWNER_DIES) {
+            loop.after(millis / 2, this::killOwner);
+        }
+        scheduler.advanceTimeBy(millis + PATIENCE_AFTER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Draws numbers of pieces evenly up to twice the mean; a mean below 1 leaves stages out. */
+    private List<Integer> pieces(StageRoute route) {
+        List<Integer> pieces = new ArrayList<>();
+        for (double mean : route.meanPieces()) {
+            boolean fixed = mean == Math.rint(mean) && mean < 6;
+            pieces.add(fixed ? (int) mean : (int) Math.round(random.nextDouble() * 2 * mean));
+        }
+        return pieces;
+    }
+
+    private void killOwner() {
+        Router victim =
+                routers.stream().max(Comparator.comparingInt(Router::ownedServices)).orElseThrow();
+        peers.silence(victim.vmId);
+        victim.stages.stop();
+        dead = Optional.of(victim);
+    }
+
+    private void ask(Router router, StageRoute route, String id, List<Integer> pieces) {
+        if (dead.filter(d -> d == router).isPresent()) {
+            return;
+        }
+        asked++;
+        owedWorth += route.worth();
+        CallerRequest request =
+                new CallerRequest(
+                        id,
+                        "POST",
+                        "/" + route.name() + "/",
+                        "h",
+                        "/" + route.name() + "/",
+                        List.of(),
+                        new byte[0],
+                        Optional.of(route.deadlineMillis()),
+                        Optional.empty(),
+                        Optional.empty(),
+                        0,
+                        0,
+                        List.of(),
+                        pieces,
+                        Optional.of("key"));
+        if (router.engine.run(request, new Caller(router, route)) == null) {
+            throw new IllegalStateException("no run of " + id);
+        }
+    }
+
+    double piecesPerCall() {
+        return upstreams.piecesPerCall();
+    }
+
+    double busySecondsPerAnswer() {
+        return upstreams.busySeconds() / Math.max(1, answered);
+    }
+
+    double crossingMegabytesPerAnswer() {
+        return upstreams.crossingMegabytes() / Math.max(1, answered);
+    }
+
+    double remadeShare() {
+        return upstreams.remadeShare();
+    }
+
+    double answeredShare() {
+        return (double) answered / asked;
+    }
+
+    double onTimeShare() {
+        return (double) onTime / asked;
+    }
+
+    double worthShare() {
+        return earnedWorth / owedWorth;
+    }
+
+    double refusedShare() {
+        return (double) refused / asked;
+    }
+
+    double failedShare() {
+        return (double) failed / asked;
+    }
+
+    double latencyMillis(double percentile) {
+        return latencies.getValueAtPercentile(percentile);
+    }
+
+    private List<ServiceRoute> serviceRoutes() {
+        return profile.routes().stream()
+                .map(
+                        route ->
+                                new ServiceRoute(
+                                        route.name(),
+                                        "h",
+                                        "/" + route.name() + "/",
+                                        false,
+                                        RepeatRule.IDEMPOTENT,
+                                        route.deadlineMillis(),
+                                        route.objectiveMillis(),
+                                        0,
+                                        route.priority(),
+                                        2,
+                                        List.of(new ServiceShare(ENGINE, 1)),
+                                        route.stages(),
+                                        true))
+                .toList();
+    }
+
+    private Catalog catalog() {
+        List<ServiceEntry> services = new ArrayList<>();
+        services.add(new ServiceEntry(ENGINE, 0, Optional.empty(), Optional.empty()));
+        profile.pools()
+                .forEach(
+                        pool ->
+                                services.add(
+                                        new ServiceEntry(
+                                                pool.service(),
+                                                0,
+                                                Optional.of(pool.limits()),
+                                                Optional.empty())));
+        return new Catalog(1, serviceRoutes(), services, List.of(), new CallerLimits(1, 1, 1, 1));
+    }
+
+    /** One router, without its sockets. */
+    private final class Router {
+        private final int index;
+        private final String vmId;
+        private final UpstreamTable table = new UpstreamTable(0);
+        private final List<UpstreamEntry> entries;
+        private final SeedMembership membership;
+        private final PeerNetwork network;
+        private final SharedStages shared;
+        private final Stoppable stages = new Stoppable();
+        private final ServingEngine engine;
+
+        Router(int index, List<UpstreamEntry> entries) {
+            this.index = index;
+            this.vmId = "vm-" + index;
+            this.entries = entries;
+            PeerTransport transport = peers.add(vmId);
+            membership =
+                    new SeedMembership(
+                            vmId, 1, List.of("vm-0", "vm-1"), 12, random.split(), loop.nowMillis());
+            RepeatBudget budget = new RepeatBudget(0.2, REPEAT_SLACK, 10_000, profile.routers());
+            CatalogState catalog = new CatalogState(Long.MAX_VALUE);
+            catalog.offer(catalog());
+            catalog.confirm(1, loop.now());
+            table.replaceAll(entries, 0);
+            shared =
+                    new StageParts(catalog, table, upstreams, transport, membership, budget, loop)
+                            .build();
+            network =
+                    new PeerNetwork(
+                            transport,
+                            membership,
+                            loop,
+                            shared::ownBacklogs,
+                            shared::submitters,
+                            shared::takeBacklog);
+            engine =
+                    new ServingEngine(
+                            new ServingParts(
+                                    catalog,
+                                    table,
+                                    this::send,
+                                    shared,
+                                    budget,
+                                    new EngineChoice(),
+                                    failureDomain(index),
+                                    loop,
+                                    random.split(),
+                                    new SilentObserver()));
+        }
+
+        void start() {
+            if (variant == StageVariant.OWNER || variant == StageVariant.OWNER_DIES) {
+                network.start();
+            }
+            if (variant == StageVariant.TURNS) {
+                takeTurn();
+                stages.add(loop.every(TURN_MILLIS, this::takeTurn));
+            }
+            stages.add(loop.every(TICK_MILLIS, shared::tick));
+        }
+
+        private void takeTurn() {
+            long turn = loop.nowMillis() / TURN_MILLIS + index;
+            List<UpstreamEntry> own = new ArrayList<>();
+            for (int i = 0; i < entries.size(); i++) {
+                if (entries.get(i).service().equals(ENGINE)
+                        || (turn + i) % profile.routers() == 0) {
+                    own.add(entries.get(i));
+                }
+            }
+            table.replaceAll(own, loop.nowMillis());
+        }
+
+        int ownedServices() {
+            return (int)
+                    profile.pools().stream()
+                            .filter(
+                                    pool ->
+                                            membership
+                                                    .ownerOf(
+                                                            pool.service(),
+                                                            Set.of(),
+                                                            loop.nowMillis())
+                                                    .equals(vmId))
+                            .count();
+        }
+
+        /** The engine answers after a fixed time. */
+        private Disposable send(UpstreamCall call, UpstreamListener listener) {
+            upstreams.readAt(call.target().failureDomain(), call.inputs());
+            return loop.after(
+                    ENGINE_MILLIS,
+                    () -> {
+                        listener.onHead(new UpstreamHead(OK, List.of(), true, false, false, false));
+                        listener.onEnd();
+                    });
+        }
+    }
+
+    /** Work of a router that ends with it. */
+    private static final class Stoppable {
+        private final List<Disposable> work = new ArrayList<>();
+
+        void add(Disposable disposable) {
+            work.add(disposable);
+        }
+
+        void stop() {
+            work.forEach(Disposable::dispose);
+        }
+    }
+
+    private final class Caller implements CallerExchange {
+        private final Router router;
+        private final StageRoute route;
+        private final long askedMillis = loop.nowMillis();
+
+        Caller(Router router, StageRoute route) {
+            this.router = router;
+            this.route = route;
+        }
+
+        private boolean isLost() {
+            return dead.filter(d -> d == router).isPresent();
+        }
+
+        @Override
+        public void begin(int status, List<Header> headers, boolean streaming) {}
+
+        @Override
+        public void write(byte[] bytes) {}
+
+        @Override
+        public void finish() {
+            if (isLost()) {
+                return;
+            }
+            long millis = loop.nowMillis() - askedMillis;
+            answered++;
+            boolean inTime = millis <= route.objectiveMillis();
+            onTime += inTime ? 1 : 0;
+            earnedWorth += inTime ? route.worth() : route.lateWorth();
+            latencies.recordValue(Math.min(LONGEST_MILLIS, millis));
+        }
+
+        @Override
+        public void abort() {
+            failed++;
+        }
+
+        @Override
+        public void refuse(Refusal refusal) {
+            if (isLost()) {
+                return;
+            }
+            if (refusal.status() == Refusal.UNAVAILABLE) {
+                refused++;
+            } else {
+                failed++;
+            }
+        }
+    }
+
+    private static final class SilentObserver implements RequestObserver {
+        @Override
+        public void decided(String requestId, Decision decision, String detail) {}
+
+        @Override
+        public void ended(
+                String requestId,
+                String route,
+                RequestEnd end,
+                String detail,
+                long elapsedMillis) {}
+    }
+}
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/peering/VirtualPeers.java
+++ b/bronzewheel-standin/src/main/java/org/bronzewheel/standin/VirtualPeers.java
@@ -1,4 +1,4 @@
-package org.bronzewheel.peering;
+package org.bronzewheel.standin;
 
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.core.Single;
@@ -16,7 +16,7 @@
 import org.bronzewheel.transport.Peer;
 import org.bronzewheel.transport.PeerTransport;
 
-/** A network of routers in virtual time. */
+/** A stand-in of the network between routers, in virtual time. */
 public final class VirtualPeers {
     private static final long DELAY_MILLIS = 1;
 
@@ -24,22 +24,41 @@
     private final Map<String, Router> routers = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
 
+    /**
+     * Creates a network without routers.
+     *
+     * @param scheduler the time
+     */
     public VirtualPeers(Scheduler scheduler) {
         this.scheduler = scheduler;
     }
 
+    /**
+     * Adds a router.
+     *
+     * @param vmId its VM
+     * @return its way to the others
+     */
     public PeerTransport add(String vmId) {
         Router router = new Router(vmId);
         routers.put(vmId, router);
         return router;
     }
 
-    /** Lets a router neither send nor receive; calls to it time out. */
+    /**
+     * Lets a router neither send nor receive; calls to it time out.
+     *
+     * @param vmId its VM
+     */
     public void silence(String vmId) {
         silent.add(vmId);
     }
 
-    /** Ends the silence of a router. */
+    /**
+     * Ends the silence of a router.
+     *
+     * @param vmId its VM
+     */
     public void heal(String vmId) {
         silent.remove(vmId);
     }
