--- a/bronzewheel-serving/src/main/java/org/bronzewheel/repeats/RepeatBudget.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/repeats/RepeatBudget.java
@@ -15,8 +15,8 @@
     private final double ratio;
     private final double slack;
     private final long windowMillis;
-    private final Map<String, ArrayDeque<Long>> requests = new HashMap<>();
-    private final Map<String, ArrayDeque<Long>> repeats = new HashMap<>();
+    private final Map<String, Window> requests = new HashMap<>();
+    private final Map<String, Window> repeats = new HashMap<>();
     private int routers;
 
     /**
@@ -52,14 +52,35 @@
         return routers;
     }
 
+    /** What was booked lately, with its sum. */
+    private static final class Window {
+        private final ArrayDeque<Booked> booked = new ArrayDeque<>();
+        private double sum;
+
+        void add(double weight, long nowMillis) {
+            booked.add(new Booked(weight, nowMillis));
+            sum += weight;
+        }
+
+        void forgetUntil(long millis) {
+            while (!booked.isEmpty() && booked.peek().atMillis() <= millis) {
+                sum -= booked.poll().weight();
+            }
+        }
+    }
+
+    private record Booked(double weight, long atMillis) {}
+
     /**
      * Books a request of a caller.
      *
      * @param service the service that is to run it
+     * @param part the part of the repeats that it allows which this router may use; the parts of
+     *     all routers that book it add up to at most 1
      * @param nowMillis the time, in milliseconds of the steady clock
      */
-    public void request(String service, long nowMillis) {
-        window(requests, service, nowMillis).add(nowMillis);
+    public void request(String service, double part, long nowMillis) {
+        window(requests, service, nowMillis).add(part, nowMillis);
     }
 
     /**
@@ -70,21 +91,18 @@
      * @return whether the repeat may be sent
      */
     public boolean tryRepeat(String service, long nowMillis) {
-        ArrayDeque<Long> spent = window(repeats, service, nowMillis);
-        double allowed = ratio * window(requests, service, nowMillis).size() + slack / routers;
-        if (spent.size() + 1 > allowed) {
+        Window spent = window(repeats, service, nowMillis);
+        double allowed = ratio * window(requests, service, nowMillis).sum + slack / routers;
+        if (spent.booked.size() + 1 > allowed) {
             return false;
         }
-        spent.add(nowMillis);
+        spent.add(1, nowMillis);
         return true;
     }
 
-    private ArrayDeque<Long> window(
-            Map<String, ArrayDeque<Long>> times, String service, long nowMillis) {
-        ArrayDeque<Long> window = times.computeIfAbsent(service, s -> new ArrayDeque<>());
-        while (!window.isEmpty() && window.peek() <= nowMillis - windowMillis) {
-            window.poll();
-        }
+    private Window window(Map<String, Window> windows, String service, long nowMillis) {
+        Window window = windows.computeIfAbsent(service, s -> new Window());
+        window.forgetUntil(nowMillis - windowMillis);
         return window;
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -101,7 +101,7 @@
                                         expectedMillis,
                                         deadlineAtMillis - arrivedMillis,
                                         request.promptParts()));
-        parts.budget().request(service(), arrivedMillis);
+        parts.budget().request(service(), 1, arrivedMillis);
         if (expectedMillis > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
             refuse("the queues are too long for the deadline");
             return;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -71,6 +71,7 @@
 
     @Override
     public void submit(StageJob job, StageListener listener) {
+        budget.request(job.service(), StageJob.SUBMITTER_PART, loop.nowMillis());
         new RemoteJob(job, listener).submit();
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -77,7 +77,7 @@
             case LATE -> owner.fail(part.task(), StageFailure.LATE);
             case INPUT_GONE -> owner.fail(part.task(), StageFailure.INPUT_GONE);
             case NO_ROOM -> {
-                worker.pause(loop.nowMillis() + FULL_PAUSE_MILLIS);
+                worker.noRoomFor(part.task().job().resultBytes(), loop.nowMillis());
                 owner.requeue(part);
             }
             case FAILED -> owner.requeue(part);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -68,7 +68,7 @@
     }
 
     void submit(StageJob job, StageListener listener) {
-        budget.request(service, loop.nowMillis());
+        budget.request(service, StageJob.OWNER_PART, loop.nowMillis());
         tasks.add(new StageTask(job, listener, loop.nowMillis()));
         loop.execute(this::pump);
     }
@@ -248,7 +248,9 @@
         boolean probe = worker.slowness() >= SLOW;
         String failureDomain = worker.upstream().entry().failureDomain();
         for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis, failureDomain)) {
-            if (!task.waiting().isEmpty() && mayTake(worker, task, limits, nowMillis)) {
+            if (!task.waiting().isEmpty()
+                    && !worker.lacksRoomFor(task.job().resultBytes(), nowMillis)
+                    && mayTake(worker, task, limits, nowMillis)) {
                 batch.take(task);
             }
             if (batch.isFull() || (probe && !batch.isEmpty())) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
@@ -31,4 +31,10 @@
         long objectiveAtMillis,
         long deadlineAtMillis,
         long laterMillis,
-        String failureDomain) {}
+        String failureDomain) {
+    /** The part of the repeats that a job allows which its submitter may use, for lost owners. */
+    static final double SUBMITTER_PART = 0.5;
+
+    /** The part that its owner may use, for failed calls. */
+    static final double OWNER_PART = 1 - SUBMITTER_PART;
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -11,6 +11,8 @@
 final class StageWorker {
     private static final double SMOOTHING = 0.4;
     private static final int REMEMBERED_FREED = 2_000;
+    private static final long FULL_MILLIS = 150;
+    private static final long LONGEST_FULL_MILLIS = 800;
 
     private final Upstream upstream;
     private final Map<String, Kept> kept = new HashMap<>();
@@ -21,6 +23,9 @@
     private double slowness = 1;
     private long pausedUntilMillis = Long.MIN_VALUE / 2;
     private long lastCallMillis = Long.MIN_VALUE / 2;
+    private long fullMillis = FULL_MILLIS;
+    private long fullUntilMillis = Long.MIN_VALUE / 2;
+    private long fullForBytes;
 
     private record Kept(long bytes, long untilMillis) {}
 
@@ -84,6 +89,26 @@
         }
     }
 
+    /**
+     * Books that a result found no room: others, or an owner before this one, have left results
+     * there. Larger ones are not tried for a while, which grows as long as that goes on.
+     */
+    void noRoomFor(long bytes, long nowMillis) {
+        if (nowMillis < fullUntilMillis) {
+            fullForBytes = Math.min(fullForBytes, bytes);
+            return;
+        }
+        boolean again = nowMillis - fullUntilMillis < LONGEST_FULL_MILLIS;
+        fullMillis = again ? Math.min(LONGEST_FULL_MILLIS, 2 * fullMillis) : FULL_MILLIS;
+        fullUntilMillis = nowMillis + fullMillis;
+        fullForBytes = bytes;
+    }
+
+    /** Tells whether a result of that size found no room a short time ago. */
+    boolean lacksRoomFor(long bytes, long nowMillis) {
+        return nowMillis < fullUntilMillis && bytes >= fullForBytes;
+    }
+
     /** Notes that a result is being freed; tells whether it was not before. */
     boolean beginFree(String handle) {
         if (freed.size() >= REMEMBERED_FREED) {
@@ -97,6 +122,7 @@
         Kept held = kept.remove(handle);
         if (held != null) {
             keptBytes -= held.bytes();
+            fullUntilMillis = Long.MIN_VALUE / 2;
         }
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/repeats/RepeatBudgetTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/repeats/RepeatBudgetTest.java
@@ -21,7 +21,7 @@
         for (long now = 0; now < 10_000; now += 10) {
             for (RepeatBudget router : routers) {
                 if (now % 100 == 0) {
-                    router.request("s", now);
+                    router.request("s", 1, now);
                     requests++;
                 }
                 repeats += router.tryRepeat("s", now) ? 1 : 0;
@@ -31,6 +31,22 @@
         assertThat(repeats).isGreaterThan(100);
     }
 
+    @Test
+    void aRequestThatTwoRoutersBookAllowsNoMoreRepeatsThanOne() {
+        RepeatBudget submitter = new RepeatBudget(RATIO, 0, 10_000, 2);
+        RepeatBudget owner = new RepeatBudget(RATIO, 0, 10_000, 2);
+        int repeats = 0;
+        for (int i = 0; i < 100; i++) {
+            submitter.request("s", 0.5, 0);
+            owner.request("s", 0.5, 0);
+        }
+        for (int i = 0; i < 100; i++) {
+            repeats += submitter.tryRepeat("s", 1) ? 1 : 0;
+            repeats += owner.tryRepeat("s", 1) ? 1 : 0;
+        }
+        assertThat(repeats).isEqualTo(20);
+    }
+
     @Test
     void repeatsOfAnEarlierWindowAreForgotten() {
         RepeatBudget budget = new RepeatBudget(0, 1, 1_000, 1);
