--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
@@ -64,6 +64,9 @@
         figures.put("p50 ms", fleet.latencyMillis(MEDIAN));
         figures.put("p99 ms", fleet.latencyMillis(TAIL));
         figures.put("on time", fleet.onTimeShare());
+        figures.put("rank 0", fleet.onTimeShare(0));
+        figures.put("rank 1", fleet.onTimeShare(1));
+        figures.put("rank 2", fleet.onTimeShare(2));
         figures.put("worth", fleet.worthShare());
         figures.put("answered", fleet.answeredShare());
         figures.put("refused", fleet.refusedShare());
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -53,6 +53,7 @@
     private static final double REPEAT_SLACK = 52;
     private static final int LONGEST_MILLIS = 60_000;
     private static final int OK = 200;
+    private static final int RANKS = 3;
 
     private final StageProfile profile;
     private final StageVariant variant;
@@ -67,6 +68,8 @@
     private long asked;
     private long answered;
     private long onTime;
+    private final long[] askedOfRank = new long[RANKS];
+    private final long[] onTimeOfRank = new long[RANKS];
     private double owedWorth;
     private double earnedWorth;
     private long refused;
@@ -142,6 +145,7 @@
             return;
         }
         asked++;
+        askedOfRank[route.priority()]++;
         owedWorth += route.worth();
         CallerRequest request =
                 new CallerRequest(
@@ -189,6 +193,10 @@
         return (double) onTime / asked;
     }
 
+    double onTimeShare(int rank) {
+        return (double) onTimeOfRank[rank] / askedOfRank[rank];
+    }
+
     double worthShare() {
         return earnedWorth / owedWorth;
     }
@@ -383,6 +391,7 @@
             answered++;
             boolean inTime = millis <= route.objectiveMillis();
             onTime += inTime ? 1 : 0;
+            onTimeOfRank[route.priority()] += inTime ? 1 : 0;
             earnedWorth += inTime ? route.worth() : route.lateWorth();
             latencies.recordValue(Math.min(LONGEST_MILLIS, millis));
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -2,7 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.bronzewheel.loop.Loop;
 
 /** One call in progress at a stage upstream: hands its outcomes to the owner of the queue. */
@@ -61,27 +64,33 @@
             return;
         }
         measure();
+        Map<StageTask, List<Integer>> withoutRoom = new LinkedHashMap<>();
+        Map<StageTask, List<Integer>> failed = new LinkedHashMap<>();
         for (int i = 0; i < outcomes.size(); i++) {
-            take(batch.parts().get(i), outcomes.get(i));
+            StageBatch.Part part = batch.parts().get(i);
+            StageTask task = part.task();
+            switch (outcomes.get(i).kind()) {
+                case MADE -> keep(part, outcomes.get(i).handle());
+                case LATE -> owner.fail(task, StageFailure.LATE);
+                case INPUT_GONE -> owner.fail(task, StageFailure.INPUT_GONE);
+                case NO_ROOM -> {
+                    worker.noRoomFor(task.job().resultBytes(), loop.nowMillis());
+                    add(withoutRoom, part);
+                }
+                case FAILED -> add(failed, part);
+            }
         }
+        withoutRoom.forEach((task, pieces) -> owner.requeue(task, pieces, false));
+        failed.forEach((task, pieces) -> owner.requeue(task, pieces, true));
         owner.pump();
     }
 
-    private void measure() {
-        worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
+    private static void add(Map<StageTask, List<Integer>> pieces, StageBatch.Part part) {
+        pieces.computeIfAbsent(part.task(), task -> new ArrayList<>()).add(part.piece());
     }
 
-    private void take(StageBatch.Part part, StageItemOutcome outcome) {
-        switch (outcome.kind()) {
-            case MADE -> keep(part, outcome.handle());
-            case LATE -> owner.fail(part.task(), StageFailure.LATE);
-            case INPUT_GONE -> owner.fail(part.task(), StageFailure.INPUT_GONE);
-            case NO_ROOM -> {
-                worker.noRoomFor(part.task().job().resultBytes(), loop.nowMillis());
-                owner.requeue(part);
-            }
-            case FAILED -> owner.requeue(part);
-        }
+    private void measure() {
+        worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
     }
 
     private void keep(StageBatch.Part part, String handle) {
@@ -106,7 +115,9 @@
                 "stage call failed: service=%s upstream=%s pieces=%d neverRan=%s reason=%s",
                 service, worker.upstream().entry().id(), batch.parts().size(), neverRan, reason);
         worker.pause(loop.nowMillis() + (neverRan ? FULL_PAUSE_MILLIS : BROKEN_PAUSE_MILLIS));
-        batch.parts().forEach(owner::requeue);
+        Map<StageTask, List<Integer>> pieces = new LinkedHashMap<>();
+        batch.parts().forEach(part -> add(pieces, part));
+        pieces.forEach((task, again) -> owner.requeue(task, again, true));
         owner.pump();
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -305,16 +305,20 @@
         wakeUp = loop.after(WAKE_UP_MILLIS, this::pump);
     }
 
-    /** Queues a piece again that a call did not make. */
-    void requeue(StageBatch.Part part) {
-        StageTask task = part.task();
+    /**
+     * Queues the pieces of a task again that a call did not make; that is one repeat.
+     *
+     * @param failed whether the upstream failed, and did not just lack room
+     */
+    void requeue(StageTask task, List<Integer> pieces, boolean failed) {
         if (task.isEnded()) {
             return;
         }
-        if (!task.mayFailAgain(MOST_FAILURES) || !budget.tryRepeat(service, loop.nowMillis())) {
+        boolean hopeless = failed && !task.mayFailAgain(MOST_FAILURES);
+        if (hopeless || !budget.tryRepeat(service, loop.nowMillis())) {
             fail(task, StageFailure.UPSTREAM_FAILED);
             return;
         }
-        task.waiting().add(part.piece());
+        task.waiting().addAll(pieces);
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -41,6 +41,13 @@
             return items.stream().map(item -> item.requestId() + "/" + item.piece()).toList();
         }
 
+        void noRoom() {
+            listener.onOutcomes(
+                    items.stream()
+                            .map(i -> new StageItemOutcome(StageItemOutcome.Kind.NO_ROOM, ""))
+                            .toList());
+        }
+
         void done() {
             listener.onOutcomes(
                     items.stream()
@@ -160,6 +167,35 @@
         assertThat(waiting.results).hasSize(1);
     }
 
+    @Test
+    void aJobOfManyPiecesOutlastsRoomThatOthersHold() {
+        upstreams("u");
+        Outcome outcome = submit("a", 4, 0, 10, 9_000);
+        advance(1);
+        for (int i = 0; i < 6; i++) {
+            assertThat(calls).hasSize(i + 1);
+            calls.get(i).noRoom();
+            advance(900);
+        }
+        assertThat(outcome.failure).isNull();
+        calls.get(6).done();
+        assertThat(outcome.results).hasSize(4);
+    }
+
+    @Test
+    void whereALargeResultFoundNoRoomSmallOnesAreStillMade() {
+        upstreams("u");
+        submit("a", 1, 0, 600, 9_000);
+        advance(1);
+        calls.get(0).noRoom();
+        submit("b", 1, 0, 10, 9_000);
+        advance(10);
+        assertThat(calls.get(1).ids()).containsExactly("b/0");
+        calls.get(1).done();
+        advance(200);
+        assertThat(calls.get(2).ids()).containsExactly("a/0");
+    }
+
     @Test
     void resultsThatWereNotFreedLapse() {
         upstreams("u");
