--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -11,7 +11,6 @@
 /** One call in progress at a stage upstream: hands its outcomes to the owner of the queue. */
 final class StageCall implements StageCallListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long INPUT_READ_MILLIS = 40;
     private static final long FULL_PAUSE_MILLIS = 120;
     private static final long BROKEN_PAUSE_MILLIS = 600;
 
@@ -20,10 +19,12 @@
     private final StageWorker worker;
     private final StageBatch batch;
     private final long resultMillis;
+    private final InputHold inputHold;
     private final Loop loop;
     private final long beganMillis;
     private Disposable call = Disposable.disposed();
     private Disposable timeout = Disposable.disposed();
+    private boolean gaveInputsUp;
     private boolean ended;
 
     StageCall(
@@ -32,12 +33,14 @@
             StageWorker worker,
             StageBatch batch,
             long resultMillis,
+            InputHold inputHold,
             Loop loop) {
         this.owner = owner;
         this.service = service;
         this.worker = worker;
         this.batch = batch;
         this.resultMillis = resultMillis;
+        this.inputHold = inputHold;
         this.loop = loop;
         this.beganMillis = loop.nowMillis();
     }
@@ -45,7 +48,7 @@
     void start(StagePort port, List<StageItem> items, long timeoutMillis) {
         call = port.run(worker.upstream().entry(), items, this);
         timeout = loop.after(timeoutMillis, this::timedOut);
-        loop.after(INPUT_READ_MILLIS, this::inputsRead);
+        loop.after(inputHold.millis(), this::inputsRead);
     }
 
     private boolean end() {
@@ -64,6 +67,10 @@
             return;
         }
         measure();
+        if (gaveInputsUp) {
+            inputHold.observe(
+                    outcomes.stream().anyMatch(o -> o.kind() == StageItemOutcome.Kind.INPUT_GONE));
+        }
         Map<StageTask, List<Integer>> withoutRoom = new LinkedHashMap<>();
         Map<StageTask, List<Integer>> failed = new LinkedHashMap<>();
         for (int i = 0; i < outcomes.size(); i++) {
@@ -129,8 +136,14 @@
         batch.parts().stream()
                 .map(StageBatch.Part::task)
                 .distinct()
+                .filter(task -> !task.job().inputs().isEmpty())
                 .filter(batch::holdsAllOf)
-                .forEach(owner::inputsRead);
+                .forEach(this::giveInputsUp);
+    }
+
+    private void giveInputsUp(StageTask task) {
+        gaveInputsUp = true;
+        owner.inputsRead(task);
     }
 
     private void timedOut() {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -44,6 +44,7 @@
     private final Consumer<List<StageResult>> releaseInputs;
     private final StageOrder order = new StageOrder();
     private final DrainMeter drain = new DrainMeter();
+    private final InputHold inputHold = new InputHold();
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
     private final Map<String, List<String>> toFree = new HashMap<>();
@@ -281,7 +282,7 @@
         worker.begin(batch.bytes(), nowMillis);
         double factor = worker.slowness() >= SLOW ? TIMEOUT_FACTOR_WHEN_SLOW : TIMEOUT_FACTOR;
         long timeoutMillis = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
-        new StageCall(this, service, worker, batch, limits.resultMillis(), loop)
+        new StageCall(this, service, worker, batch, limits.resultMillis(), inputHold, loop)
                 .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -42,10 +42,12 @@
         }
 
         void noRoom() {
+            all(StageItemOutcome.Kind.NO_ROOM);
+        }
+
+        void all(StageItemOutcome.Kind kind) {
             listener.onOutcomes(
-                    items.stream()
-                            .map(i -> new StageItemOutcome(StageItemOutcome.Kind.NO_ROOM, ""))
-                            .toList());
+                    items.stream().map(item -> new StageItemOutcome(kind, "")).toList());
         }
 
         void done() {
@@ -238,6 +240,24 @@
         assertThat(freed).isEmpty();
     }
 
+    @Test
+    void inputsAreHeldLongerAfterACallFoundThemGone() {
+        upstreams("u");
+        StageResult input = new StageResult("t", "h", "m", "d", 10);
+        for (int i = 0; i < 3; i++) {
+            submit("a" + i, 1, 0, 10, 9_000, List.of(input));
+            advance(45L << i);
+            assertThat(inputsReleased).hasSize(i + 1);
+            calls.get(i).all(StageItemOutcome.Kind.INPUT_GONE);
+            advance(10);
+        }
+        submit("b", 1, 0, 10, 9_000, List.of(input));
+        advance(300);
+        assertThat(inputsReleased).hasSize(3);
+        advance(30);
+        assertThat(inputsReleased).hasSize(4);
+    }
+
     @Test
     void inputsAreGivenUpOnceTheCallHasReadThem() {
         upstreams("u");
