Let refused callers return when the queues will have drained, the urgent first

Retry-After was 250 to 650 ms whatever the queues. It is now the excess of the queues over what a request would be taken with, spread by rank and at random, within a third of the time left.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -25,8 +25,6 @@
     private static final double LONGEST_WAIT_SHARE = 0.6;
     private static final int MOST_REJECTIONS = 4;
     private static final long REJECTION_PAUSE_MILLIS = 40;
-    private static final long RETRY_AFTER_MILLIS = 250;
-    private static final int JITTER_MILLIS = 400;
     private static final int LEAST_CONNECTIONS = 1;
     private static final int CONFLICT = 409;
 
@@ -325,7 +323,11 @@
     }
 
     private void refuse(String reason) {
-        long after = RETRY_AFTER_MILLIS + parts.random().nextInt(JITTER_MILLIS);
+        long leftMillis = deadlineAtMillis - loop.nowMillis();
+        long excessMillis = stages.expectedMillis() - Math.round(LONGEST_WAIT_SHARE * leftMillis);
+        long after =
+                ReturnTime.afterMillis(
+                        excessMillis, leftMillis, rank(), parts.random().nextDouble());
         if (end(RequestEnd.REFUSED, reason)) {
             exchange.refuse(Refusal.notRun(reason, after));
         }
