Hear a router that started again after its time of day went back

Incarnations follow the time of day. A router that started again with a smaller one was not heard for as long as its old record lived: 15 s, and 10 minutes since lost routers are kept. After a silence any other incarnation is taken as the newer one.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerRecord.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerRecord.java
@@ -16,12 +16,17 @@
         this.namedMillis = namedMillis;
     }
 
-    /** Takes a sign of life; one that is not newer than the last changes nothing. */
-    void hear(PeerBeat sign, long nowMillis) {
-        boolean newer =
+    /**
+     * Takes a sign of life; one that is not newer than the last changes nothing. Incarnations
+     * follow the time of day, which may jump back: after a silence any other incarnation is a newer
+     * one.
+     */
+    void hear(PeerBeat sign, long nowMillis, long silenceMillis) {
+        boolean restarted =
                 sign.incarnation() > incarnation
-                        || (sign.incarnation() == incarnation && sign.beat() > beat);
-        if (newer) {
+                        || (sign.incarnation() < incarnation && !isLive(nowMillis, silenceMillis));
+        boolean newer = sign.incarnation() == incarnation && sign.beat() > beat;
+        if (restarted || newer) {
             incarnation = sign.incarnation();
             beat = sign.beat();
             leaving = sign.leaving();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
@@ -155,7 +155,7 @@
             count(nowMillis);
         }
         if (sign.beat() > 0) {
-            peer.hear(sign, nowMillis);
+            peer.hear(sign, nowMillis, silenceMillis());
         }
     }
 
