--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
@@ -58,21 +58,24 @@
     static Row row(StageProfile profile, StageVariant variant, double load, long seed) {
         StageFleet fleet = new StageFleet(profile, variant, seed);
         fleet.run(load, MILLIS);
+        StageTally tally = fleet.tally();
+        StageUpstreams upstreams = fleet.upstreams();
+        double answers = Math.max(1, tally.answers());
         Map<String, Double> figures = new LinkedHashMap<>();
-        figures.put("pcs/call", fleet.piecesPerCall());
-        figures.put("busy s/ans", fleet.busySecondsPerAnswer());
-        figures.put("p50 ms", fleet.latencyMillis(MEDIAN));
-        figures.put("p99 ms", fleet.latencyMillis(TAIL));
-        figures.put("on time", fleet.onTimeShare());
-        figures.put("rank 0", fleet.onTimeShare(0));
-        figures.put("rank 1", fleet.onTimeShare(1));
-        figures.put("rank 2", fleet.onTimeShare(2));
-        figures.put("worth", fleet.worthShare());
-        figures.put("answered", fleet.answeredShare());
-        figures.put("refused", fleet.refusedShare());
-        figures.put("failed", fleet.failedShare());
-        figures.put("MB cross", fleet.crossingMegabytesPerAnswer());
-        figures.put("remade", fleet.remadeShare());
+        figures.put("pcs/call", upstreams.piecesPerCall());
+        figures.put("busy s/ans", upstreams.busySeconds() / answers);
+        figures.put("p50 ms", tally.latencyMillis(MEDIAN));
+        figures.put("p99 ms", tally.latencyMillis(TAIL));
+        figures.put("on time", tally.onTimeShare());
+        for (int rank = 0; rank < profile.routes().size(); rank++) {
+            figures.put("rank " + rank, tally.onTimeShare(rank));
+        }
+        figures.put("worth", tally.worthShare());
+        figures.put("answered", tally.answeredShare());
+        figures.put("refused", tally.refusedShare());
+        figures.put("failed", tally.failedShare());
+        figures.put("MB cross", upstreams.crossingMegabytes() / answers);
+        figures.put("remade", upstreams.remadeShare());
         String fault = variant == StageVariant.OWNER_DIES ? "owner dies" : "none";
         return new Row(
                 profile.name(), variant.name().toLowerCase(Locale.ROOT), load, fault, figures);
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import org.HdrHistogram.Histogram;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
@@ -51,9 +50,7 @@
     private static final long TURN_MILLIS = 500;
     private static final long PATIENCE_AFTER_MILLIS = 20_000;
     private static final double REPEAT_SLACK = 52;
-    private static final int LONGEST_MILLIS = 60_000;
     private static final int OK = 200;
-    private static final int RANKS = 3;
     private static final int RETURNS = 1;
 
     private final StageProfile profile;
@@ -64,17 +61,8 @@
     private final VirtualPeers peers = new VirtualPeers(scheduler);
     private final StageUpstreams upstreams;
     private final List<Router> routers = new ArrayList<>();
-    private final Histogram latencies = new Histogram(LONGEST_MILLIS, 3);
+    private final StageTally tally = new StageTally();
     private Optional<Router> dead = Optional.empty();
-    private long asked;
-    private long answered;
-    private long onTime;
-    private final long[] askedOfRank = new long[RANKS];
-    private final long[] onTimeOfRank = new long[RANKS];
-    private double owedWorth;
-    private double earnedWorth;
-    private long refused;
-    private long failed;
 
     StageFleet(StageProfile profile, StageVariant variant, long seed) {
         this.profile = profile;
@@ -145,54 +133,16 @@
         if (dead.filter(d -> d == router).isPresent()) {
             return;
         }
-        asked++;
-        askedOfRank[route.priority()]++;
-        owedWorth += route.worth();
+        tally.asked(route);
         new Caller(route, id, pieces).attempt(router, 1);
     }
 
-    double piecesPerCall() {
-        return upstreams.piecesPerCall();
+    StageTally tally() {
+        return tally;
     }
 
-    double busySecondsPerAnswer() {
-        return upstreams.busySeconds() / Math.max(1, answered);
-    }
-
-    double crossingMegabytesPerAnswer() {
-        return upstreams.crossingMegabytes() / Math.max(1, answered);
-    }
-
-    double remadeShare() {
-        return upstreams.remadeShare();
-    }
-
-    double answeredShare() {
-        return (double) answered / asked;
-    }
-
-    double onTimeShare() {
-        return (double) onTime / asked;
-    }
-
-    double onTimeShare(int rank) {
-        return (double) onTimeOfRank[rank] / askedOfRank[rank];
-    }
-
-    double worthShare() {
-        return earnedWorth / owedWorth;
-    }
-
-    double refusedShare() {
-        return (double) refused / asked;
-    }
-
-    double failedShare() {
-        return (double) failed / asked;
-    }
-
-    double latencyMillis(double percentile) {
-        return latencies.getValueAtPercentile(percentile);
+    StageUpstreams upstreams() {
+        return upstreams;
     }
 
     private List<ServiceRoute> serviceRoutes() {
@@ -385,19 +335,13 @@
         }
 
         void answered() {
-            long millis = loop.nowMillis() - askedMillis;
-            answered++;
-            boolean inTime = millis <= route.objectiveMillis();
-            onTime += inTime ? 1 : 0;
-            onTimeOfRank[route.priority()] += inTime ? 1 : 0;
-            earnedWorth += inTime ? route.worth() : route.lateWorth();
-            latencies.recordValue(Math.min(LONGEST_MILLIS, millis));
+            tally.answered(route, loop.nowMillis() - askedMillis);
         }
 
         void refused(Refusal refusal, int number) {
             long afterMillis = refusal.retryAfterMillis().orElse(0);
             if (number > RETURNS || afterMillis > leftMillis() / 3) {
-                refused++;
+                tally.refused();
                 return;
             }
             Router next = routers.get(random.nextInt(routers.size()));
@@ -405,7 +349,7 @@
                     afterMillis,
                     () -> {
                         if (dead.filter(d -> d == next).isPresent()) {
-                            refused++;
+                            tally.refused();
                         } else {
                             attempt(next, number + 1);
                         }
@@ -444,7 +388,7 @@
 
         @Override
         public void abort() {
-            failed++;
+            tally.failed();
         }
 
         @Override
@@ -455,7 +399,7 @@
             if (refusal.status() == Refusal.UNAVAILABLE) {
                 caller.refused(refusal, number);
             } else {
-                failed++;
+                tally.failed();
             }
         }
     }
--- /dev/null
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
@@ -0,0 +1,83 @@
+package org.bronzewheel.measure;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import org.bronzewheel.measure.StageProfile.StageRoute;
+
+/** What callers got in a run of the experiment on stages. */
+final class StageTally {
+    private static final int LONGEST_MILLIS = 60_000;
+    private static final int DIGITS = 3;
+
+    private final Histogram latencies = new Histogram(LONGEST_MILLIS, DIGITS);
+    private final Map<Integer, Long> askedOfRank = new TreeMap<>();
+    private final Map<Integer, Long> onTimeOfRank = new TreeMap<>();
+    private long asked;
+    private long answered;
+    private long onTime;
+    private long refused;
+    private long failed;
+    private double owedWorth;
+    private double earnedWorth;
+
+    void asked(StageRoute route) {
+        asked++;
+        askedOfRank.merge(route.priority(), 1L, Long::sum);
+        owedWorth += route.worth();
+    }
+
+    void answered(StageRoute route, long millis) {
+        answered++;
+        latencies.recordValue(Math.min(LONGEST_MILLIS, millis));
+        if (millis <= route.objectiveMillis()) {
+            onTime++;
+            onTimeOfRank.merge(route.priority(), 1L, Long::sum);
+            earnedWorth += route.worth();
+        } else {
+            earnedWorth += route.lateWorth();
+        }
+    }
+
+    void refused() {
+        refused++;
+    }
+
+    void failed() {
+        failed++;
+    }
+
+    long answers() {
+        return answered;
+    }
+
+    double answeredShare() {
+        return (double) answered / asked;
+    }
+
+    double onTimeShare() {
+        return (double) onTime / asked;
+    }
+
+    /** Returns the share on time of the requests of a rank. */
+    double onTimeShare(int rank) {
+        return (double) onTimeOfRank.getOrDefault(rank, 0L) / askedOfRank.getOrDefault(rank, 1L);
+    }
+
+    /** Returns what was earned of what all answers in time are worth. */
+    double worthShare() {
+        return earnedWorth / owedWorth;
+    }
+
+    double refusedShare() {
+        return (double) refused / asked;
+    }
+
+    double failedShare() {
+        return (double) failed / asked;
+    }
+
+    double latencyMillis(double percentile) {
+        return latencies.getValueAtPercentile(percentile);
+    }
+}
