--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -28,6 +28,10 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long WAIT_MILLIS = 1_300;
     private static final long FIRST_PAUSE_MILLIS = 60;
+
+    /** Changes come in groups; those of a group are read with one question. */
+    private static final long GROUP_MILLIS = 250;
+
     private static final long LONGEST_PAUSE_MILLIS = 700;
 
     private final PublishedSource source;
@@ -35,6 +39,7 @@
     private final UpstreamTable upstreams;
     private final Loop loop;
     private final RandomGenerator random;
+    private final PublishedRelay relay;
     private Disposable step = Disposable.disposed();
     private long revision;
     private boolean needsSnapshot = true;
@@ -50,18 +55,21 @@
      * @param upstreams takes the entries of upstreams
      * @param loop runs the work
      * @param random draws jitter
+     * @param relay passes on what is read
      */
     public PublishedFollower(
             PublishedSource source,
             CatalogState catalog,
             UpstreamTable upstreams,
             Loop loop,
-            RandomGenerator random) {
+            RandomGenerator random,
+            PublishedRelay relay) {
         this.source = source;
         this.catalog = catalog;
         this.upstreams = upstreams;
         this.loop = loop;
         this.random = random;
+        this.relay = relay;
     }
 
     @Override
@@ -98,6 +106,7 @@
             logger.atInfo().log("platform regained");
         }
         upstreams.platformAnswered(nowMillis);
+        Instants toldAt = sentAt.minusMillis(batch.ageMillis());
         pauseMillis = FIRST_PAUSE_MILLIS;
         // A replica that lags must not take back what another one has told.
         if (batch.revision() < revision) {
@@ -113,8 +122,13 @@
         } else {
             batch.changes().forEach(change -> takeChange(change, nowMillis));
         }
-        catalog.current().ifPresent(current -> catalog.confirm(current.version(), sentAt));
-        ask();
+        catalog.current().ifPresent(current -> catalog.confirm(current.version(), toldAt));
+        relay.took(batch, snapshot, sentAt);
+        if (snapshot || batch.changes().isEmpty()) {
+            ask();
+        } else {
+            step = loop.after(GROUP_MILLIS, this::ask);
+        }
     }
 
     private void takeSnapshot(PublishedBatch batch, long nowMillis) {
@@ -161,6 +175,7 @@
             logger.atWarning().log("platform lost: %s", error.getMessage());
         }
         upstreams.platformLost();
+        relay.lost();
         step = loop.after(pauseMillis / 2 + random.nextLong(pauseMillis), this::ask);
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -13,6 +13,7 @@
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.peering.VirtualPeers;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
 import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
@@ -43,7 +44,9 @@
                         return ask(waits);
                     }
                 };
-        new PublishedFollower(source, catalog, upstreams, loop, new SplittableRandom(1)).start();
+        PublishedRelay relay = new PublishedRelay(new VirtualPeers(scheduler).add("vm"), loop);
+        new PublishedFollower(source, catalog, upstreams, loop, new SplittableRandom(1), relay)
+                .start();
         advance(0);
     }
 
@@ -84,9 +87,23 @@
 
         assertThat(catalog.current().get().version()).isEqualTo(2);
         assertThat(upstreams.serving("s")).hasSize(1);
+        advance(250);
         assertThat(waits).hasSize(2);
     }
 
+    @Test
+    void changesThatComeOneAfterTheOtherAreReadInGroups() {
+        answer(snapshots, 5, version(1));
+        for (int i = 0; i < 20; i++) {
+            if (waits.get(waits.size() - 1).hasValue()) {
+                advance(50);
+            } else {
+                answer(waits, 6 + i, upstream("u" + i));
+            }
+        }
+        assertThat(waits.size()).isAtMost(5);
+    }
+
     @Test
     void evidenceIsAsOldAsItsQuestion() {
         answer(snapshots, 5, version(1));
