--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -41,6 +41,15 @@
             return items.stream().map(item -> item.requestId() + "/" + item.piece()).toList();
         }
 
+        void noRoom() {
+            all(StageItemOutcome.Kind.NO_ROOM);
+        }
+
+        void all(StageItemOutcome.Kind kind) {
+            listener.onOutcomes(
+                    items.stream().map(item -> new StageItemOutcome(kind, "")).toList());
+        }
+
         void done() {
             listener.onOutcomes(
                     items.stream()
@@ -160,6 +169,35 @@
         assertThat(waiting.results).hasSize(1);
     }
 
+    @Test
+    void aJobOfManyPiecesOutlastsRoomThatOthersHold() {
+        upstreams("u");
+        Outcome outcome = submit("a", 4, 0, 10, 9_000);
+        advance(1);
+        for (int i = 0; i < 6; i++) {
+            assertThat(calls).hasSize(i + 1);
+            calls.get(i).noRoom();
+            advance(900);
+        }
+        assertThat(outcome.failure).isNull();
+        calls.get(6).done();
+        assertThat(outcome.results).hasSize(4);
+    }
+
+    @Test
+    void whereALargeResultFoundNoRoomSmallOnesAreStillMade() {
+        upstreams("u");
+        submit("a", 1, 0, 600, 9_000);
+        advance(1);
+        calls.get(0).noRoom();
+        submit("b", 1, 0, 10, 9_000);
+        advance(10);
+        assertThat(calls.get(1).ids()).containsExactly("b/0");
+        calls.get(1).done();
+        advance(200);
+        assertThat(calls.get(2).ids()).containsExactly("a/0");
+    }
+
     @Test
     void resultsThatWereNotFreedLapse() {
         upstreams("u");
@@ -202,6 +240,24 @@
         assertThat(freed).isEmpty();
     }
 
+    @Test
+    void inputsAreHeldLongerAfterACallFoundThemGone() {
+        upstreams("u");
+        StageResult input = new StageResult("t", "h", "m", "d", 10);
+        for (int i = 0; i < 3; i++) {
+            submit("a" + i, 1, 0, 10, 9_000, List.of(input));
+            advance(45L << i);
+            assertThat(inputsReleased).hasSize(i + 1);
+            calls.get(i).all(StageItemOutcome.Kind.INPUT_GONE);
+            advance(10);
+        }
+        submit("b", 1, 0, 10, 9_000, List.of(input));
+        advance(300);
+        assertThat(inputsReleased).hasSize(3);
+        advance(30);
+        assertThat(inputsReleased).hasSize(4);
+    }
+
     @Test
     void inputsAreGivenUpOnceTheCallHasReadThem() {
         upstreams("u");
