--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/HttpReader.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/ctl/HttpReader.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
@@ -16,6 +18,7 @@
 
 /** A reader of JSON documents over HTTP, which waits for each. */
 final class HttpReader {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final long TIMEOUT_MILLIS = 10_000;
 
@@ -28,10 +31,11 @@
     /** Reads a document; an unchecked exception says what could not be read. */
     JsonNode get(String address, String path) {
         int colon = address.lastIndexOf(':');
+        // Vert.x closes a client that nothing refers to; closing it here refers to it until then.
+        HttpClient client = vertx.createHttpClient();
         try {
             Buffer body =
-                    vertx.createHttpClient()
-                            .request(
+                    client.request(
                                     HttpMethod.GET,
                                     Integer.parseInt(address.substring(colon + 1)),
                                     address.substring(0, colon),
@@ -48,6 +52,9 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw unreadable(address, path, e);
+        } finally {
+            client.close()
+                    .onFailure(e -> logger.atWarning().withCause(e).log("a client did not close"));
         }
     }
 
