Find the end of an event without copying what is pending; use RxJava's composite disposable

EventSplitter copied the whole pending event at each line end, in the path of every token; the last two bytes tell the same. StageFleet had a class of its own for what CompositeDisposable does.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.measure;
 
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.ArrayList;
@@ -125,7 +126,7 @@
         Router victim =
                 routers.stream().max(Comparator.comparingInt(Router::ownedServices)).orElseThrow();
         peers.silence(victim.vmId);
-        victim.stages.stop();
+        victim.ticks.dispose();
         dead = Optional.of(victim);
     }
 
@@ -190,7 +191,7 @@
         private final SeedMembership membership;
         private final PeerNetwork network;
         private final SharedStages shared;
-        private final Stoppable stages = new Stoppable();
+        private final CompositeDisposable ticks = new CompositeDisposable();
         private final ServingEngine engine;
 
         Router(int index, List<UpstreamEntry> entries) {
@@ -238,9 +239,9 @@
             }
             if (variant == StageVariant.TURNS) {
                 takeTurn();
-                stages.add(loop.every(TURN_MILLIS, this::takeTurn));
+                ticks.add(loop.every(TURN_MILLIS, this::takeTurn));
             }
-            stages.add(loop.every(TICK_MILLIS, shared::tick));
+            ticks.add(loop.every(TICK_MILLIS, shared::tick));
         }
 
         private void takeTurn() {
@@ -281,19 +282,6 @@
         }
     }
 
-    /** Work of a router that ends with it. */
-    private static final class Stoppable {
-        private final List<Disposable> work = new ArrayList<>();
-
-        void add(Disposable disposable) {
-            work.add(disposable);
-        }
-
-        void stop() {
-            work.forEach(Disposable::dispose);
-        }
-    }
-
     /** A caller, which comes back once after a refusal when it is told to in good time. */
     private final class Caller {
         private final StageRoute route;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
@@ -12,6 +12,11 @@
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
+    /** The last two bytes before the next one, of the pending event only. */
+    private byte last;
+
+    private byte beforeLast;
+
     /** One whole event; its id is empty where it has none or where it is no number. */
     @SuppressWarnings("ArrayRecordComponent")
     record Event(byte[] bytes, OptionalLong id) {}
@@ -24,6 +29,11 @@
             if (next == '\n' && endsEvent()) {
                 events.add(event(pending.toByteArray()));
                 pending.reset();
+                beforeLast = 0;
+                last = 0;
+            } else {
+                beforeLast = last;
+                last = next;
             }
         }
         return events;
@@ -35,12 +45,7 @@
     }
 
     private boolean endsEvent() {
-        byte[] bytes = pending.toByteArray();
-        int last = bytes.length - 1;
-        if (last >= 1 && bytes[last - 1] == '\n') {
-            return true;
-        }
-        return last >= 2 && bytes[last - 1] == '\r' && bytes[last - 2] == '\n';
+        return last == '\n' || (last == '\r' && beforeLast == '\n');
     }
 
     private static Event event(byte[] bytes) {
