Measure bursts of one route before shared stage services

The ranks of Ikaze's routes are now those of its deployment (staff-question first); the figures of 'stages' for ikaze change with them.

Queueing alone, without the time of machines, slow links, faults and changes of owners, does not bring the fault about.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -33,6 +33,7 @@
                             "ablations", Experiments::ablations,
                             "herd", HerdExperiment::run,
                             "stages", StageExperiment::run,
+                            "bursts", StageBurstExperiment::run,
                             "decision-cost", DecisionCost::run));
 
     private Experiments() {}
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
@@ -12,7 +12,7 @@
  */
 final class StageExperiment {
     private static final String NAME = "stages";
-    private static final long MILLIS = 40_000;
+    static final long MILLIS = 40_000;
     private static final double USUAL = 1;
     private static final double OWNER_DIES_LOAD = 1;
     private static final List<Double> LOADS = List.of(USUAL, 1.7, 2.5);
@@ -56,8 +56,19 @@
     }
 
     static Row row(StageProfile profile, StageVariant variant, double load, long seed) {
+        String fault = variant == StageVariant.OWNER_DIES ? "owner dies" : "none";
+        return row(profile, variant, load, seed, fault, List.of());
+    }
+
+    static Row row(
+            StageProfile profile,
+            StageVariant variant,
+            double load,
+            long seed,
+            String fault,
+            List<StageBurst> bursts) {
         StageFleet fleet = new StageFleet(profile, variant, seed);
-        fleet.run(load, MILLIS);
+        fleet.run(load, MILLIS, bursts);
         StageTally tally = fleet.tally();
         StageUpstreams upstreams = fleet.upstreams();
         double answers = Math.max(1, tally.answers());
@@ -69,6 +80,7 @@
         figures.put("on time", tally.onTimeShare());
         for (int rank = 0; rank < profile.routes().size(); rank++) {
             figures.put("rank " + rank, tally.onTimeShare(rank));
+            figures.put("worth " + rank, tally.worthShare(rank));
         }
         figures.put("worth", tally.worthShare());
         figures.put("answered", tally.answeredShare());
@@ -76,7 +88,6 @@
         figures.put("failed", tally.failedShare());
         figures.put("MB cross", upstreams.crossingMegabytes() / answers);
         figures.put("remade", upstreams.remadeShare());
-        String fault = variant == StageVariant.OWNER_DIES ? "owner dies" : "none";
         return new Row(
                 profile.name(), variant.name().toLowerCase(Locale.ROOT), load, fault, figures);
     }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -91,20 +91,24 @@
         return profile.failureDomains().get(index % profile.failureDomains().size());
     }
 
-    /** Serves requests for a while and returns once all had their deadlines. */
-    void run(double load, long millis) {
+    /**
+     * Serves requests for a while and returns once all had their deadlines.
+     *
+     * @param load the usual load, as a multiple of the profile's
+     * @param millis the time during which requests arrive, in milliseconds
+     * @param bursts the further requests
+     */
+    void run(double load, long millis, List<StageBurst> bursts) {
         routers.forEach(Router::start);
         scheduler.advanceTimeBy(WARM_UP_MILLIS, TimeUnit.MILLISECONDS);
-        for (StageRoute route : profile.routes()) {
-            double perMilli = load * route.requestsPerSecond() / 1_000;
-            double atMillis = 0;
-            for (int number = 0; atMillis < millis; number++) {
-                atMillis -= Math.log(1 - random.nextDouble()) / perMilli;
-                String id = route.name() + "/" + number;
-                Router router = routers.get(random.nextInt(routers.size()));
-                List<Integer> pieces = pieces(route);
-                loop.after(Math.round(atMillis), () -> ask(router, route, id, pieces));
-            }
+        profile.routes().forEach(route -> arrivals(route, "", load, 0, millis));
+        for (StageBurst burst : bursts) {
+            arrivals(
+                    profile.route(burst.route()),
+                    "burst-" + burst.fromMillis() + "-",
+                    burst.factor() - 1,
+                    burst.fromMillis(),
+                    burst.fromMillis() + burst.millis());
         }
         if (variant == StageVariant.OWNER_DIES) {
             loop.after(millis / 2, this::killOwner);
@@ -112,6 +116,19 @@
         scheduler.advanceTimeBy(millis + PATIENCE_AFTER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void arrivals(
+            StageRoute route, String prefix, double load, long fromMillis, long untilMillis) {
+        double perMilli = load * route.requestsPerSecond() / 1_000;
+        double atMillis = fromMillis;
+        for (int number = 0; atMillis < untilMillis; number++) {
+            atMillis -= Math.log(1 - random.nextDouble()) / perMilli;
+            String id = route.name() + "/" + prefix + number;
+            Router router = routers.get(random.nextInt(routers.size()));
+            List<Integer> pieces = pieces(route);
+            loop.after(Math.round(atMillis), () -> ask(router, route, id, pieces));
+        }
+    }
+
     /** Draws numbers of pieces evenly up to twice the mean; a mean below 1 leaves stages out. */
     private List<Integer> pieces(StageRoute route) {
         List<Integer> pieces = new ArrayList<>();
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageProfile.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageProfile.java
@@ -107,7 +107,6 @@
 
     /** Ikaze Handbooks, with the figures of its deployment's page. */
     static StageProfile ikaze() {
-        StageStep records = new StageStep("hr-sync", List.of(), 800_000);
         return new StageProfile(
                 "ikaze",
                 9,
@@ -116,40 +115,59 @@
                         pool("hr-sync", 4, 12, 17.5, 14.5714),
                         pool("notify", 4, 47, 4.36596, 5.13519),
                         pool("audit-log", 4, 35, 5.82857, 0.39375)),
+                ikazeRoutes(10.2, 16.9, 16.6));
+    }
+
+    /** Ikaze Handbooks with 91 routers, with the figures of that deployment's page. */
+    static StageProfile ikazeGrown() {
+        return new StageProfile(
+                "ikaze-grown",
+                91,
+                List.of("kgl-a", "kgl-b", "kgl-c", "kgl-d", "kgl-e"),
                 List.of(
-                        new StageRoute(
-                                "policy-digest",
-                                10.2,
-                                0,
-                                2_500,
-                                20_000,
-                                4.6,
-                                0.69,
-                                beside(records, chain("hr-sync", "notify", "audit-log", 1)),
-                                List.of(0.6, 1.0, 8.0, 6.0),
-                                List.of(1.0, 0.3, 1.0, 1.0)),
-                        new StageRoute(
-                                "staff-question",
-                                16.9,
-                                1,
-                                2_000,
-                                15_000,
-                                1.9,
-                                0.28,
-                                chain("hr-sync", "notify", "audit-log", 0),
-                                List.of(1.0, 8.0, 6.0),
-                                List.of(0.3, 1.0, 1.0)),
-                        new StageRoute(
-                                "clause-lookup",
-                                16.6,
-                                2,
-                                990,
-                                4_000,
-                                0.46,
-                                0.069,
-                                List.of(records),
-                                List.of(1.75),
-                                List.of(1.0))));
+                        pool("hr-sync", 12, 14, 15, 17),
+                        pool("notify", 10, 63, 3.2381, 6.93),
+                        pool("audit-log", 13, 37, 5.54595, 0.399211)),
+                ikazeRoutes(32.1, 52.9, 52.1));
+    }
+
+    private static List<StageRoute> ikazeRoutes(
+            double digestsPerSecond, double questionsPerSecond, double lookupsPerSecond) {
+        StageStep records = new StageStep("hr-sync", List.of(), 800_000);
+        return List.of(
+                new StageRoute(
+                        "policy-digest",
+                        digestsPerSecond,
+                        1,
+                        2_500,
+                        20_000,
+                        4.6,
+                        0.69,
+                        beside(records, chain("hr-sync", "notify", "audit-log", 1)),
+                        List.of(0.6, 1.0, 8.0, 6.0),
+                        List.of(1.0, 0.3, 1.0, 1.0)),
+                new StageRoute(
+                        "staff-question",
+                        questionsPerSecond,
+                        0,
+                        2_000,
+                        15_000,
+                        1.9,
+                        0.28,
+                        chain("hr-sync", "notify", "audit-log", 0),
+                        List.of(1.0, 8.0, 6.0),
+                        List.of(0.3, 1.0, 1.0)),
+                new StageRoute(
+                        "clause-lookup",
+                        lookupsPerSecond,
+                        2,
+                        990,
+                        4_000,
+                        0.46,
+                        0.069,
+                        List.of(records),
+                        List.of(1.75),
+                        List.of(1.0)));
     }
 
     private static Pool pool(
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
@@ -13,6 +13,8 @@
     private final Histogram latencies = new Histogram(LONGEST_MILLIS, DIGITS);
     private final Map<Integer, Long> askedOfRank = new TreeMap<>();
     private final Map<Integer, Long> onTimeOfRank = new TreeMap<>();
+    private final Map<Integer, Double> owedOfRank = new TreeMap<>();
+    private final Map<Integer, Double> earnedOfRank = new TreeMap<>();
     private long asked;
     private long answered;
     private long onTime;
@@ -25,18 +27,20 @@
         asked++;
         askedOfRank.merge(route.priority(), 1L, Long::sum);
         owedWorth += route.worth();
+        owedOfRank.merge(route.priority(), route.worth(), Double::sum);
     }
 
     void answered(StageRoute route, long millis) {
         answered++;
         latencies.recordValue(Math.min(LONGEST_MILLIS, millis));
-        if (millis <= route.objectiveMillis()) {
+        boolean late = millis > route.objectiveMillis();
+        double worth = late ? route.lateWorth() : route.worth();
+        if (!late) {
             onTime++;
             onTimeOfRank.merge(route.priority(), 1L, Long::sum);
-            earnedWorth += route.worth();
-        } else {
-            earnedWorth += route.lateWorth();
         }
+        earnedWorth += worth;
+        earnedOfRank.merge(route.priority(), worth, Double::sum);
     }
 
     void refused() {
@@ -69,6 +73,11 @@
         return earnedWorth / owedWorth;
     }
 
+    /** Returns the same for the requests of a rank. */
+    double worthShare(int rank) {
+        return earnedOfRank.getOrDefault(rank, 0.0) / owedOfRank.getOrDefault(rank, 1.0);
+    }
+
     double refusedShare() {
         return (double) refused / asked;
     }
