Tell what a stage queue holds and how old the told waits are

ADMITTED now has the objective and the wait of each stage with its age; 'stage queue' has the owner, late jobs, the oldest wait and what became of the pieces since the last line. No decision changes.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -92,12 +92,15 @@
                 .decided(
                         request.id(),
                         Decision.ADMITTED,
-                        "route=%s rank=%d expectedMillis=%d patienceMillis=%d prompt=%s"
+                        ("route=%s rank=%d expectedMillis=%d objectiveMillis=%d patienceMillis=%d"
+                                        + " waits=%s prompt=%s")
                                 .formatted(
                                         route.name(),
                                         rank(),
                                         expectedMillis,
+                                        route.objectiveMillis(),
                                         deadlineAtMillis - arrivedMillis,
+                                        stages.describeWaits(),
                                         request.promptParts()));
         parts.budget().request(service(), 1, arrivedMillis);
         if (expectedMillis > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.serving.RequestObserver.Decision;
@@ -11,6 +12,7 @@
 import org.bronzewheel.stages.StageJob;
 import org.bronzewheel.stages.StageListener;
 import org.bronzewheel.stages.StageResult;
+import org.bronzewheel.stages.StageWait;
 
 /** The stages of one request: submits them, hands their results on, and makes them anew once. */
 final class RequestStages {
@@ -106,11 +108,23 @@
     long expectedMillis() {
         long millis = 0;
         for (String service : progress.longestWay()) {
-            millis += parts.stages().expectedWaitMillis(service, route.priority()) + STAGE_MILLIS;
+            millis +=
+                    parts.stages().expectedWait(service, route.priority()).millis() + STAGE_MILLIS;
         }
         return millis;
     }
 
+    /** Returns the wait of each stage on the longest way, with its age. */
+    String describeWaits() {
+        return progress.longestWay().stream()
+                .map(
+                        service -> {
+                            StageWait wait = parts.stages().expectedWait(service, route.priority());
+                            return "%s:%d/%d".formatted(service, wait.millis(), wait.ageMillis());
+                        })
+                .collect(Collectors.joining(",", "[", "]"));
+    }
+
     List<String> handles() {
         return progress.outputs().stream().map(StageResult::handle).toList();
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -49,10 +49,12 @@
     private final DispatcherFactory newDispatcher;
     private final Map<String, StageDispatcher> dispatchers = new HashMap<>();
     private final Set<RemoteJob> remoteJobs = new LinkedHashSet<>();
-    private final Map<String, List<Long>> toldWaits = new HashMap<>();
+    private final Map<String, ToldWaits> toldWaits = new HashMap<>();
     private final Map<String, Long> submitterMillis = new TreeMap<>();
     private int ticks;
 
+    private record ToldWaits(List<Long> byRank, long atMillis) {}
+
     SharedStages(
             PeerTransport transport,
             SeedMembership membership,
@@ -112,12 +114,17 @@
     }
 
     @Override
-    public long expectedWaitMillis(String service, int rank) {
+    public StageWait expectedWait(String service, int rank) {
         if (isSelf(owner(service, Set.of()))) {
-            return dispatcher(service).expectedWaitMillis(rank);
+            return new StageWait(dispatcher(service).expectedWaitMillis(rank), 0);
+        }
+        ToldWaits told = toldWaits.get(service);
+        if (told == null || told.byRank().isEmpty()) {
+            return StageWait.UNKNOWN;
         }
-        List<Long> told = toldWaits.getOrDefault(service, List.of());
-        return told.isEmpty() ? 0 : told.get(Math.min(rank, told.size() - 1));
+        return new StageWait(
+                told.byRank().get(Math.min(rank, told.byRank().size() - 1)),
+                loop.nowMillis() - told.atMillis());
     }
 
     /**
@@ -159,7 +166,7 @@
      * @param byRank the waits in milliseconds of the ranks from 0
      */
     public void takeBacklog(String service, List<Long> byRank) {
-        toldWaits.put(service, byRank);
+        toldWaits.put(service, new ToldWaits(byRank, loop.nowMillis()));
     }
 
     /**
@@ -171,6 +178,28 @@
         return dispatchers.values().stream().mapToInt(StageDispatcher::openJobs).sum();
     }
 
+    /**
+     * Returns the pieces that wait for the upstreams of this router.
+     *
+     * @return the number of pieces, those of other routers included
+     */
+    public int waitingPieces() {
+        return dispatchers.values().stream().mapToInt(StageDispatcher::waitingPieces).sum();
+    }
+
+    /**
+     * Returns how long the oldest of the jobs that wait for the upstreams of this router has
+     * waited.
+     *
+     * @return the time in milliseconds; 0 where none waits
+     */
+    public long oldestWaitMillis() {
+        return dispatchers.values().stream()
+                .mapToLong(StageDispatcher::oldestWaitMillis)
+                .max()
+                .orElse(0);
+    }
+
     /** Submits again what silent owners hold, and serves what the own upstreams can take. */
     public void tick() {
         List<String> live = membership.live(loop.nowMillis());
@@ -181,7 +210,8 @@
         }
         dispatchers.values().forEach(StageDispatcher::pump);
         if (++ticks % TICKS_PER_LOG == 0) {
-            dispatchers.values().forEach(StageDispatcher::logState);
+            dispatchers.forEach(
+                    (service, dispatcher) -> dispatcher.logState(isSelf(owner(service, Set.of()))));
         }
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -20,6 +20,7 @@
     private final StageBatch batch;
     private final long resultMillis;
     private final InputHold inputHold;
+    private final StageTally tally;
     private final Loop loop;
     private final long beganMillis;
     private Disposable call = Disposable.disposed();
@@ -34,6 +35,7 @@
             StageBatch batch,
             long resultMillis,
             InputHold inputHold,
+            StageTally tally,
             Loop loop) {
         this.owner = owner;
         this.service = service;
@@ -41,6 +43,7 @@
         this.batch = batch;
         this.resultMillis = resultMillis;
         this.inputHold = inputHold;
+        this.tally = tally;
         this.loop = loop;
         this.beganMillis = loop.nowMillis();
     }
@@ -78,13 +81,23 @@
             StageTask task = part.task();
             switch (outcomes.get(i).kind()) {
                 case MADE -> keep(part, outcomes.get(i).handle());
-                case LATE -> owner.fail(task, StageFailure.LATE);
-                case INPUT_GONE -> owner.fail(task, StageFailure.INPUT_GONE);
+                case LATE -> {
+                    tally.count(StageTally.Event.LATE, 1);
+                    owner.fail(task, StageFailure.LATE);
+                }
+                case INPUT_GONE -> {
+                    tally.count(StageTally.Event.INPUT_GONE, 1);
+                    owner.fail(task, StageFailure.INPUT_GONE);
+                }
                 case NO_ROOM -> {
+                    tally.count(StageTally.Event.NO_ROOM, 1);
                     worker.noRoomFor(task.job().resultBytes(), loop.nowMillis());
                     add(withoutRoom, part);
                 }
-                case FAILED -> add(failed, part);
+                case FAILED -> {
+                    tally.count(StageTally.Event.FAILED, 1);
+                    add(failed, part);
+                }
             }
         }
         withoutRoom.forEach((task, pieces) -> owner.requeue(task, pieces, false));
@@ -121,6 +134,7 @@
         logger.atInfo().log(
                 "stage call failed: service=%s upstream=%s pieces=%d neverRan=%s reason=%s",
                 service, worker.upstream().entry().id(), batch.parts().size(), neverRan, reason);
+        tally.count(StageTally.Event.FAILED, batch.parts().size());
         worker.pause(loop.nowMillis() + (neverRan ? FULL_PAUSE_MILLIS : BROKEN_PAUSE_MILLIS));
         Map<StageTask, List<Integer>> pieces = new LinkedHashMap<>();
         batch.parts().forEach(part -> add(pieces, part));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -45,6 +45,7 @@
     private final StageOrder order = new StageOrder();
     private final DrainMeter drain = new DrainMeter();
     private final InputHold inputHold = new InputHold();
+    private final StageTally tally = new StageTally();
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
     private final Map<String, List<String>> toFree = new HashMap<>();
@@ -118,20 +119,50 @@
                 });
     }
 
-    /** Logs the queue and the upstreams, where anything waits. */
-    void logState() {
+    /**
+     * Logs the queue, what became of its pieces since the last time, and the upstreams, where
+     * anything waits.
+     *
+     * @param owner whether this router still owns the service
+     */
+    void logState(boolean owner) {
         if (tasks.isEmpty()) {
             return;
         }
         long nowMillis = loop.nowMillis();
         logger.atInfo().log(
-                "stage queue: service=%s tasks=%d waiting=%d workers=%s",
+                "stage queue: service=%s owner=%s tasks=%d late=%d waiting=%d oldestMillis=%d %s"
+                        + " workers=%s",
                 service,
+                owner,
                 tasks.size(),
-                tasks.stream().mapToInt(task -> task.waiting().size()).sum(),
+                lateTasks(nowMillis),
+                waitingPieces(),
+                oldestWaitMillis(),
+                tally.take(),
                 workers.values().stream().map(w -> w.describe(nowMillis)).toList());
     }
 
+    private long lateTasks(long nowMillis) {
+        double callMillis = pool.get().map(StagePool::callMillis).orElse(0.0);
+        return tasks.stream()
+                .filter(task -> StageOrder.isLate(task, callMillis, nowMillis))
+                .count();
+    }
+
+    int waitingPieces() {
+        return tasks.stream().mapToInt(task -> task.waiting().size()).sum();
+    }
+
+    long oldestWaitMillis() {
+        long nowMillis = loop.nowMillis();
+        return tasks.stream()
+                .filter(task -> !task.waiting().isEmpty())
+                .mapToLong(task -> nowMillis - task.arrivedMillis())
+                .max()
+                .orElse(0);
+    }
+
     int openJobs() {
         return tasks.size();
     }
@@ -187,6 +218,7 @@
             double doneMillis = nowMillis + ahead * pieceMillis + limits.callMillis();
             double latest = task.job().deadlineAtMillis() - (double) task.job().laterMillis();
             if (waiting > 0 && doneMillis > latest) {
+                tally.count(StageTally.Event.LATE, waiting);
                 fail(task, StageFailure.LATE);
             } else {
                 ahead += waiting;
@@ -205,9 +237,11 @@
     void made(StageBatch.Part part, StageResult result) {
         StageTask task = part.task();
         if (task.isEnded()) {
+            tally.count(StageTally.Event.UNUSED, 1);
             release(List.of(result));
             return;
         }
+        tally.count(StageTally.Event.MADE, 1);
         task.made(part.piece(), result);
         if (task.isWhole()) {
             tasks.remove(task);
@@ -282,9 +316,10 @@
         worker.begin(batch.bytes(), nowMillis);
         double factor = worker.slowness() >= SLOW ? TIMEOUT_FACTOR_WHEN_SLOW : TIMEOUT_FACTOR;
         long timeoutMillis = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
-        new StageCall(this, service, worker, batch, limits.resultMillis(), inputHold, loop)
+        new StageCall(this, service, worker, batch, limits.resultMillis(), inputHold, tally, loop)
                 .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
+        tally.count(StageTally.Event.TAKEN, items.size());
     }
 
     private static StageItem item(StageBatch.Part part, long nowMillis) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -87,8 +87,13 @@
 
     /** Returns the rank of a task in the queue, which falls once its objective cannot be met. */
     static int rank(StageTask task, double callMillis, long nowMillis) {
+        boolean late = isLate(task, callMillis, nowMillis);
+        return onTimeRank(task.job().rank()) + (late ? LATE_PENALTY : 0);
+    }
+
+    /** Tells whether the objective of a task's request can no longer be met. */
+    static boolean isLate(StageTask task, double callMillis, long nowMillis) {
         StageJob job = task.job();
-        boolean late = nowMillis + callMillis + job.laterMillis() > job.objectiveAtMillis();
-        return onTimeRank(job.rank()) + (late ? LATE_PENALTY : 0);
+        return nowMillis + callMillis + job.laterMillis() > job.objectiveAtMillis();
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageService.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageService.java
@@ -32,7 +32,7 @@
      *
      * @param service the stage service
      * @param rank the rank of the job
-     * @return the time in milliseconds; 0 where it is unknown
+     * @return the time and its age
      */
-    long expectedWaitMillis(String service, int rank);
+    StageWait expectedWait(String service, int rank);
 }
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTally.java
@@ -0,0 +1,42 @@
+package org.bronzewheel.stages;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.StringJoiner;
+
+/** Counts of what became of the pieces of a stage service since the counts were last read. */
+final class StageTally {
+    private final Map<Event, Integer> counts = new EnumMap<>(Event.class);
+
+    /** What can happen to a piece. */
+    enum Event {
+        /** It went into a call. */
+        TAKEN,
+        /** Its result was made and has a reader. */
+        MADE,
+        /** Its result was made for a request that had ended. */
+        UNUSED,
+        /** One of its inputs no longer existed. */
+        INPUT_GONE,
+        /** Its result found no room. */
+        NO_ROOM,
+        /** Its call failed. */
+        FAILED,
+        /** It was given up before a call, as its turn would have come too late. */
+        LATE
+    }
+
+    void count(Event event, int pieces) {
+        counts.merge(event, pieces, Integer::sum);
+    }
+
+    /** Returns the counts as {@code taken=12 made=10}, and begins anew. */
+    String take() {
+        StringJoiner text = new StringJoiner(" ");
+        counts.forEach(
+                (event, pieces) -> text.add(event.name().toLowerCase(Locale.ROOT) + "=" + pieces));
+        counts.clear();
+        return text.toString();
+    }
+}
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -26,6 +26,7 @@
 import org.bronzewheel.stages.StageListener;
 import org.bronzewheel.stages.StageResult;
 import org.bronzewheel.stages.StageService;
+import org.bronzewheel.stages.StageWait;
 import org.bronzewheel.upstreams.EngineChoice;
 import org.bronzewheel.upstreams.PromptPart;
 import org.bronzewheel.upstreams.UpstreamEntry;
@@ -37,6 +38,7 @@
 
     final TestScheduler scheduler = new TestScheduler();
     final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
+    long expectedWaitMillis;
     final CatalogState catalog = new CatalogState(LEASE_MILLIS);
     final UpstreamTable upstreams = new UpstreamTable(2_000);
     final List<Sent> sends = new ArrayList<>();
@@ -231,8 +233,8 @@
     public void cancel(String service, String requestId) {}
 
     @Override
-    public long expectedWaitMillis(String service, int rank) {
-        return 0;
+    public StageWait expectedWait(String service, int rank) {
+        return new StageWait(expectedWaitMillis, 0);
     }
 
     @Override
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
@@ -231,7 +231,9 @@
             submitter.submit("r" + i, 8);
         }
         advance(700);
-        assertThat(submitter.stages.expectedWaitMillis(SERVICE, 0)).isGreaterThan(1_000);
+        StageWait wait = submitter.stages.expectedWait(SERVICE, 0);
+        assertThat(wait.millis()).isGreaterThan(1_000);
+        assertThat(wait.ageMillis()).isAtMost(350);
         assertThat(owner().stages.submitters()).contains(submitter.vmId);
     }
 }
