Reproduce callers that are held until they leave

Callers in the experiment 'bursts' leave after a time without an event, as those of the users do: the longer of 2 s and four objectives.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageBurstExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageBurstExperiment.java
@@ -12,6 +12,9 @@
     private static final long BURST_MILLIS = 6_000;
     private static final double USUAL = 1;
 
+    /** A burst that no division of the upstreams can serve. */
+    private static final double PAST_CAPACITY = 6;
+
     /** The largest worth of a class that the gate of a site asks for on a day with such bursts. */
     private static final double TOKACHI_FLOOR = 0.44;
 
@@ -28,6 +31,9 @@
         add(StageProfile.ikaze(), "staff-question", 2.6, IKAZE_FLOOR, seed, rows, targets);
         add(StageProfile.ikazeGrown(), "policy-digest", 3.24, IKAZE_FLOOR, seed, rows, targets);
         add(StageProfile.ikazeGrown(), "staff-question", 3.1, IKAZE_FLOOR, seed, rows, targets);
+        add(StageProfile.tokachi(), "pilot-brief", PAST_CAPACITY, 0, seed, rows, targets);
+        add(StageProfile.ikaze(), "policy-digest", PAST_CAPACITY, 0, seed, rows, targets);
+        add(StageProfile.ikazeGrown(), "policy-digest", PAST_CAPACITY, 0, seed, rows, targets);
         return new ExperimentResult(NAME, seed, rows, targets);
     }
 
@@ -41,6 +47,11 @@
             List<Target> targets) {
         Row row = row(profile, route, factor, seed);
         rows.add(row);
+        targets.add(
+                Target.atMost(
+                        profile.name() + " callers that leave unanswered, " + row.fault(),
+                        row.figures().get("left"),
+                        0));
         for (int rank = 0; rank < profile.routes().size(); rank++) {
             targets.add(
                     Target.atLeast(
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
@@ -86,6 +86,7 @@
         figures.put("answered", tally.answeredShare());
         figures.put("refused", tally.refusedShare());
         figures.put("failed", tally.failedShare());
+        figures.put("left", tally.leftShare());
         figures.put("MB cross", upstreams.crossingMegabytes() / answers);
         figures.put("remade", upstreams.remadeShare());
         return new Row(
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -28,6 +28,7 @@
 import org.bronzewheel.serving.Refusal;
 import org.bronzewheel.serving.RequestEnd;
 import org.bronzewheel.serving.RequestObserver;
+import org.bronzewheel.serving.RunningRequest;
 import org.bronzewheel.serving.ServingEngine;
 import org.bronzewheel.serving.ServingParts;
 import org.bronzewheel.serving.UpstreamCall;
@@ -299,12 +300,17 @@
         }
     }
 
-    /** A caller, which comes back once after a refusal when it is told to in good time. */
+    /**
+     * A caller, which comes back once after a refusal when it is told to in good time, and leaves
+     * where nothing comes for too long.
+     */
     private final class Caller {
         private final StageRoute route;
         private final String id;
         private final List<Integer> pieces;
         private final long askedMillis = loop.nowMillis();
+        private int attempts;
+        private boolean ended;
 
         Caller(StageRoute route, String id, List<Integer> pieces) {
             this.route = route;
@@ -317,6 +323,7 @@
         }
 
         void attempt(Router router, int number) {
+            attempts = number;
             CallerRequest request =
                     new CallerRequest(
                             id + "/" + number,
@@ -334,18 +341,36 @@
                             List.of(),
                             pieces,
                             Optional.of("key"));
-            if (router.engine.run(request, new Attempt(this, router, number)) == null) {
+            RunningRequest running = router.engine.run(request, new Attempt(this, router, number));
+            if (running == null) {
                 throw new IllegalStateException("no run of " + id);
             }
+            loop.after(route.callerSilenceMillis(), () -> leave(running, number));
+        }
+
+        /** Leaves where nothing has come from this attempt for as long as a caller bears. */
+        private void leave(RunningRequest running, int attempt) {
+            if (!ended && attempt == attempts) {
+                ended = true;
+                tally.left();
+                running.callerLeft();
+            }
+        }
+
+        void failed() {
+            ended = true;
+            tally.failed();
         }
 
         void answered() {
+            ended = true;
             tally.answered(route, loop.nowMillis() - askedMillis);
         }
 
         void refused(Refusal refusal, int number) {
             long afterMillis = refusal.retryAfterMillis().orElse(0);
             if (number > RETURNS || afterMillis > leftMillis() / 3) {
+                ended = true;
                 tally.refused();
                 return;
             }
@@ -354,6 +379,7 @@
                     afterMillis,
                     () -> {
                         if (dead.filter(d -> d == next).isPresent()) {
+                            ended = true;
                             tally.refused();
                         } else {
                             attempt(next, number + 1);
@@ -393,7 +419,7 @@
 
         @Override
         public void abort() {
-            tally.failed();
+            caller.failed();
         }
 
         @Override
@@ -404,7 +430,7 @@
             if (refusal.status() == Refusal.UNAVAILABLE) {
                 caller.refused(refusal, number);
             } else {
-                tally.failed();
+                caller.failed();
             }
         }
     }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageProfile.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageProfile.java
@@ -54,7 +54,15 @@
             double lateWorth,
             List<StageStep> stages,
             List<Double> meanPieces,
-            List<Double> workFactors) {}
+            List<Double> workFactors) {
+        private static final long LEAST_SILENCE_MILLIS = 2_000;
+        private static final int SILENCE_OBJECTIVES = 4;
+
+        /** Returns the time without an event after which callers leave, in milliseconds. */
+        long callerSilenceMillis() {
+            return Math.max(LEAST_SILENCE_MILLIS, SILENCE_OBJECTIVES * objectiveMillis);
+        }
+    }
 
     /** Tokachi Skyvoucher Labs, with the figures of its deployment's page. */
     static StageProfile tokachi() {
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
@@ -20,6 +20,7 @@
     private long onTime;
     private long refused;
     private long failed;
+    private long left;
     private double owedWorth;
     private double earnedWorth;
 
@@ -51,6 +52,11 @@
         failed++;
     }
 
+    /** Books a caller that left before it had an answer or a refusal. */
+    void left() {
+        left++;
+    }
+
     long answers() {
         return answered;
     }
@@ -86,6 +92,10 @@
         return (double) failed / asked;
     }
 
+    double leftShare() {
+        return (double) left / asked;
+    }
+
     double latencyMillis(double percentile) {
         return latencies.getValueAtPercentile(percentile);
     }
