Refuse what callers of a stream will not wait for

Cause: a time limit was taken from the wrong place. Admission, the queues and the stage calls counted to the deadline that the caller sends (20 s), but a caller of a stream leaves after a time without an event: the longest of 2 s, four objectives and eight pauses. Refusal at the door needed 12 s of expected wait, more than anybody waits, and a queue kept jobs to 20 s.

The route now says how long its callers bear silence (the platform's rule is decoded once); admission, queues and the time left of stage items count to it, and a request that nothing was sent of is refused shortly before. What is sent to an engine still has the caller's own deadline.

Ruled out beside: a caller that waits for its return after a refusal was counted as leaving by the experiment, which is mended here.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -177,6 +177,7 @@
                                         route.deadlineMillis(),
                                         route.objectiveMillis(),
                                         0,
+                                        route.callerSilenceMillis(),
                                         route.priority(),
                                         2,
                                         List.of(new ServiceShare(ENGINE, 1)),
@@ -309,7 +310,7 @@
         private final String id;
         private final List<Integer> pieces;
         private final long askedMillis = loop.nowMillis();
-        private int attempts;
+        private int waitingAttempt;
         private boolean ended;
 
         Caller(StageRoute route, String id, List<Integer> pieces) {
@@ -323,7 +324,7 @@
         }
 
         void attempt(Router router, int number) {
-            attempts = number;
+            waitingAttempt = number;
             CallerRequest request =
                     new CallerRequest(
                             id + "/" + number,
@@ -350,7 +351,7 @@
 
         /** Leaves where nothing has come from this attempt for as long as a caller bears. */
         private void leave(RunningRequest running, int attempt) {
-            if (!ended && attempt == attempts) {
+            if (!ended && attempt == waitingAttempt) {
                 ended = true;
                 tally.left();
                 running.callerLeft();
@@ -368,6 +369,7 @@
         }
 
         void refused(Refusal refusal, int number) {
+            waitingAttempt = 0;
             long afterMillis = refusal.retryAfterMillis().orElse(0);
             if (number > RETURNS || afterMillis > leftMillis() / 3) {
                 ended = true;
--- a/bronzewheel-measure/src/test/java/org/bronzewheel/measure/StageBurstExperimentTest.java
+++ b/bronzewheel-measure/src/test/java/org/bronzewheel/measure/StageBurstExperimentTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.Map;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -11,7 +10,6 @@
     private static final double PAST_CAPACITY = 6;
 
     // Guards against requests that are held until their callers leave, as in the incident SHORT.
-    @Tag("known-red")
     @ParameterizedTest
     @CsvSource({"tokachi,pilot-brief", "ikaze,policy-digest"})
     void noCallerIsHeldUntilItLeavesInABurstPastCapacity(String profile, String route) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/ServiceRoute.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/ServiceRoute.java
@@ -13,6 +13,8 @@
  * @param timeoutMillis the longest time to the final answer, in milliseconds; 0 where unlimited
  * @param objectiveMillis the time within which an answer is on time, in milliseconds
  * @param gapObjectiveMillis the longest pause between two events that is on time, in milliseconds
+ * @param callerSilenceMillis the time without an event of a stream, also before the first one,
+ *     after which callers leave, in milliseconds; 0 where they wait for the timeout
  * @param priority the rank of the route, 0 first
  * @param maxAttempts the largest number of upstreams that may run one request
  * @param shares the services that run the requests
@@ -28,11 +30,24 @@
         long timeoutMillis,
         long objectiveMillis,
         long gapObjectiveMillis,
+        long callerSilenceMillis,
         int priority,
         int maxAttempts,
         List<ServiceShare> shares,
         List<StageStep> stages,
         boolean open) {
+    /**
+     * Returns how long a caller waits for the first part of its answer.
+     *
+     * @param patienceMillis the time that the caller waits for the whole answer, in milliseconds
+     * @return the time in milliseconds
+     */
+    public long firstAnswerMillis(long patienceMillis) {
+        return callerSilenceMillis > 0
+                ? Math.min(patienceMillis, callerSilenceMillis)
+                : patienceMillis;
+    }
+
     /**
      * Returns the service of a request.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedCodec.java
@@ -132,6 +132,7 @@
                         .setTimeoutMillis(route.timeoutMillis())
                         .setObjectiveMillis(route.objectiveMillis())
                         .setGapObjectiveMillis(route.gapObjectiveMillis())
+                        .setCallerSilenceMillis(route.callerSilenceMillis())
                         .setPriority(route.priority())
                         .setMaxAttempts(route.maxAttempts())
                         .setOpen(route.open());
@@ -174,6 +175,7 @@
                 route.getTimeoutMillis(),
                 route.getObjectiveMillis(),
                 route.getGapObjectiveMillis(),
+                route.getCallerSilenceMillis(),
                 route.getPriority(),
                 route.getMaxAttempts(),
                 shares,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -28,6 +28,9 @@
     private static final int LEAST_CONNECTIONS = 1;
     private static final int CONFLICT = 409;
 
+    /** The time that a refusal takes to reach its caller. */
+    private static final long REFUSAL_MILLIS = 150;
+
     /** In place of a status: no byte was handed to a connection. */
     static final int NOT_SENT = 0;
 
@@ -40,6 +43,7 @@
     private final long arrivedMillis;
     private final Consumer<RequestRun> onEnd;
     private final long deadlineAtMillis;
+    private final long firstAnswerAtMillis;
     private final double servicePoint;
     private final RequestRelay relay;
     private final RequestStages stages;
@@ -50,6 +54,7 @@
     private boolean ended;
     private RequestSend send;
     private Disposable timeout = Disposable.disposed();
+    private Disposable firstAnswerTimeout = Disposable.disposed();
     private Disposable pause = Disposable.disposed();
 
     RequestRun(
@@ -74,13 +79,14 @@
             patience = Math.min(patience, route.timeoutMillis());
         }
         this.deadlineAtMillis = arrivedMillis + patience;
+        this.firstAnswerAtMillis = arrivedMillis + route.firstAnswerMillis(patience);
         this.stages =
                 new RequestStages(
                         parts,
                         request,
                         route,
                         arrivedMillis,
-                        deadlineAtMillis,
+                        firstAnswerAtMillis,
                         this::dispatch,
                         this::giveUp);
         this.relay = new RequestRelay(request, route, exchange);
@@ -99,15 +105,21 @@
                                         rank(),
                                         expectedMillis,
                                         route.objectiveMillis(),
-                                        deadlineAtMillis - arrivedMillis,
+                                        firstAnswerAtMillis - arrivedMillis,
                                         stages.describeWaits(),
                                         request.promptParts()));
         parts.budget().request(service(), 1, arrivedMillis);
-        if (expectedMillis > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
+        if (expectedMillis > LONGEST_WAIT_SHARE * (firstAnswerAtMillis - arrivedMillis)) {
             refuse("the queues are too long for the deadline");
             return;
         }
         timeout = loop.after(deadlineAtMillis - arrivedMillis, this::timedOut);
+        if (firstAnswerAtMillis < deadlineAtMillis) {
+            firstAnswerTimeout =
+                    loop.after(
+                            firstAnswerAtMillis - arrivedMillis - REFUSAL_MILLIS,
+                            this::firstAnswerTimedOut);
+        }
         stages.begin(
                 choose(service(), arrivedMillis)
                         .map(engine -> engine.entry().failureDomain())
@@ -325,9 +337,18 @@
         }
     }
 
+    /** Refuses a request that nothing was sent of, while its caller is still there. */
+    private void firstAnswerTimedOut() {
+        if (!ended && !relay.hasBegun() && !mayHaveRun && send == null) {
+            refuse("the caller waits no longer for a first event");
+        }
+    }
+
     private void refuse(String reason) {
         long leftMillis = deadlineAtMillis - loop.nowMillis();
-        long excessMillis = stages.expectedMillis() - Math.round(LONGEST_WAIT_SHARE * leftMillis);
+        long excessMillis =
+                stages.expectedMillis()
+                        - Math.round(LONGEST_WAIT_SHARE * route.firstAnswerMillis(leftMillis));
         long after =
                 ReturnTime.afterMillis(
                         excessMillis, leftMillis, rank(), parts.random().nextDouble());
@@ -359,6 +380,7 @@
         }
         ended = true;
         timeout.dispose();
+        firstAnswerTimeout.dispose();
         pause.dispose();
         if (send != null) {
             send.cancel();
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
@@ -140,6 +140,7 @@
                         1_000,
                         200,
                         300,
+                        2_400,
                         2,
                         3,
                         List.of(new ServiceShare("m", 0.25), new ServiceShare("s", 0.75)),
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -307,4 +307,42 @@
         assertThat(world.sends).hasSize(1);
         assertThat(world.refusedWith()).isEqualTo(502);
     }
+
+    @Test
+    void aStreamWhoseCallerWouldLeaveInTheQueuesIsRefusedAtOnce() {
+        World world = new World();
+        world.expectedWaitMillis = 1_200;
+        world.with(World.route(RepeatRule.AT_MOST_ONCE, true, 1, oneStage()))
+                .request("key", List.of(1));
+        assertThat(world.refusedWith()).isEqualTo(Refusal.UNAVAILABLE);
+        assertThat(world.jobs).isEmpty();
+    }
+
+    @Test
+    void aStreamThatIsStillInItsStagesIsRefusedBeforeItsCallerLeaves() {
+        World world =
+                new World()
+                        .with(World.route(RepeatRule.AT_MOST_ONCE, true, 1, oneStage()))
+                        .request("key", List.of(1));
+        assertThat(world.jobs.get(0).job().deadlineAtMillis())
+                .isEqualTo(World.CALLER_SILENCE_MILLIS);
+        world.advance(World.CALLER_SILENCE_MILLIS - 100);
+        assertThat(world.refusedWith()).isEqualTo(Refusal.UNAVAILABLE);
+    }
+
+    @Test
+    void aStreamThatWasSentIsNotRefusedForItsCallersSilence() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, true, 1)).request();
+        world.lastSend();
+        world.advance(World.CALLER_SILENCE_MILLIS);
+        assertThat(world.refusals).isEmpty();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        world.lastSend().listener.onEnd();
+        assertThat(world.finished).isTrue();
+    }
+
+    private static List<StageStep> oneStage() {
+        return List.of(new StageStep("s", List.of(), 10));
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -35,6 +35,7 @@
 /** A serving engine in virtual time, with upstreams, stages and a caller that a test plays. */
 final class World implements StageService, CallerExchange, RequestObserver {
     static final long LEASE_MILLIS = 4_000;
+    static final long CALLER_SILENCE_MILLIS = 2_400;
 
     final TestScheduler scheduler = new TestScheduler();
     final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
@@ -171,6 +172,7 @@
                 3_000,
                 500,
                 300,
+                streaming ? CALLER_SILENCE_MILLIS : 0,
                 0,
                 attempts,
                 List.of(new ServiceShare("s", 1)),
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedRoute.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedRoute.java
@@ -377,6 +377,17 @@
     return open_;
   }
 
+  public static final int CALLER_SILENCE_MILLIS_FIELD_NUMBER = 14;
+  private long callerSilenceMillis_ = 0L;
+  /**
+   * <code>int64 caller_silence_millis = 14;</code>
+   * @return The callerSilenceMillis.
+   */
+  @java.lang.Override
+  public long getCallerSilenceMillis() {
+    return callerSilenceMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -430,6 +441,9 @@
     if (open_ != false) {
       output.writeBool(13, open_);
     }
+    if (callerSilenceMillis_ != 0L) {
+      output.writeInt64(14, callerSilenceMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -492,6 +506,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(13, open_);
     }
+    if (callerSilenceMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(14, callerSilenceMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -542,6 +560,8 @@
         .equals(other.getStagesList())) return false;
     if (getOpen()
         != other.getOpen()) return false;
+    if (getCallerSilenceMillis()
+        != other.getCallerSilenceMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -588,6 +608,9 @@
     hash = (37 * hash) + OPEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getOpen());
+    hash = (37 * hash) + CALLER_SILENCE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getCallerSilenceMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -744,6 +767,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000800);
       open_ = false;
+      callerSilenceMillis_ = 0L;
       return this;
     }
 
@@ -832,6 +856,9 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.open_ = open_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.callerSilenceMillis_ = callerSilenceMillis_;
+      }
     }
 
     @java.lang.Override
@@ -939,6 +966,9 @@
       if (other.getOpen() != false) {
         setOpen(other.getOpen());
       }
+      if (other.getCallerSilenceMillis() != 0L) {
+        setCallerSilenceMillis(other.getCallerSilenceMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1044,6 +1074,11 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 112: {
+              callerSilenceMillis_ = input.readInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2061,6 +2096,38 @@
       return this;
     }
 
+    private long callerSilenceMillis_ ;
+    /**
+     * <code>int64 caller_silence_millis = 14;</code>
+     * @return The callerSilenceMillis.
+     */
+    @java.lang.Override
+    public long getCallerSilenceMillis() {
+      return callerSilenceMillis_;
+    }
+    /**
+     * <code>int64 caller_silence_millis = 14;</code>
+     * @param value The callerSilenceMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerSilenceMillis(long value) {
+
+      callerSilenceMillis_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 caller_silence_millis = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallerSilenceMillis() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      callerSilenceMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PublishedRoute)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedRouteOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedRouteOrBuilder.java
@@ -155,4 +155,10 @@
    * @return The open.
    */
   boolean getOpen();
+
+  /**
+   * <code>int64 caller_silence_millis = 14;</code>
+   * @return The callerSilenceMillis.
+   */
+  long getCallerSilenceMillis();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -181,7 +181,7 @@
       ".bronzewheel.wire.PublishedService\0228\n\nwo" +
       "rkspaces\030\004 \003(\0132$.bronzewheel.wire.Publis" +
       "hedWorkspace\0221\n\006limits\030\005 \001(\0132!.bronzewhe" +
-      "el.wire.PublishedLimits\"\316\002\n\016PublishedRou" +
+      "el.wire.PublishedLimits\"\355\002\n\016PublishedRou" +
       "te\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix" +
       "\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023\n\013repeat_rule" +
       "\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\003\022\030\n\020object" +
@@ -190,46 +190,47 @@
       "\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .bronzewheel.wir" +
       "e.PublishedShare\0220\n\006stages\030\014 \003(\0132 .bronz" +
       "ewheel.wire.PublishedStage\022\014\n\004open\030\r \001(\010" +
-      "\"1\n\016PublishedShare\022\017\n\007service\030\001 \001(\t\022\016\n\006w" +
-      "eight\030\002 \001(\001\"F\n\016PublishedStage\022\017\n\007service" +
-      "\030\001 \001(\t\022\r\n\005after\030\002 \003(\005\022\024\n\014result_bytes\030\003 " +
-      "\001(\003\"\257\001\n\020PublishedService\022\014\n\004name\030\001 \001(\t\022\027" +
-      "\n\017max_connections\030\002 \001(\005\0228\n\nstage_pool\030\003 " +
-      "\001(\0132$.bronzewheel.wire.PublishedStagePoo" +
-      "l\022:\n\013engine_pool\030\004 \001(\0132%.bronzewheel.wir" +
-      "e.PublishedEnginePool\"\227\001\n\022PublishedStage" +
-      "Pool\022\r\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005ba" +
-      "tch\030\003 \001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piece_" +
-      "millis\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rresu" +
-      "lt_millis\030\007 \001(\003\":\n\023PublishedEnginePool\022\r" +
-      "\n\005slots\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n\022P" +
-      "ublishedWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030" +
-      "\002 \003(\t\022\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_priorit" +
-      "y\"\177\n\017PublishedLimits\022\030\n\020max_header_bytes" +
-      "\030\001 \001(\005\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025header" +
-      "_timeout_millis\030\003 \001(\003\022\033\n\023idle_timeout_mi" +
-      "llis\030\004 \001(\003\"4\n\014StageBacklog\022\017\n\007service\030\001 " +
-      "\001(\t\022\023\n\013wait_millis\030\002 \003(\003\"\247\001\n\nStageFrame\022" +
-      "-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.StageJob" +
-      "CallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel.wi" +
-      "re.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.bron" +
-      "zewheel.wire.StageCancelH\000B\006\n\004body\"\235\002\n\014S" +
-      "tageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage" +
-      "\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022" +
-      "\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzewhe" +
-      "el.wire.StageHandle\022\024\n\014result_bytes\030\007 \001(" +
-      "\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_millis" +
-      "\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022\024\n\014" +
-      "later_millis\030\013 \001(\003\022\026\n\016failure_domain\030\014 \001" +
-      "(\t\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001(\t\022.\n\007" +
-      "handles\030\002 \003(\0132\035.bronzewheel.wire.StageHa" +
-      "ndle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010mak" +
-      "er_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005b" +
-      "ytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRele" +
-      "ase\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035." +
-      "bronzewheel.wire.StageHandle\"2\n\013StageCan" +
-      "cel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t" +
-      "B\030\n\024org.bronzewheel.wireP\001b\006proto3"
+      "\022\035\n\025caller_silence_millis\030\016 \001(\003\"1\n\016Publi" +
+      "shedShare\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001" +
+      "(\001\"F\n\016PublishedStage\022\017\n\007service\030\001 \001(\t\022\r\n" +
+      "\005after\030\002 \003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n\020P" +
+      "ublishedService\022\014\n\004name\030\001 \001(\t\022\027\n\017max_con" +
+      "nections\030\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.bro" +
+      "nzewheel.wire.PublishedStagePool\022:\n\013engi" +
+      "ne_pool\030\004 \001(\0132%.bronzewheel.wire.Publish" +
+      "edEnginePool\"\227\001\n\022PublishedStagePool\022\r\n\005s" +
+      "lots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005" +
+      "\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piece_millis\030\005 " +
+      "\001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rresult_millis" +
+      "\030\007 \001(\003\":\n\023PublishedEnginePool\022\r\n\005slots\030\001" +
+      " \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n\022PublishedW" +
+      "orkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010" +
+      "priority\030\003 \001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017Publ" +
+      "ishedLimits\022\030\n\020max_header_bytes\030\001 \001(\005\022\026\n" +
+      "\016max_body_bytes\030\002 \001(\005\022\035\n\025header_timeout_" +
+      "millis\030\003 \001(\003\022\033\n\023idle_timeout_millis\030\004 \001(" +
+      "\003\"4\n\014StageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wa" +
+      "it_millis\030\002 \003(\003\"\247\001\n\nStageFrame\022-\n\003job\030\001 " +
+      "\001(\0132\036.bronzewheel.wire.StageJobCallH\000\0221\n" +
+      "\007release\030\002 \001(\0132\036.bronzewheel.wire.StageR" +
+      "eleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.bronzewheel.w" +
+      "ire.StageCancelH\000B\006\n\004body\"\235\002\n\014StageJobCa" +
+      "ll\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n" +
+      "\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 " +
+      "\001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzewheel.wire.S" +
+      "tageHandle\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004rank" +
+      "\030\010 \001(\005\022\035\n\025objective_left_millis\030\t \001(\003\022\034\n" +
+      "\024deadline_left_millis\030\n \001(\003\022\024\n\014later_mil" +
+      "lis\030\013 \001(\003\022\026\n\016failure_domain\030\014 \001(\t\"P\n\rSta" +
+      "geJobReply\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002" +
+      " \003(\0132\035.bronzewheel.wire.StageHandle\"e\n\013S" +
+      "tageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001" +
+      "(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(" +
+      "\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007se" +
+      "rvice\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewhe" +
+      "el.wire.StageHandle\"2\n\013StageCancel\022\022\n\nre" +
+      "quest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.b" +
+      "ronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -288,7 +289,7 @@
     internal_static_bronzewheel_wire_PublishedRoute_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedRoute_descriptor,
-        new java.lang.String[] { "Name", "Host", "Prefix", "Streaming", "RepeatRule", "TimeoutMillis", "ObjectiveMillis", "GapObjectiveMillis", "Priority", "MaxAttempts", "Shares", "Stages", "Open", });
+        new java.lang.String[] { "Name", "Host", "Prefix", "Streaming", "RepeatRule", "TimeoutMillis", "ObjectiveMillis", "GapObjectiveMillis", "Priority", "MaxAttempts", "Shares", "Stages", "Open", "CallerSilenceMillis", });
     internal_static_bronzewheel_wire_PublishedShare_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_bronzewheel_wire_PublishedShare_fieldAccessorTable = new
