Hand the waiting jobs of a lost stage service over to its new owner

Cause: a former owner kept its queue, but releases of results go to the newest owner. The former one counted their room as taken until it lapsed, so that all upstreams seemed full to it, while both owners sent calls to upstreams that each took for its own, and measured each other's calls as slowness. The class of fault: state that follows ownership was left behind when ownership moved.

Each tick, a router passes the jobs that have not begun on to the owner by its own view and relays the outcome; nothing ran, so no repeat is booked, and the request moves in the budget, too. Jobs that were sent to it when it was not the owner stay for 1.5 s, as their submitters may know that the owner is dead. A cancel goes to the router that was asked and on from there.

Evidence: waitingJobsOfARouterThatStopsAreMadeByTheNextOwner, waitingJobsOfARouterThatLosesAServiceAreMadeByTheNewOwner and aCancelReachesAJobThatWasHandedOver failed before (the former owner went on calling; jobs stayed after their cancel). They run without any repeats allowed.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
@@ -102,6 +102,15 @@
         beat++;
     }
 
+    /**
+     * Tells whether this router stops.
+     *
+     * @return whether it owns nothing any more
+     */
+    public boolean isLeaving() {
+        return leaving;
+    }
+
     /**
      * Returns what this router tells now: its own sign of life, and in a large fleet what it heard
      * since the last time.
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -76,7 +76,7 @@
     @Override
     public void submit(StageJob job, StageListener listener) {
         budget.request(job.service(), StageJob.SUBMITTER_PART, loop.nowMillis());
-        new RemoteJob(job, listener).submit();
+        new RemoteJob(job, listener, false).submit();
     }
 
     @Override
@@ -102,15 +102,19 @@
 
     @Override
     public void cancel(String service, String requestId) {
-        remoteJobs.removeIf(remote -> remote.job.requestId().equals(requestId));
-        String owner = owner(service, Set.of());
-        if (isSelf(owner)) {
-            dispatcher(service).cancel(requestId);
-            return;
-        }
         StageCancel cancel =
                 StageCancel.newBuilder().setRequestId(requestId).setService(service).build();
-        send(owner, StageFrame.newBuilder().setCancel(cancel).build());
+        StageFrame frame = StageFrame.newBuilder().setCancel(cancel).build();
+        for (RemoteJob remote : List.copyOf(remoteJobs)) {
+            if (remote.job.requestId().equals(requestId) && remote.job.service().equals(service)) {
+                remoteJobs.remove(remote);
+                send(remote.owner, frame);
+            }
+        }
+        StageDispatcher own = dispatchers.get(service);
+        if (own != null) {
+            own.cancel(requestId);
+        }
     }
 
     @Override
@@ -172,10 +176,12 @@
     /**
      * Returns the jobs that wait for the upstreams of this router.
      *
-     * @return the number of jobs, those of other routers included
+     * @return the number of jobs, those of other routers and those handed over included
      */
     public int openJobs() {
-        return dispatchers.values().stream().mapToInt(StageDispatcher::openJobs).sum();
+        long handedOver = remoteJobs.stream().filter(remote -> remote.handedOver).count();
+        return (int) handedOver
+                + dispatchers.values().stream().mapToInt(StageDispatcher::openJobs).sum();
     }
 
     /**
@@ -208,6 +214,7 @@
                 remote.ownerLost("silent");
             }
         }
+        List.copyOf(dispatchers.keySet()).forEach(this::followOwner);
         dispatchers.values().forEach(StageDispatcher::pump);
         if (++ticks % TICKS_PER_LOG == 0) {
             dispatchers.forEach(
@@ -215,6 +222,27 @@
         }
     }
 
+    /**
+     * Hands the waiting jobs of a service that this router has lost over to its owner, since two
+     * queues before the same upstreams know nothing of each other's calls and results.
+     */
+    private void followOwner(String service) {
+        StageDispatcher dispatcher = dispatchers.get(service);
+        if (isSelf(owner(service, Set.of()))) {
+            return;
+        }
+        List<StageTask> moved = dispatcher.takeUntouched(membership.isLeaving());
+        moved.forEach(task -> new RemoteJob(task.job(), task.listener(), true).submit());
+        if (!moved.isEmpty()) {
+            logger.atInfo().log(
+                    "stage jobs handed over: service=%s owner=%s jobs=%d",
+                    service, owner(service, Set.of()), moved.size());
+        }
+        if (dispatcher.openJobs() == 0) {
+            dispatchers.remove(service);
+        }
+    }
+
     private String owner(String service, Set<String> excluded) {
         return membership.ownerOf(service, excluded, loop.nowMillis());
     }
@@ -224,8 +252,17 @@
     }
 
     private StageDispatcher dispatcher(String service) {
-        return dispatchers.computeIfAbsent(
-                service, name -> newDispatcher.create(name, this::release));
+        StageDispatcher known = dispatchers.get(service);
+        if (known != null) {
+            return known;
+        }
+        StageDispatcher created = newDispatcher.create(service, this::release);
+        dispatchers.put(service, created);
+        return created;
+    }
+
+    private void submitHere(StageJob job, StageListener listener) {
+        dispatcher(job.service()).submit(job, listener, isSelf(owner(job.service(), Set.of())));
     }
 
     private void send(String owner, StageFrame frame) {
@@ -244,20 +281,19 @@
             return;
         }
         StageJob job = StageCodec.decode(frame.getJob(), loop.nowMillis());
-        dispatcher(job.service())
-                .submit(
-                        job,
-                        new StageListener() {
-                            @Override
-                            public void onResults(List<StageResult> results) {
-                                emitter.onSuccess(StageCodec.encodeResults(results).toByteArray());
-                            }
-
-                            @Override
-                            public void onFailure(StageFailure failure) {
-                                emitter.onSuccess(StageCodec.encodeFailure(failure).toByteArray());
-                            }
-                        });
+        submitHere(
+                job,
+                new StageListener() {
+                    @Override
+                    public void onResults(List<StageResult> results) {
+                        emitter.onSuccess(StageCodec.encodeResults(results).toByteArray());
+                    }
+
+                    @Override
+                    public void onFailure(StageFailure failure) {
+                        emitter.onSuccess(StageCodec.encodeFailure(failure).toByteArray());
+                    }
+                });
     }
 
     private void receive(byte[] bytes) {
@@ -268,7 +304,7 @@
                 dispatcher(release.getService())
                         .release(StageCodec.decode(release.getHandlesList()));
             } else if (frame.hasCancel()) {
-                dispatcher(frame.getCancel().getService()).cancel(frame.getCancel().getRequestId());
+                cancel(frame.getCancel().getService(), frame.getCancel().getRequestId());
             }
         } catch (InvalidProtocolBufferException e) {
             logger.atWarning().withCause(e).log("a peer sent an unreadable stage message");
@@ -279,19 +315,21 @@
     private final class RemoteJob {
         private final StageJob job;
         private final StageListener listener;
+        private final boolean handedOver;
         private final Set<String> lostOwners = new HashSet<>();
         private String owner = "";
         private Disposable call = Disposable.disposed();
 
-        RemoteJob(StageJob job, StageListener listener) {
+        RemoteJob(StageJob job, StageListener listener, boolean handedOver) {
             this.job = job;
             this.listener = listener;
+            this.handedOver = handedOver;
         }
 
         void submit() {
             owner = owner(job.service(), lostOwners);
             if (isSelf(owner)) {
-                dispatcher(job.service()).submit(job, listener);
+                submitHere(job, listener);
                 return;
             }
             remoteJobs.add(this);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -35,6 +35,9 @@
     private static final long FREE_SETTLE_MILLIS = 12;
     private static final long WAKE_UP_MILLIS = 50;
 
+    /** The time after which all submitters know the owner of a service. */
+    private static final long SETTLED_MILLIS = 1_500;
+
     private final String service;
     private final Supplier<Optional<StagePool>> pool;
     private final UpstreamTable upstreams;
@@ -69,12 +72,41 @@
         this.releaseInputs = releaseInputs;
     }
 
-    void submit(StageJob job, StageListener listener) {
+    /**
+     * Takes a job.
+     *
+     * @param owner whether this router owns the service
+     */
+    void submit(StageJob job, StageListener listener, boolean owner) {
         budget.request(service, StageJob.OWNER_PART, loop.nowMillis());
-        tasks.add(new StageTask(job, listener, loop.nowMillis()));
+        tasks.add(new StageTask(job, listener, loop.nowMillis(), owner));
         loop.execute(this::pump);
     }
 
+    /**
+     * Takes out the tasks that another owner is to serve: those that have not begun. Tasks that
+     * were sent to this router though it was not the owner stay for a while, as their submitters
+     * may know that the owner does not answer.
+     *
+     * @param atOnce whether such tasks are taken out, too
+     */
+    List<StageTask> takeUntouched(boolean atOnce) {
+        long nowMillis = loop.nowMillis();
+        List<StageTask> taken =
+                tasks.stream()
+                        .filter(StageTask::isUntouched)
+                        .filter(
+                                task ->
+                                        atOnce
+                                                || task.ownerTook()
+                                                || nowMillis - task.arrivedMillis()
+                                                        >= SETTLED_MILLIS)
+                        .toList();
+        tasks.removeAll(taken);
+        taken.forEach(task -> budget.request(service, -StageJob.OWNER_PART, nowMillis));
+        return taken;
+    }
+
     void cancel(String requestId) {
         for (StageTask task : List.copyOf(tasks)) {
             if (task.job().requestId().equals(requestId)) {
@@ -188,11 +220,14 @@
     /** Returns the time that one piece takes when all upstreams run full calls, or as observed. */
     private double millisPerPiece(StagePool limits) {
         double speed = workers.values().stream().mapToDouble(w -> 1 / w.slowness()).sum();
-        double fullCallMillis = limits.callMillis() + limits.batch() * limits.pieceMillis();
-        double full = fullCallMillis / limits.batch() / Math.max(MIN_SPEED, speed);
+        double full = fullCallMillis(limits) / limits.batch() / Math.max(MIN_SPEED, speed);
         return Math.max(full, drain.millisPerPiece(loop.nowMillis()));
     }
 
+    private static double fullCallMillis(StagePool limits) {
+        return limits.callMillis() + limits.batch() * limits.pieceMillis();
+    }
+
     /** Ends tasks that cannot be served in time and fills the idle upstreams. */
     void pump() {
         Optional<StagePool> limits = pool.get();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTask.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTask.java
@@ -8,15 +8,22 @@
     private final StageJob job;
     private final StageListener listener;
     private final long arrivedMillis;
+    private final boolean ownerTook;
     private final StageResult[] results;
     private final List<Integer> waiting = new ArrayList<>();
     private int failures;
     private boolean ended;
 
-    StageTask(StageJob job, StageListener listener, long arrivedMillis) {
+    /**
+     * Creates a task of which all pieces wait.
+     *
+     * @param ownerTook whether this router owned the service when it took the job
+     */
+    StageTask(StageJob job, StageListener listener, long arrivedMillis, boolean ownerTook) {
         this.job = job;
         this.listener = listener;
         this.arrivedMillis = arrivedMillis;
+        this.ownerTook = ownerTook;
         this.results = new StageResult[job.pieces()];
         for (int piece = 0; piece < job.pieces(); piece++) {
             waiting.add(piece);
@@ -27,6 +34,19 @@
         return job;
     }
 
+    StageListener listener() {
+        return listener;
+    }
+
+    boolean ownerTook() {
+        return ownerTook;
+    }
+
+    /** Tells whether no piece is made or in a call. */
+    boolean isUntouched() {
+        return waiting.size() == job.pieces();
+    }
+
     long arrivedMillis() {
         return arrivedMillis;
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
@@ -10,12 +10,14 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
 import org.bronzewheel.catalog.ServiceEntry;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.membership.RendezvousHash;
 import org.bronzewheel.peering.PeerNetwork;
 import org.bronzewheel.peering.SeedMembership;
 import org.bronzewheel.repeats.RepeatBudget;
@@ -43,6 +45,7 @@
         private final SharedStages stages;
         private final List<List<StageItem>> calls = new ArrayList<>();
         private final List<String> freed = new ArrayList<>();
+        private final PeerNetwork network;
 
         Router(String vmId, double repeatSlack) {
             this.vmId = vmId;
@@ -66,14 +69,15 @@
             stages =
                     new StageParts(catalog, upstreams, this, transport, membership, budget, loop)
                             .build();
-            new PeerNetwork(
+            network =
+                    new PeerNetwork(
                             transport,
                             membership,
                             loop,
                             stages::ownBacklogs,
                             stages::submitters,
-                            stages::takeBacklog)
-                    .start();
+                            stages::takeBacklog);
+            network.start();
         }
 
         @Override
@@ -223,6 +227,73 @@
         assertThat(owner().freed).containsExactly("h");
     }
 
+    @Test
+    void waitingJobsOfARouterThatStopsAreMadeByTheNextOwner() {
+        routers(0);
+        Router former = owner();
+        List<Outcome> outcomes = submitMany(submitters().get(0), former);
+        former.network.leave();
+        assertHandedOver(former, outcomes);
+    }
+
+    @Test
+    void waitingJobsOfARouterThatLosesAServiceAreMadeByTheNewOwner() {
+        routers(0);
+        Router former = owner();
+        List<Outcome> outcomes = submitMany(submitters().get(0), former);
+        routers.add(new Router(vmIdAbove(former), 0));
+        assertHandedOver(former, outcomes);
+    }
+
+    @Test
+    void aCancelReachesAJobThatWasHandedOver() {
+        routers(0);
+        Router former = owner();
+        Router submitter = submitters().get(0);
+        submitMany(submitter, former);
+        former.network.leave();
+        advance(500);
+        for (int i = 0; i < MANY; i++) {
+            (i % 2 == 0 ? submitter : former).stages.cancel(SERVICE, "r" + i);
+        }
+        advance(500);
+        routers.forEach(router -> assertThat(router.stages.openJobs()).isEqualTo(0));
+    }
+
+    private static final int MANY = 20;
+
+    /** Fills the queue of an owner with calls for several seconds, from it and another router. */
+    private List<Outcome> submitMany(Router submitter, Router owner) {
+        List<Outcome> outcomes = new ArrayList<>();
+        for (int i = 0; i < MANY; i++) {
+            outcomes.add((i % 2 == 0 ? submitter : owner).submit("r" + i, POOL.batch()));
+        }
+        advance(300);
+        return outcomes;
+    }
+
+    private void assertHandedOver(Router former, List<Outcome> outcomes) {
+        advance(500);
+        int begun = former.calls.size();
+        advance(6_000);
+        assertThat(former.calls).hasSize(begun);
+        for (Outcome outcome : outcomes) {
+            assertThat(outcome.failure).isEmpty();
+            assertThat(outcome.handles).hasSize(POOL.batch());
+        }
+        assertThat(former.stages.openJobs()).isEqualTo(0);
+    }
+
+    /** Returns a name with which a router owns the service in the place of another one. */
+    private static String vmIdAbove(Router owner) {
+        long score = RendezvousHash.score(SERVICE, owner.vmId);
+        return IntStream.range(3, 1_000)
+                .mapToObj(i -> "vm-" + i)
+                .filter(vm -> Long.compareUnsigned(RendezvousHash.score(SERVICE, vm), score) > 0)
+                .findFirst()
+                .orElseThrow();
+    }
+
     @Test
     void theOwnerTellsItsWaitsToAllWhoSubmit() {
         routers(10);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -127,7 +127,8 @@
                         now + deadlineMillis,
                         100,
                         "d"),
-                outcome);
+                outcome,
+                true);
         return outcome;
     }
 
