Hold the inputs of a new owner's first calls until upstreams have read them

Cause: an owner gives inputs up once a call had time to read them, and begins with the least time, 40 ms. The calls of a new owner queue at upstreams behind those of the former one and read their inputs only then. What an owner had learned is not known to the next.

A router that becomes the owner holds all inputs until their call has ended, for as long as two full calls take. Evidence: the test aNewOwnerHoldsInputsWhileCallsOfTheFormerOneMayBeAheadOfItsOwn; before, the inputs were gone after 40 ms.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/InputHold.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/InputHold.java
@@ -12,9 +12,15 @@
     private static final double DECAY = 0.98;
 
     private double millis = LEAST_MILLIS;
+    private long allUntilMillis = Long.MIN_VALUE / 2;
 
-    long millis() {
-        return Math.round(millis);
+    /** Holds all inputs as long as possible, as upstreams may be busy with calls of others. */
+    void holdAllUntil(long untilMillis) {
+        allUntilMillis = untilMillis;
+    }
+
+    long millis(long nowMillis) {
+        return Math.round(nowMillis < allUntilMillis ? MOST_MILLIS : millis);
     }
 
     /** Books whether a call found inputs gone that had been given up while it ran. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -48,6 +48,7 @@
     private final Loop loop;
     private final DispatcherFactory newDispatcher;
     private final Map<String, StageDispatcher> dispatchers = new HashMap<>();
+    private final Set<String> owned = new HashSet<>();
     private final Set<RemoteJob> remoteJobs = new LinkedHashSet<>();
     private final Map<String, ToldWaits> toldWaits = new HashMap<>();
     private final Map<String, Long> submitterMillis = new TreeMap<>();
@@ -229,8 +230,12 @@
     private void followOwner(String service) {
         StageDispatcher dispatcher = dispatchers.get(service);
         if (isSelf(owner(service, Set.of()))) {
+            if (owned.add(service)) {
+                dispatcher.takeOver();
+            }
             return;
         }
+        owned.remove(service);
         List<StageTask> moved = dispatcher.takeUntouched(membership.isLeaving());
         moved.forEach(task -> new RemoteJob(task.job(), task.listener(), true).submit());
         if (!moved.isEmpty()) {
@@ -258,6 +263,9 @@
         }
         StageDispatcher created = newDispatcher.create(service, this::release);
         dispatchers.put(service, created);
+        if (isSelf(owner(service, Set.of())) && owned.add(service)) {
+            created.takeOver();
+        }
         return created;
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -51,7 +51,7 @@
     void start(StagePort port, List<StageItem> items, long timeoutMillis) {
         call = port.run(worker.upstream().entry(), items, this);
         timeout = loop.after(timeoutMillis, this::timedOut);
-        loop.after(inputHold.millis(), this::inputsRead);
+        loop.after(inputHold.millis(beganMillis), this::inputsRead);
     }
 
     private boolean end() {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -35,6 +35,9 @@
     private static final long FREE_SETTLE_MILLIS = 12;
     private static final long WAKE_UP_MILLIS = 50;
 
+    /** Calls of a former owner that may be ahead of the first one of a new owner. */
+    private static final int CALLS_AHEAD = 2;
+
     /** The time after which all submitters know the owner of a service. */
     private static final long SETTLED_MILLIS = 1_500;
 
@@ -83,6 +86,17 @@
         loop.execute(this::pump);
     }
 
+    /** Notes that this router has just become the owner, so that the upstreams may be at work. */
+    void takeOver() {
+        pool.get()
+                .ifPresent(
+                        limits ->
+                                inputHold.holdAllUntil(
+                                        loop.nowMillis()
+                                                + Math.round(
+                                                        CALLS_AHEAD * fullCallMillis(limits))));
+    }
+
     /**
      * Takes out the tasks that another owner is to serve: those that have not begun. Tasks that
      * were sent to this router though it was not the owner stay for a while, as their submitters
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -259,6 +259,21 @@
         assertThat(inputsReleased).hasSize(4);
     }
 
+    @Test
+    void aNewOwnerHoldsInputsWhileCallsOfTheFormerOneMayBeAheadOfItsOwn() {
+        upstreams("u");
+        dispatcher.takeOver();
+        StageResult input = new StageResult("t", "h", "m", "d", 10);
+        submit("a", 1, 0, 10, 9_000, List.of(input));
+        advance(400);
+        assertThat(inputsReleased).isEmpty();
+        calls.get(0).done();
+        advance(1_000);
+        submit("b", 1, 0, 10, 9_000, List.of(input));
+        advance(100);
+        assertThat(inputsReleased).containsExactly(input);
+    }
+
     @Test
     void inputsAreGivenUpOnceTheCallHasReadThem() {
         upstreams("u");
