Take a job for on time by the time that its later stages and engine will take

Cause: the order of a queue takes a job for on time while the fixed time of one call, 330 ms for each later stage and 160 ms for the engine still fit. Jobs with the earliest objective go first, so the ones served were just those that were going to miss. The class of fault: earliest-deadline-first with an optimistic estimate loses nearly all deadlines once it is past capacity.

An owner now estimates the time of a call from its calls (mean and deviation, as TCP does for its timeout) and tells it with its waits; a job counts the waits and calls of its later stages and the reading of the tokens that it does not share. The margin for leaving a failure domain, which had covered the optimism, shrinks from 350 to 100 ms. At 390 routers the word of an owner grows by three bytes a service.

Evidence: aJobThatTheUsualCallMakesLateWaitsBehindJobsThatAreOnTime and the call time in theOwnerTellsItsWaitsToAllWhoSubmit fail with the old estimate.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
@@ -23,9 +23,9 @@
     private final PeerTransport transport;
     private final SeedMembership membership;
     private final Loop loop;
-    private final Supplier<Map<String, List<Long>>> ownBacklogs;
+    private final Supplier<Map<String, Backlog>> ownBacklogs;
     private final Supplier<Set<String>> backlogReaders;
-    private final BiConsumer<String, List<Long>> onBacklog;
+    private final BiConsumer<String, Backlog> onBacklog;
     private List<String> lastLive = List.of();
     private Disposable ticks = Disposable.disposed();
 
@@ -35,8 +35,7 @@
      * @param transport carries the messages
      * @param membership takes them
      * @param loop runs the work
-     * @param ownBacklogs the expected waits by rank of the services that this router owns, in
-     *     milliseconds
+     * @param ownBacklogs the work of the services that this router owns
      * @param backlogReaders the VMs that are to hear of them each time
      * @param onBacklog takes those that other owners tell
      */
@@ -44,9 +43,9 @@
             PeerTransport transport,
             SeedMembership membership,
             Loop loop,
-            Supplier<Map<String, List<Long>>> ownBacklogs,
+            Supplier<Map<String, Backlog>> ownBacklogs,
             Supplier<Set<String>> backlogReaders,
-            BiConsumer<String, List<Long>> onBacklog) {
+            BiConsumer<String, Backlog> onBacklog) {
         this.transport = transport;
         this.membership = membership;
         this.loop = loop;
@@ -80,11 +79,12 @@
         ownBacklogs
                 .get()
                 .forEach(
-                        (service, byRank) ->
+                        (service, backlog) ->
                                 message.addBacklogs(
                                         StageBacklog.newBuilder()
                                                 .setService(service)
-                                                .addAllWaitMillis(byRank)));
+                                                .addAllWaitMillis(backlog.waitMillis())
+                                                .setCallMillis(backlog.callMillis())));
         byte[] bytes = message.build().toByteArray();
         Set<String> targets = membership.targets(nowMillis);
         targets.addAll(backlogReaders.get());
@@ -137,7 +137,10 @@
             SeedHello message = SeedHello.parseFrom(bytes);
             membership.receive(decode(message), loop.nowMillis());
             for (StageBacklog backlog : message.getBacklogsList()) {
-                onBacklog.accept(backlog.getService(), backlog.getWaitMillisList());
+                onBacklog.accept(
+                        backlog.getService(),
+                        new Backlog(
+                                List.copyOf(backlog.getWaitMillisList()), backlog.getCallMillis()));
             }
         } catch (InvalidProtocolBufferException e) {
             logger.atWarning().withCause(e).log("peer %s sent no sign of life", from.vmId());
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -13,7 +13,6 @@
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.serving.RequestObserver.Decision;
-import org.bronzewheel.upstreams.Prompt;
 import org.bronzewheel.upstreams.Upstream;
 import org.bronzewheel.upstreams.UpstreamChoice;
 import org.bronzewheel.upstreams.UpstreamHealth;
@@ -199,7 +198,7 @@
             return UpstreamChoice.plain(candidates, tried, parts.failureDomain(), nowMillis);
         }
         return parts.engines()
-                .choose(candidates, tried, prompt(), parts.failureDomain(), nowMillis);
+                .choose(candidates, tried, stages.prompt(), parts.failureDomain(), nowMillis);
     }
 
     /** Returns the connections to one upstream that this router may have, as all share its cap. */
@@ -213,11 +212,6 @@
                 .orElse(Integer.MAX_VALUE);
     }
 
-    private Prompt prompt() {
-        return new Prompt(
-                request.promptTokens(), request.promptParts(), stages.bytesByFailureDomain());
-    }
-
     private boolean isEngine(String service) {
         return parts.catalog()
                 .current()
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -1,7 +1,6 @@
 package org.bronzewheel.serving;
 
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -13,10 +12,11 @@
 import org.bronzewheel.stages.StageListener;
 import org.bronzewheel.stages.StageResult;
 import org.bronzewheel.stages.StageWait;
+import org.bronzewheel.upstreams.EngineChoice;
+import org.bronzewheel.upstreams.Prompt;
 
 /** The stages of one request: submits them, hands their results on, and makes them anew once. */
 final class RequestStages {
-    private static final long STAGE_MILLIS = 330;
     private static final long ENGINE_MILLIS = 160;
     private static final int MOST_ROUNDS = 2;
 
@@ -106,12 +106,31 @@
 
     /** Returns the expected time until all results are there, by the queues of the stages. */
     long expectedMillis() {
-        long millis = 0;
-        for (String service : progress.longestWay()) {
-            millis +=
-                    parts.stages().expectedWait(service, route.priority()).millis() + STAGE_MILLIS;
-        }
-        return millis;
+        return expectedMillis(progress.longestWay());
+    }
+
+    private long expectedMillis(List<String> services) {
+        return services.stream().mapToLong(service -> expectedWait(service).totalMillis()).sum();
+    }
+
+    private StageWait expectedWait(String service) {
+        return parts.stages().expectedWait(service, route.priority());
+    }
+
+    /** Returns the expected time from the end of a stage to the first part of the answer. */
+    private long laterMillis(int stage) {
+        int unreadTokens = request.promptTokens() - prompt().sharedTokens();
+        return expectedMillis(progress.longestWayAfter(stage))
+                + ENGINE_MILLIS
+                + EngineChoice.readMillis(unreadTokens);
+    }
+
+    /** Returns the prompt with the inputs that are there. */
+    Prompt prompt() {
+        return new Prompt(
+                request.promptTokens(),
+                request.promptParts(),
+                progress.outputBytesByFailureDomain());
     }
 
     /** Returns the wait of each stage on the longest way, with its age. */
@@ -119,8 +138,9 @@
         return progress.longestWay().stream()
                 .map(
                         service -> {
-                            StageWait wait = parts.stages().expectedWait(service, route.priority());
-                            return "%s:%d/%d".formatted(service, wait.millis(), wait.ageMillis());
+                            StageWait wait = expectedWait(service);
+                            return "%s:%d/%d"
+                                    .formatted(service, wait.totalMillis(), wait.ageMillis());
                         })
                 .collect(Collectors.joining(",", "[", "]"));
     }
@@ -129,10 +149,6 @@
         return progress.outputs().stream().map(StageResult::handle).toList();
     }
 
-    Map<String, Long> bytesByFailureDomain() {
-        return progress.outputBytesByFailureDomain();
-    }
-
     private void release() {
         parts.stages().release(progress.takeResults());
     }
@@ -158,7 +174,7 @@
                         route.priority(),
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
-                        ENGINE_MILLIS + STAGE_MILLIS * progress.stagesAfter(stage),
+                        laterMillis(stage),
                         progress.inputFailureDomain(stage).orElse(failureDomain));
         parts.observer()
                 .decided(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -150,9 +150,14 @@
 
     /** Returns the services on the longest way through the stages, in order. */
     List<String> longestWay() {
+        return longestWayAfter(-1);
+    }
+
+    /** Returns the services on the longest way from a stage to the request, beside its own. */
+    List<String> longestWayAfter(int first) {
         List<String> way = new ArrayList<>();
-        int next = -1;
-        for (int stage = 0; stage < route.stages().size(); stage++) {
+        int next = first;
+        for (int stage = first + 1; stage < route.stages().size(); stage++) {
             boolean follows =
                     next < 0
                             ? route.stages().get(stage).after().isEmpty()
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.peering.Backlog;
 import org.bronzewheel.peering.SeedMembership;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.transport.Channel;
@@ -50,11 +51,11 @@
     private final Map<String, StageDispatcher> dispatchers = new HashMap<>();
     private final Set<String> owned = new HashSet<>();
     private final Set<RemoteJob> remoteJobs = new LinkedHashSet<>();
-    private final Map<String, ToldWaits> toldWaits = new HashMap<>();
+    private final Map<String, ToldBacklog> toldBacklogs = new HashMap<>();
     private final Map<String, Long> submitterMillis = new TreeMap<>();
     private int ticks;
 
-    private record ToldWaits(List<Long> byRank, long atMillis) {}
+    private record ToldBacklog(Backlog backlog, long atMillis) {}
 
     SharedStages(
             PeerTransport transport,
@@ -121,24 +122,28 @@
     @Override
     public StageWait expectedWait(String service, int rank) {
         if (isSelf(owner(service, Set.of()))) {
-            return new StageWait(dispatcher(service).expectedWaitMillis(rank), 0);
+            StageDispatcher dispatcher = dispatcher(service);
+            return new StageWait(
+                    dispatcher.expectedWaitMillis(rank), dispatcher.expectedCallMillis(), 0);
         }
-        ToldWaits told = toldWaits.get(service);
-        if (told == null || told.byRank().isEmpty()) {
+        ToldBacklog told = toldBacklogs.get(service);
+        if (told == null || told.backlog().waitMillis().isEmpty()) {
             return StageWait.UNKNOWN;
         }
+        List<Long> byRank = told.backlog().waitMillis();
         return new StageWait(
-                told.byRank().get(Math.min(rank, told.byRank().size() - 1)),
+                byRank.get(Math.min(rank, byRank.size() - 1)),
+                told.backlog().callMillis(),
                 loop.nowMillis() - told.atMillis());
     }
 
     /**
-     * Returns the expected waits at the services that this router owns.
+     * Returns the work of the services that this router owns.
      *
-     * @return the waits in milliseconds of the ranks from 0, by service
+     * @return what waits, by service
      */
-    public Map<String, List<Long>> ownBacklogs() {
-        Map<String, List<Long>> waits = new HashMap<>();
+    public Map<String, Backlog> ownBacklogs() {
+        Map<String, Backlog> backlogs = new HashMap<>();
         dispatchers.forEach(
                 (service, dispatcher) -> {
                     if (isSelf(owner(service, Set.of()))) {
@@ -146,10 +151,10 @@
                         for (int rank = 0; rank < TOLD_RANKS; rank++) {
                             byRank.add(dispatcher.expectedWaitMillis(rank));
                         }
-                        waits.put(service, byRank);
+                        backlogs.put(service, new Backlog(byRank, dispatcher.expectedCallMillis()));
                     }
                 });
-        return waits;
+        return backlogs;
     }
 
     /**
@@ -165,13 +170,13 @@
     }
 
     /**
-     * Takes the expected waits that the owner of a service tells.
+     * Takes the work that the owner of a service tells.
      *
      * @param service the service
-     * @param byRank the waits in milliseconds of the ranks from 0
+     * @param backlog what waits there
      */
-    public void takeBacklog(String service, List<Long> byRank) {
-        toldWaits.put(service, new ToldWaits(byRank, loop.nowMillis()));
+    public void takeBacklog(String service, Backlog backlog) {
+        toldBacklogs.put(service, new ToldBacklog(backlog, loop.nowMillis()));
     }
 
     /**
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -110,7 +110,9 @@
     }
 
     private void measure() {
-        worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
+        double elapsedMillis = (double) (loop.nowMillis() - beganMillis);
+        worker.measured(elapsedMillis, batch.expectedMillis());
+        owner.callEnded(elapsedMillis);
     }
 
     private void keep(StageBatch.Part part, String handle) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -51,6 +51,7 @@
     private final StageOrder order = new StageOrder();
     private final DrainMeter drain = new DrainMeter();
     private final InputHold inputHold = new InputHold();
+    private final TimeEstimate callTime = new TimeEstimate();
     private final StageTally tally = new StageTally();
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
@@ -190,7 +191,7 @@
     }
 
     private long lateTasks(long nowMillis) {
-        double callMillis = pool.get().map(StagePool::callMillis).orElse(0.0);
+        double callMillis = pool.get().map(this::callMillis).orElse(0.0);
         return tasks.stream()
                 .filter(task -> StageOrder.isLate(task, callMillis, nowMillis))
                 .count();
@@ -224,7 +225,7 @@
                 tasks.stream()
                         .filter(
                                 task ->
-                                        StageOrder.rank(task, limits.get().callMillis(), nowMillis)
+                                        StageOrder.rank(task, callMillis(limits.get()), nowMillis)
                                                 <= StageOrder.onTimeRank(rank))
                         .mapToInt(task -> task.waiting().size())
                         .sum();
@@ -238,6 +239,20 @@
         return Math.max(full, drain.millisPerPiece(loop.nowMillis()));
     }
 
+    /** Returns the time that a call takes, in milliseconds; 0 where the service is unknown. */
+    long expectedCallMillis() {
+        return Math.round(pool.get().map(this::callMillis).orElse(0.0));
+    }
+
+    private double callMillis(StagePool limits) {
+        return callTime.millisOr(limits.callMillis());
+    }
+
+    /** Books a call that was answered. */
+    void callEnded(double elapsedMillis) {
+        callTime.sample(elapsedMillis);
+    }
+
     private static double fullCallMillis(StagePool limits) {
         return limits.callMillis() + limits.batch() * limits.pieceMillis();
     }
@@ -262,9 +277,9 @@
     private void failLate(StagePool limits, long nowMillis) {
         double pieceMillis = millisPerPiece(limits);
         int ahead = 0;
-        for (StageTask task : StageOrder.byRank(tasks, limits.callMillis(), nowMillis)) {
+        for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
             int waiting = task.waiting().size();
-            double doneMillis = nowMillis + ahead * pieceMillis + limits.callMillis();
+            double doneMillis = nowMillis + ahead * pieceMillis + callMillis(limits);
             double latest = task.job().deadlineAtMillis() - (double) task.job().laterMillis();
             if (waiting > 0 && doneMillis > latest) {
                 tally.count(StageTally.Event.LATE, waiting);
@@ -331,7 +346,7 @@
         StageBatch batch = new StageBatch(limits, usableRoom(limits) - worker.usedBytes(nowMillis));
         boolean probe = worker.slowness() >= SLOW;
         String failureDomain = worker.upstream().entry().failureDomain();
-        for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis, failureDomain)) {
+        for (StageTask task : order.order(tasks, callMillis(limits), nowMillis, failureDomain)) {
             if (!task.waiting().isEmpty()
                     && !worker.lacksRoomFor(task.job().resultBytes(), nowMillis)
                     && mayTake(worker, task, limits, nowMillis)) {
@@ -354,7 +369,7 @@
     /** Tells whether an upstream in another failure domain than the task's may take it already. */
     private boolean mayTake(StageWorker worker, StageTask task, StagePool limits, long nowMillis) {
         String wanted = task.job().failureDomain();
-        return StageOrder.mayCross(task, limits.callMillis(), nowMillis)
+        return StageOrder.mayCross(task, callMillis(limits), nowMillis)
                 || worker.upstream().entry().failureDomain().equals(wanted)
                 || workers.values().stream()
                         .noneMatch(w -> w.upstream().entry().failureDomain().equals(wanted));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -19,7 +19,7 @@
     private static final long LONGEST_LOCAL_TURN_MILLIS = 400;
     private static final long SHORTEST_LOCAL_WAIT_MILLIS = 60;
     private static final long LONGEST_LOCAL_WAIT_MILLIS = 280;
-    private static final double LEAST_SLACK_MILLIS = 350;
+    private static final double LEAST_SLACK_MILLIS = 100;
     private static final long LARGE_BYTES = 100_000;
 
     private int calls;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineChoice.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineChoice.java
@@ -54,6 +54,16 @@
                                 + (isAt(u, ownFailureDomain) ? 0 : OTHER_DOMAIN_MILLIS));
     }
 
+    /**
+     * Returns the time that an idle engine takes to read tokens.
+     *
+     * @param tokens the number of prompt tokens that it does not keep
+     * @return the time in milliseconds
+     */
+    public static long readMillis(int tokens) {
+        return Math.round(tokens / PREFILL_TOKENS_PER_MILLI);
+    }
+
     private static boolean isUsable(Upstream upstream, Set<String> tried, long nowMillis) {
         return !upstream.isEjected(nowMillis)
                 && !upstream.isMisdirected()
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -342,6 +342,24 @@
         assertThat(world.finished).isTrue();
     }
 
+    @Test
+    void aStageKnowsTheQueuesOfTheStagesAfterItAndTheTimeToReadThePrompt() {
+        World world = new World();
+        world.expectedWaitMillis = 200;
+        List<StageStep> chain =
+                List.of(
+                        new StageStep("s", List.of(), 10),
+                        new StageStep("s", List.of(0), 10),
+                        new StageStep("s", List.of(1), 10));
+        world.with(World.route(RepeatRule.AT_MOST_ONCE, false, 1, chain))
+                .request("key", List.of(1, 1, 1));
+        long engineMillis = 161;
+        long stageMillis = 200 + World.CALL_MILLIS;
+        assertThat(world.jobs.get(0).job().laterMillis()).isEqualTo(2 * stageMillis + engineMillis);
+        world.jobs.get(0).done();
+        assertThat(world.jobs.get(1).job().laterMillis()).isEqualTo(stageMillis + engineMillis);
+    }
+
     private static List<StageStep> oneStage() {
         return List.of(new StageStep("s", List.of(), 10));
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -35,6 +35,7 @@
 /** A serving engine in virtual time, with upstreams, stages and a caller that a test plays. */
 final class World implements StageService, CallerExchange, RequestObserver {
     static final long LEASE_MILLIS = 4_000;
+    static final long CALL_MILLIS = 330;
     static final long CALLER_SILENCE_MILLIS = 2_400;
 
     final TestScheduler scheduler = new TestScheduler();
@@ -236,7 +237,7 @@
 
     @Override
     public StageWait expectedWait(String service, int rank) {
-        return new StageWait(expectedWaitMillis, 0);
+        return new StageWait(expectedWaitMillis, CALL_MILLIS, 0);
     }
 
     @Override
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
@@ -303,7 +303,8 @@
         }
         advance(700);
         StageWait wait = submitter.stages.expectedWait(SERVICE, 0);
-        assertThat(wait.millis()).isGreaterThan(1_000);
+        assertThat(wait.waitMillis()).isGreaterThan(1_000);
+        assertThat(wait.callMillis()).isEqualTo(CALL_MILLIS);
         assertThat(wait.ageMillis()).isAtMost(350);
         assertThat(owner().stages.submitters()).contains(submitter.vmId);
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -111,6 +111,17 @@
             long bytes,
             long deadlineMillis,
             List<StageResult> inputs) {
+        return submit(id, pieces, rank, bytes, 2_000, deadlineMillis, inputs);
+    }
+
+    private Outcome submit(
+            String id,
+            int pieces,
+            int rank,
+            long bytes,
+            long objectiveMillis,
+            long deadlineMillis,
+            List<StageResult> inputs) {
         Outcome outcome = new Outcome();
         long now = loop.nowMillis();
         dispatcher.submit(
@@ -123,7 +134,7 @@
                         inputs,
                         bytes,
                         rank,
-                        now + 2_000,
+                        now + objectiveMillis,
                         now + deadlineMillis,
                         100,
                         "d"),
@@ -153,6 +164,25 @@
         assertThat(calls.get(1).ids()).containsExactly("c/0", "c/1", "b/0", "b/1").inOrder();
     }
 
+    @Test
+    void aJobThatTheUsualCallMakesLateWaitsBehindJobsThatAreOnTime() {
+        upstreams("u");
+        for (int i = 0; i < 3; i++) {
+            submit("usual" + i, 4, 0, 10, 9_000);
+            advance(600);
+            calls.get(i).done();
+            advance(10);
+        }
+        submit("busy", 4, 0, 10, 9_000);
+        advance(1);
+        submit("justMissed", 4, 0, 10, 900, 9_000, List.of());
+        submit("onTime", 4, 0, 10, 2_000, 9_000, List.of());
+        advance(400);
+        calls.get(3).done();
+        advance(1);
+        assertThat(calls.get(4).ids()).contains("onTime/0");
+    }
+
     @Test
     void aCallHoldsNoMoreResultsThanThereIsRoomFor() {
         upstreams("u");
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -209,28 +209,29 @@
       "ishedLimits\022\030\n\020max_header_bytes\030\001 \001(\005\022\026\n" +
       "\016max_body_bytes\030\002 \001(\005\022\035\n\025header_timeout_" +
       "millis\030\003 \001(\003\022\033\n\023idle_timeout_millis\030\004 \001(" +
-      "\003\"4\n\014StageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wa" +
-      "it_millis\030\002 \003(\003\"\247\001\n\nStageFrame\022-\n\003job\030\001 " +
-      "\001(\0132\036.bronzewheel.wire.StageJobCallH\000\0221\n" +
-      "\007release\030\002 \001(\0132\036.bronzewheel.wire.StageR" +
-      "eleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.bronzewheel.w" +
-      "ire.StageCancelH\000B\006\n\004body\"\235\002\n\014StageJobCa" +
-      "ll\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n" +
-      "\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 " +
-      "\001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzewheel.wire.S" +
-      "tageHandle\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004rank" +
-      "\030\010 \001(\005\022\035\n\025objective_left_millis\030\t \001(\003\022\034\n" +
-      "\024deadline_left_millis\030\n \001(\003\022\024\n\014later_mil" +
-      "lis\030\013 \001(\003\022\026\n\016failure_domain\030\014 \001(\t\"P\n\rSta" +
-      "geJobReply\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002" +
-      " \003(\0132\035.bronzewheel.wire.StageHandle\"e\n\013S" +
-      "tageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001" +
-      "(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(" +
-      "\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007se" +
-      "rvice\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewhe" +
-      "el.wire.StageHandle\"2\n\013StageCancel\022\022\n\nre" +
-      "quest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.b" +
-      "ronzewheel.wireP\001b\006proto3"
+      "\003\"I\n\014StageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wa" +
+      "it_millis\030\002 \003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247\001\n" +
+      "\nStageFrame\022-\n\003job\030\001 \001(\0132\036.bronzewheel.w" +
+      "ire.StageJobCallH\000\0221\n\007release\030\002 \001(\0132\036.br" +
+      "onzewheel.wire.StageReleaseH\000\022/\n\006cancel\030" +
+      "\003 \001(\0132\035.bronzewheel.wire.StageCancelH\000B\006" +
+      "\n\004body\"\235\002\n\014StageJobCall\022\022\n\nrequest_id\030\001 " +
+      "\001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006p" +
+      "ieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\013" +
+      "2\035.bronzewheel.wire.StageHandle\022\024\n\014resul" +
+      "t_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective" +
+      "_left_millis\030\t \001(\003\022\034\n\024deadline_left_mill" +
+      "is\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016failur" +
+      "e_domain\030\014 \001(\t\"P\n\rStageJobReply\022\017\n\007failu" +
+      "re\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel." +
+      "wire.StageHandle\"e\n\013StageHandle\022\014\n\004text\030" +
+      "\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure_domai" +
+      "n\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"" +
+      "O\n\014StageRelease\022\017\n\007service\030\001 \001(\t\022.\n\007hand" +
+      "les\030\002 \003(\0132\035.bronzewheel.wire.StageHandle" +
+      "\"2\n\013StageCancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007s" +
+      "ervice\030\002 \001(\tB\030\n\024org.bronzewheel.wireP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -337,7 +338,7 @@
     internal_static_bronzewheel_wire_StageBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageBacklog_descriptor,
-        new java.lang.String[] { "Service", "WaitMillis", });
+        new java.lang.String[] { "Service", "WaitMillis", "CallMillis", });
     internal_static_bronzewheel_wire_StageFrame_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_bronzewheel_wire_StageFrame_fieldAccessorTable = new
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageBacklog.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageBacklog.java
@@ -135,6 +135,21 @@
   }
   private int waitMillisMemoizedSerializedSize = -1;
 
+  public static final int CALL_MILLIS_FIELD_NUMBER = 3;
+  private long callMillis_ = 0L;
+  /**
+   * <pre>
+   * How long calls take that the owner has sent lately.
+   * </pre>
+   *
+   * <code>int64 call_millis = 3;</code>
+   * @return The callMillis.
+   */
+  @java.lang.Override
+  public long getCallMillis() {
+    return callMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -160,6 +175,9 @@
     for (int i = 0; i < waitMillis_.size(); i++) {
       output.writeInt64NoTag(waitMillis_.getLong(i));
     }
+    if (callMillis_ != 0L) {
+      output.writeInt64(3, callMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -181,6 +199,10 @@
       }
       waitMillisMemoizedSerializedSize = dataSize;
     }
+    if (callMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, callMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -209,6 +231,8 @@
         .equals(other.getService())) return false;
     if (!getWaitMillisList()
         .equals(other.getWaitMillisList())) return false;
+    if (getCallMillis()
+        != other.getCallMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -226,6 +250,9 @@
       hash = (37 * hash) + WAIT_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + getWaitMillisList().hashCode();
     }
+    hash = (37 * hash) + CALL_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getCallMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -363,6 +390,7 @@
       bitField0_ = 0;
       service_ = "";
       waitMillis_ = emptyLongList();
+      callMillis_ = 0L;
       return this;
     }
 
@@ -403,6 +431,9 @@
         waitMillis_.makeImmutable();
         result.waitMillis_ = waitMillis_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.callMillis_ = callMillis_;
+      }
     }
 
     @java.lang.Override
@@ -433,6 +464,9 @@
         }
         onChanged();
       }
+      if (other.getCallMillis() != 0L) {
+        setCallMillis(other.getCallMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -478,6 +512,11 @@
               input.popLimit(limit);
               break;
             } // case 18
+            case 24: {
+              callMillis_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -679,6 +718,50 @@
       return this;
     }
 
+    private long callMillis_ ;
+    /**
+     * <pre>
+     * How long calls take that the owner has sent lately.
+     * </pre>
+     *
+     * <code>int64 call_millis = 3;</code>
+     * @return The callMillis.
+     */
+    @java.lang.Override
+    public long getCallMillis() {
+      return callMillis_;
+    }
+    /**
+     * <pre>
+     * How long calls take that the owner has sent lately.
+     * </pre>
+     *
+     * <code>int64 call_millis = 3;</code>
+     * @param value The callMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallMillis(long value) {
+
+      callMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long calls take that the owner has sent lately.
+     * </pre>
+     *
+     * <code>int64 call_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      callMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.StageBacklog)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageBacklogOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageBacklogOrBuilder.java
@@ -50,4 +50,14 @@
    * @return The waitMillis at the given index.
    */
   long getWaitMillis(int index);
+
+  /**
+   * <pre>
+   * How long calls take that the owner has sent lately.
+   * </pre>
+   *
+   * <code>int64 call_millis = 3;</code>
+   * @return The callMillis.
+   */
+  long getCallMillis();
 }
