Let the last answer for another router leave before a stopping router ends

Cause: the router was idle in the very millisecond in which the answer was given to its transport, and ended before the answer was sent. A stop now needs two idle checks in a row, 50 ms apart; the soak ends its routers by the same rule.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/DrainPlan.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/DrainPlan.java
@@ -19,6 +19,7 @@
     private final IntSupplier otherWork;
     private final Runnable end;
     private long beganMillis;
+    private boolean wasIdle;
 
     /**
      * Creates a plan.
@@ -49,10 +50,12 @@
         long elapsedMillis = loop.nowMillis() - beganMillis;
         boolean idle = engine.runningRequests() == 0 && otherWork.getAsInt() == 0;
         if (elapsedMillis >= stopMillis - EXIT_MARGIN_MILLIS
-                || (idle && elapsedMillis >= CALLERS_LEAVE_MILLIS)) {
+                || (idle && wasIdle && elapsedMillis >= CALLERS_LEAVE_MILLIS)) {
             end.run();
             return;
         }
+        // The last answer may be on its way to the socket when the router becomes idle.
+        wasIdle = idle;
         loop.after(CHECK_MILLIS, this::check);
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/DrainPlanTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/DrainPlanTest.java
@@ -37,6 +37,20 @@
         assertThat(ends).hasSize(1);
     }
 
+    @Test
+    void theLastAnswerForAnotherRouterHasTimeToLeave() {
+        int[] jobs = {1};
+        World world = new World();
+        new DrainPlan(world.loop, STOP_MILLIS, world.engine, () -> jobs[0], () -> ends.add("end"))
+                .begin();
+        world.advance(2_999);
+        jobs[0] = 0;
+        world.advance(1);
+        assertThat(ends).isEmpty();
+        world.advance(50);
+        assertThat(ends).hasSize(1);
+    }
+
     @Test
     void lateRequestsAreRefusedWithTheTruthThatTheyDidNotRun() {
         World world = drain(new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1)));
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesSoakTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesSoakTest.java
@@ -17,6 +17,7 @@
     private static final long CHANGE_MILLIS = 900;
     private static final long RESTART_MILLIS = 700;
     private static final long LEAST_STOP_MILLIS = 600;
+    private static final long CHECK_MILLIS = 50;
 
     private final List<Submitted> jobs = new ArrayList<>();
     private final List<Router> stopping = new ArrayList<>();
@@ -94,16 +95,17 @@
         }
         stopping.add(router);
         router.network.leave();
-        loop.after(LEAST_STOP_MILLIS, () -> endStop(router));
+        loop.after(LEAST_STOP_MILLIS, () -> endStop(router, false));
     }
 
-    private void endStop(Router router) {
+    /** Ends a router that was idle at two checks in a row, as the plan of a stop does. */
+    private void endStop(Router router, boolean wasIdle) {
         boolean idle =
                 router.stages.openJobs() == 0
                         && jobs.stream()
                                 .allMatch(job -> job.router() != router || job.outcome().ends > 0);
-        if (routers.contains(router) && !idle) {
-            loop.after(50, () -> endStop(router));
+        if (routers.contains(router) && !(idle && wasIdle)) {
+            loop.after(CHECK_MILLIS, () -> endStop(router, idle));
         } else if (routers.contains(router)) {
             end(router);
         }
