Forget the wait of a stage service that its owner no longer tells

Suspected from reading, not seen in a run: an owner tells its waits to the routers that submitted lately, in a large fleet to few others. A router that heard of a long wait and refused its requests for it submits nothing, hears nothing more, and would go on refusing by the old word. A told wait now holds for 2 s; after that one request finds out.

Evidence: aWaitThatIsNoLongerToldKeepsNobodyAway failed before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -38,6 +38,9 @@
     private static final int TICKS_PER_LOG = 10;
     private static final long SUBMITTER_MILLIS = 5_000;
 
+    /** The time for which a told wait holds; an owner tells those who submit every 350 ms. */
+    private static final long BACKLOG_LIFE_MILLIS = 2_000;
+
     /** Creates the dispatcher of a service, which gives up the inputs that its upstreams read. */
     interface DispatcherFactory {
         StageDispatcher create(String service, Consumer<List<StageResult>> releaseInputs);
@@ -130,11 +133,15 @@
         if (told == null || told.backlog().waitMillis().isEmpty()) {
             return StageWait.UNKNOWN;
         }
+        long ageMillis = loop.nowMillis() - told.atMillis();
+        if (ageMillis > BACKLOG_LIFE_MILLIS) {
+            return new StageWait(0, told.backlog().callMillis(), ageMillis);
+        }
         List<Long> byRank = told.backlog().waitMillis();
         return new StageWait(
                 byRank.get(Math.min(rank, byRank.size() - 1)),
                 told.backlog().callMillis(),
-                loop.nowMillis() - told.atMillis());
+                ageMillis);
     }
 
     /**
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.bronzewheel.membership.RendezvousHash;
+import org.bronzewheel.peering.Backlog;
 import org.junit.jupiter.api.Test;
 
 /** Plays what happens among routers that share the upstreams of a stage service. */
@@ -67,6 +68,16 @@
         assertThat(owner().stages.openJobs()).isEqualTo(0);
     }
 
+    @Test
+    void aWaitThatIsNoLongerToldKeepsNobodyAway() {
+        routers(10);
+        Router submitter = submitters().get(0);
+        submitter.stages.takeBacklog(SERVICE, new Backlog(List.of(9_000L), CALL_MILLIS));
+        assertThat(submitter.stages.expectedWait(SERVICE, 0).waitMillis()).isEqualTo(9_000);
+        advance(2_100);
+        assertThat(submitter.stages.expectedWait(SERVICE, 0).waitMillis()).isEqualTo(0);
+    }
+
     @Test
     void releasedResultsAreFreedByTheOwner() {
         routers(10);
