End a stage job once its inputs have lapsed, and not in a call

Cause: results live for 4 s after their call. A job that waits for longer cannot be served, but stayed in the queue and took places in calls, which a upstream then reports as input gone.

The owner ends a waiting job once it has waited as long as the service of its inputs keeps results, so that its request makes them anew at once.

Evidence: aJobWhoseInputsLapseInTheQueueTakesNoPlaceInACall failed before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.repeats.RepeatBudget;
@@ -42,7 +42,7 @@
     private static final long SETTLED_MILLIS = 1_500;
 
     private final String service;
-    private final Supplier<Optional<StagePool>> pool;
+    private final Function<String, Optional<StagePool>> pools;
     private final UpstreamTable upstreams;
     private final StagePort port;
     private final RepeatBudget budget;
@@ -61,14 +61,14 @@
 
     StageDispatcher(
             String service,
-            Supplier<Optional<StagePool>> pool,
+            Function<String, Optional<StagePool>> pools,
             UpstreamTable upstreams,
             StagePort port,
             RepeatBudget budget,
             Loop loop,
             Consumer<List<StageResult>> releaseInputs) {
         this.service = service;
-        this.pool = pool;
+        this.pools = pools;
         this.upstreams = upstreams;
         this.port = port;
         this.budget = budget;
@@ -89,8 +89,7 @@
 
     /** Notes that this router has just become the owner, so that the upstreams may be at work. */
     void takeOver() {
-        pool.get()
-                .ifPresent(
+        pool().ifPresent(
                         limits ->
                                 inputHold.holdAllUntil(
                                         loop.nowMillis()
@@ -191,7 +190,7 @@
     }
 
     private long lateTasks(long nowMillis) {
-        double callMillis = pool.get().map(this::callMillis).orElse(0.0);
+        double callMillis = pool().map(this::callMillis).orElse(0.0);
         return tasks.stream()
                 .filter(task -> StageOrder.isLate(task, callMillis, nowMillis))
                 .count();
@@ -216,7 +215,7 @@
 
     /** Returns the time until a new piece of a rank would be in a call. */
     long expectedWaitMillis(int rank) {
-        Optional<StagePool> limits = pool.get();
+        Optional<StagePool> limits = pool();
         if (limits.isEmpty()) {
             return 0;
         }
@@ -241,7 +240,11 @@
 
     /** Returns the time that a call takes, in milliseconds; 0 where the service is unknown. */
     long expectedCallMillis() {
-        return Math.round(pool.get().map(this::callMillis).orElse(0.0));
+        return Math.round(pool().map(this::callMillis).orElse(0.0));
+    }
+
+    private Optional<StagePool> pool() {
+        return pools.apply(service);
     }
 
     private double callMillis(StagePool limits) {
@@ -259,7 +262,7 @@
 
     /** Ends tasks that cannot be served in time and fills the idle upstreams. */
     void pump() {
-        Optional<StagePool> limits = pool.get();
+        Optional<StagePool> limits = pool();
         if (limits.isEmpty()) {
             return;
         }
@@ -279,6 +282,11 @@
         int ahead = 0;
         for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
             int waiting = task.waiting().size();
+            if (waiting > 0 && haveInputsLapsed(task, nowMillis)) {
+                tally.count(StageTally.Event.INPUT_GONE, waiting);
+                fail(task, StageFailure.INPUT_GONE);
+                continue;
+            }
             double doneMillis = nowMillis + ahead * pieceMillis + callMillis(limits);
             double latest = task.job().deadlineAtMillis() - (double) task.job().laterMillis();
             if (waiting > 0 && doneMillis > latest) {
@@ -290,6 +298,15 @@
         }
     }
 
+    /** Tells whether a task has waited for longer than its inputs are kept. */
+    private boolean haveInputsLapsed(StageTask task, long nowMillis) {
+        return task.job().inputs().stream()
+                .map(StageResult::service)
+                .distinct()
+                .flatMap(maker -> pools.apply(maker).stream())
+                .anyMatch(maker -> nowMillis - task.arrivedMillis() >= maker.resultMillis());
+    }
+
     void fail(StageTask task, StageFailure failure) {
         if (tasks.remove(task)) {
             release(task.made());
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageParts.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageParts.java
@@ -42,13 +42,7 @@
                 loop,
                 (service, releaseInputs) ->
                         new StageDispatcher(
-                                service,
-                                () -> pool(service),
-                                upstreams,
-                                port,
-                                budget,
-                                loop,
-                                releaseInputs));
+                                service, this::pool, upstreams, port, budget, loop, releaseInputs));
     }
 
     private Optional<StagePool> pool(String service) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -28,7 +28,7 @@
     private final StageDispatcher dispatcher =
             new StageDispatcher(
                     "s",
-                    () -> Optional.of(POOL),
+                    service -> Optional.of(POOL),
                     upstreams,
                     new Port(),
                     new RepeatBudget(0, 100, 10_000, 1),
@@ -249,6 +249,26 @@
         assertThat(calls).isEmpty();
     }
 
+    @Test
+    void aJobWhoseInputsLapseInTheQueueTakesNoPlaceInACall() {
+        upstreams("u");
+        Outcome first = submit("first", 4, 0, 10, 20_000);
+        advance(10);
+        StageResult input = new StageResult("t", "h", "m", "d", 10);
+        Outcome lapsed = submit("lapsed", 4, 2, 10, 2_000, 20_000, List.of(input));
+        for (int i = 0; i < 9; i++) {
+            submit("ahead" + i, 4, 0, 10, 20_000);
+        }
+        for (int i = 0; i < 5; i++) {
+            advance(900);
+            calls.get(calls.size() - 1).done();
+        }
+        assertThat(first.results).hasSize(4);
+        assertThat(lapsed.failure).isEqualTo(StageFailure.INPUT_GONE);
+        assertThat(calls.stream().flatMap(call -> call.ids().stream()).toList())
+                .doesNotContain("lapsed/0");
+    }
+
     @Test
     void aFailedCallIsMadeAgainElsewhere() {
         upstreams("u", "v");
