--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -112,7 +112,7 @@
     private void measure() {
         double elapsedMillis = (double) (loop.nowMillis() - beganMillis);
         worker.measured(elapsedMillis, batch.expectedMillis());
-        owner.callEnded(elapsedMillis);
+        owner.callEnded(worker, elapsedMillis);
     }
 
     private void keep(StageBatch.Part part, String handle) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -251,9 +251,13 @@
         return callTime.millisOr(limits.callMillis());
     }
 
-    /** Books a call that was answered. */
-    void callEnded(double elapsedMillis) {
-        callTime.sample(elapsedMillis);
+    /**
+     * Books the time of a call; those of slow upstreams, which get few, say nothing of the next.
+     */
+    void callEnded(StageWorker worker, double elapsedMillis) {
+        if (worker.slowness() < SLOW) {
+            callTime.sample(elapsedMillis);
+        }
     }
 
     private static double fullCallMillis(StagePool limits) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -183,6 +183,22 @@
         assertThat(calls.get(4).ids()).contains("onTime/0");
     }
 
+    @Test
+    void aCallOfASlowUpstreamMakesNoJobsLate() {
+        upstreams("u");
+        for (int i = 0; i < 3; i++) {
+            submit("usual" + i, 4, 0, 10, 9_000);
+            advance(280);
+            calls.get(i).done();
+            advance(10);
+        }
+        submit("slow", 4, 0, 10, 9_000);
+        advance(1_300);
+        calls.get(3).done();
+        advance(1);
+        assertThat(dispatcher.expectedCallMillis()).isEqualTo(280);
+    }
+
     @Test
     void aCallHoldsNoMoreResultsThanThereIsRoomFor() {
         upstreams("u");
