--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -143,6 +143,16 @@
         return outcome;
     }
 
+    /** Lets three full calls take a time. */
+    private void usualCalls(long millis) {
+        for (int i = 0; i < 3; i++) {
+            submit("usual" + i, 4, 0, 10, 9_000);
+            advance(millis);
+            calls.get(i).done();
+            advance(10);
+        }
+    }
+
     private void advance(long millis) {
         scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
     }
@@ -167,12 +177,7 @@
     @Test
     void aJobThatTheUsualCallMakesLateWaitsBehindJobsThatAreOnTime() {
         upstreams("u");
-        for (int i = 0; i < 3; i++) {
-            submit("usual" + i, 4, 0, 10, 9_000);
-            advance(600);
-            calls.get(i).done();
-            advance(10);
-        }
+        usualCalls(600);
         submit("busy", 4, 0, 10, 9_000);
         advance(1);
         submit("justMissed", 4, 0, 10, 900, 9_000, List.of());
@@ -186,12 +191,7 @@
     @Test
     void aCallOfASlowUpstreamMakesNoJobsLate() {
         upstreams("u");
-        for (int i = 0; i < 3; i++) {
-            submit("usual" + i, 4, 0, 10, 9_000);
-            advance(280);
-            calls.get(i).done();
-            advance(10);
-        }
+        usualCalls(280);
         submit("slow", 4, 0, 10, 9_000);
         advance(1_300);
         calls.get(3).done();
