Give jobs up by the least time that is left to do, not by the expected one

Cause: the expected time of later stages, with their waits of the moment and two deviations, is right for the order of a queue, where an error costs a place. It also decided which jobs are ended as late and who is refused at the door, where a wait that is over by then costs the answer.

Evidence: aJobIsNotGivenUpForWaitsThatMayBeOverWhenItGetsThere failed before with the expected time in its place.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -18,6 +18,10 @@
 /** The stages of one request: submits them, hands their results on, and makes them anew once. */
 final class RequestStages {
     private static final long ENGINE_MILLIS = 160;
+
+    /** The time of a stage in which nothing waits. */
+    private static final long LEAST_STAGE_MILLIS = 330;
+
     private static final int MOST_ROUNDS = 2;
 
     private final ServingParts parts;
@@ -106,11 +110,9 @@
 
     /** Returns the expected time until all results are there, by the queues of the stages. */
     long expectedMillis() {
-        return expectedMillis(progress.longestWay());
-    }
-
-    private long expectedMillis(List<String> services) {
-        return services.stream().mapToLong(service -> expectedWait(service).totalMillis()).sum();
+        return progress.longestWay().stream()
+                .mapToLong(service -> expectedWait(service).waitMillis() + LEAST_STAGE_MILLIS)
+                .sum();
     }
 
     private StageWait expectedWait(String service) {
@@ -120,9 +122,11 @@
     /** Returns the expected time from the end of a stage to the first part of the answer. */
     private long laterMillis(int stage) {
         int unreadTokens = request.promptTokens() - prompt().sharedTokens();
-        return expectedMillis(progress.longestWayAfter(stage))
-                + ENGINE_MILLIS
-                + EngineChoice.readMillis(unreadTokens);
+        long stagesMillis =
+                progress.longestWayAfter(stage).stream()
+                        .mapToLong(service -> expectedWait(service).totalMillis())
+                        .sum();
+        return stagesMillis + ENGINE_MILLIS + EngineChoice.readMillis(unreadTokens);
     }
 
     /** Returns the prompt with the inputs that are there. */
@@ -175,6 +179,7 @@
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
                         laterMillis(stage),
+                        ENGINE_MILLIS + LEAST_STAGE_MILLIS * progress.stagesAfter(stage),
                         progress.inputFailureDomain(stage).orElse(failureDomain));
         parts.observer()
                 .decided(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
@@ -24,6 +24,7 @@
                 .setObjectiveLeftMillis(job.objectiveAtMillis() - nowMillis)
                 .setDeadlineLeftMillis(job.deadlineAtMillis() - nowMillis)
                 .setLaterMillis(job.laterMillis())
+                .setLeastLaterMillis(job.leastLaterMillis())
                 .setFailureDomain(job.failureDomain())
                 .build();
     }
@@ -41,6 +42,7 @@
                 nowMillis + call.getObjectiveLeftMillis(),
                 nowMillis + call.getDeadlineLeftMillis(),
                 call.getLaterMillis(),
+                call.getLeastLaterMillis(),
                 call.getFailureDomain());
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -291,8 +291,8 @@
                 fail(task, StageFailure.INPUT_GONE);
                 continue;
             }
-            double doneMillis = nowMillis + ahead * pieceMillis + callMillis(limits);
-            double latest = task.job().deadlineAtMillis() - (double) task.job().laterMillis();
+            double doneMillis = nowMillis + ahead * pieceMillis + limits.callMillis();
+            double latest = task.job().deadlineAtMillis() - (double) task.job().leastLaterMillis();
             if (waiting > 0 && doneMillis > latest) {
                 tally.count(StageTally.Event.LATE, waiting);
                 fail(task, StageFailure.LATE);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
@@ -17,6 +17,7 @@
  * @param objectiveAtMillis when the request should have its answer, by the steady clock
  * @param deadlineAtMillis when the request has no use any more, by the steady clock
  * @param laterMillis the expected time from the end of this stage to the answer, in milliseconds
+ * @param leastLaterMillis the same where nothing waits, in milliseconds
  * @param failureDomain the failure domain that is to take the results
  */
 public record StageJob(
@@ -31,6 +32,7 @@
         long objectiveAtMillis,
         long deadlineAtMillis,
         long laterMillis,
+        long leastLaterMillis,
         String failureDomain) {
     /** The part of the repeats that a job allows which its submitter may use, for lost owners. */
     static final double SUBMITTER_PART = 0.5;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
@@ -122,6 +122,7 @@
                             loop.nowMillis() + 3_000,
                             loop.nowMillis() + 9_000,
                             0,
+                            0,
                             "d"),
                     outcome);
             return outcome;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -17,6 +17,7 @@
 
 /** Plays an owner of stage upstreams in virtual time. */
 class StageDispatcherTest {
+    private static final long LATER_MILLIS = 300;
     private static final StagePool POOL = new StagePool(1, 2, 4, 240, 10, 1_000, 4_000);
 
     private final TestScheduler scheduler = new TestScheduler();
@@ -136,6 +137,7 @@
                         rank,
                         now + objectiveMillis,
                         now + deadlineMillis,
+                        LATER_MILLIS,
                         100,
                         "d"),
                 outcome,
@@ -285,6 +287,16 @@
                 .doesNotContain("lapsed/0");
     }
 
+    @Test
+    void aJobIsNotGivenUpForWaitsThatMayBeOverWhenItGetsThere() {
+        upstreams("u");
+        submit("busy", 4, 0, 10, 9_000);
+        advance(1);
+        Outcome tight = submit("tight", 4, 0, 10, 490);
+        advance(100);
+        assertThat(tight.failure).isNull();
+    }
+
     @Test
     void aFailedCallIsMadeAgainElsewhere() {
         upstreams("u", "v");
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCall.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCall.java
@@ -331,6 +331,17 @@
     }
   }
 
+  public static final int LEAST_LATER_MILLIS_FIELD_NUMBER = 13;
+  private long leastLaterMillis_ = 0L;
+  /**
+   * <code>int64 least_later_millis = 13;</code>
+   * @return The leastLaterMillis.
+   */
+  @java.lang.Override
+  public long getLeastLaterMillis() {
+    return leastLaterMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -381,6 +392,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 12, failureDomain_);
     }
+    if (leastLaterMillis_ != 0L) {
+      output.writeInt64(13, leastLaterMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -434,6 +448,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDomain_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(12, failureDomain_);
     }
+    if (leastLaterMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(13, leastLaterMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -482,6 +500,8 @@
         != other.getLaterMillis()) return false;
     if (!getFailureDomain()
         .equals(other.getFailureDomain())) return false;
+    if (getLeastLaterMillis()
+        != other.getLeastLaterMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -523,6 +543,9 @@
         getLaterMillis());
     hash = (37 * hash) + FAILURE_DOMAIN_FIELD_NUMBER;
     hash = (53 * hash) + getFailureDomain().hashCode();
+    hash = (37 * hash) + LEAST_LATER_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLeastLaterMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -676,6 +699,7 @@
       deadlineLeftMillis_ = 0L;
       laterMillis_ = 0L;
       failureDomain_ = "";
+      leastLaterMillis_ = 0L;
       return this;
     }
 
@@ -755,6 +779,9 @@
       if (((from_bitField0_ & 0x00000800) != 0)) {
         result.failureDomain_ = failureDomain_;
       }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.leastLaterMillis_ = leastLaterMillis_;
+      }
     }
 
     @java.lang.Override
@@ -836,6 +863,9 @@
         bitField0_ |= 0x00000800;
         onChanged();
       }
+      if (other.getLeastLaterMillis() != 0L) {
+        setLeastLaterMillis(other.getLeastLaterMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -928,6 +958,11 @@
               bitField0_ |= 0x00000800;
               break;
             } // case 98
+            case 104: {
+              leastLaterMillis_ = input.readInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1691,6 +1726,38 @@
       return this;
     }
 
+    private long leastLaterMillis_ ;
+    /**
+     * <code>int64 least_later_millis = 13;</code>
+     * @return The leastLaterMillis.
+     */
+    @java.lang.Override
+    public long getLeastLaterMillis() {
+      return leastLaterMillis_;
+    }
+    /**
+     * <code>int64 least_later_millis = 13;</code>
+     * @param value The leastLaterMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeastLaterMillis(long value) {
+
+      leastLaterMillis_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 least_later_millis = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeastLaterMillis() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      leastLaterMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.StageJobCall)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCallOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCallOrBuilder.java
@@ -123,4 +123,10 @@
    */
   com.google.protobuf.ByteString
       getFailureDomainBytes();
+
+  /**
+   * <code>int64 least_later_millis = 13;</code>
+   * @return The leastLaterMillis.
+   */
+  long getLeastLaterMillis();
 }
