--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -17,6 +17,7 @@
 
 /** Plays an owner of stage upstreams in virtual time. */
 class StageDispatcherTest {
+    private static final long LATER_MILLIS = 300;
     private static final StagePool POOL = new StagePool(1, 2, 4, 240, 10, 1_000, 4_000);
 
     private final TestScheduler scheduler = new TestScheduler();
@@ -136,6 +137,7 @@
                         rank,
                         now + objectiveMillis,
                         now + deadlineMillis,
+                        LATER_MILLIS,
                         100,
                         "d"),
                 outcome,
@@ -143,6 +145,16 @@
         return outcome;
     }
 
+    /** Lets three full calls take a time. */
+    private void usualCalls(long millis) {
+        for (int i = 0; i < 3; i++) {
+            submit("usual" + i, 4, 0, 10, 9_000);
+            advance(millis);
+            calls.get(i).done();
+            advance(10);
+        }
+    }
+
     private void advance(long millis) {
         scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
     }
@@ -167,12 +179,7 @@
     @Test
     void aJobThatTheUsualCallMakesLateWaitsBehindJobsThatAreOnTime() {
         upstreams("u");
-        for (int i = 0; i < 3; i++) {
-            submit("usual" + i, 4, 0, 10, 9_000);
-            advance(600);
-            calls.get(i).done();
-            advance(10);
-        }
+        usualCalls(600);
         submit("busy", 4, 0, 10, 9_000);
         advance(1);
         submit("justMissed", 4, 0, 10, 900, 9_000, List.of());
@@ -186,12 +193,7 @@
     @Test
     void aCallOfASlowUpstreamMakesNoJobsLate() {
         upstreams("u");
-        for (int i = 0; i < 3; i++) {
-            submit("usual" + i, 4, 0, 10, 9_000);
-            advance(280);
-            calls.get(i).done();
-            advance(10);
-        }
+        usualCalls(280);
         submit("slow", 4, 0, 10, 9_000);
         advance(1_300);
         calls.get(3).done();
@@ -285,6 +287,16 @@
                 .doesNotContain("lapsed/0");
     }
 
+    @Test
+    void aJobIsNotGivenUpForWaitsThatMayBeOverWhenItGetsThere() {
+        upstreams("u");
+        submit("busy", 4, 0, 10, 9_000);
+        advance(1);
+        Outcome tight = submit("tight", 4, 0, 10, 490);
+        advance(100);
+        assertThat(tight.failure).isNull();
+    }
+
     @Test
     void aFailedCallIsMadeAgainElsewhere() {
         upstreams("u", "v");
