--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -51,7 +51,7 @@
     void start(StagePort port, List<StageItem> items, long timeoutMillis) {
         call = port.run(worker.upstream().entry(), items, this);
         timeout = loop.after(timeoutMillis, this::timedOut);
-        loop.after(inputHold.millis(), this::inputsRead);
+        loop.after(inputHold.millis(beganMillis), this::inputsRead);
     }
 
     private boolean end() {
@@ -110,7 +110,9 @@
     }
 
     private void measure() {
-        worker.measured((double) (loop.nowMillis() - beganMillis), batch.expectedMillis());
+        double elapsedMillis = (double) (loop.nowMillis() - beganMillis);
+        worker.measured(elapsedMillis, batch.expectedMillis());
+        owner.callEnded(elapsedMillis);
     }
 
     private void keep(StageBatch.Part part, String handle) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -35,6 +35,12 @@
     private static final long FREE_SETTLE_MILLIS = 12;
     private static final long WAKE_UP_MILLIS = 50;
 
+    /** Calls of a former owner that may be ahead of the first one of a new owner. */
+    private static final int CALLS_AHEAD = 2;
+
+    /** The time after which all submitters know the owner of a service. */
+    private static final long SETTLED_MILLIS = 1_500;
+
     private final String service;
     private final Supplier<Optional<StagePool>> pool;
     private final UpstreamTable upstreams;
@@ -45,6 +51,7 @@
     private final StageOrder order = new StageOrder();
     private final DrainMeter drain = new DrainMeter();
     private final InputHold inputHold = new InputHold();
+    private final TimeEstimate callTime = new TimeEstimate();
     private final StageTally tally = new StageTally();
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
@@ -69,12 +76,52 @@
         this.releaseInputs = releaseInputs;
     }
 
-    void submit(StageJob job, StageListener listener) {
+    /**
+     * Takes a job.
+     *
+     * @param owner whether this router owns the service
+     */
+    void submit(StageJob job, StageListener listener, boolean owner) {
         budget.request(service, StageJob.OWNER_PART, loop.nowMillis());
-        tasks.add(new StageTask(job, listener, loop.nowMillis()));
+        tasks.add(new StageTask(job, listener, loop.nowMillis(), owner));
         loop.execute(this::pump);
     }
 
+    /** Notes that this router has just become the owner, so that the upstreams may be at work. */
+    void takeOver() {
+        pool.get()
+                .ifPresent(
+                        limits ->
+                                inputHold.holdAllUntil(
+                                        loop.nowMillis()
+                                                + Math.round(
+                                                        CALLS_AHEAD * fullCallMillis(limits))));
+    }
+
+    /**
+     * Takes out the tasks that another owner is to serve: those that have not begun. Tasks that
+     * were sent to this router though it was not the owner stay for a while, as their submitters
+     * may know that the owner does not answer.
+     *
+     * @param atOnce whether such tasks are taken out, too
+     */
+    List<StageTask> takeUntouched(boolean atOnce) {
+        long nowMillis = loop.nowMillis();
+        List<StageTask> taken =
+                tasks.stream()
+                        .filter(StageTask::isUntouched)
+                        .filter(
+                                task ->
+                                        atOnce
+                                                || task.ownerTook()
+                                                || nowMillis - task.arrivedMillis()
+                                                        >= SETTLED_MILLIS)
+                        .toList();
+        tasks.removeAll(taken);
+        taken.forEach(task -> budget.request(service, -StageJob.OWNER_PART, nowMillis));
+        return taken;
+    }
+
     void cancel(String requestId) {
         for (StageTask task : List.copyOf(tasks)) {
             if (task.job().requestId().equals(requestId)) {
@@ -144,7 +191,7 @@
     }
 
     private long lateTasks(long nowMillis) {
-        double callMillis = pool.get().map(StagePool::callMillis).orElse(0.0);
+        double callMillis = pool.get().map(this::callMillis).orElse(0.0);
         return tasks.stream()
                 .filter(task -> StageOrder.isLate(task, callMillis, nowMillis))
                 .count();
@@ -178,7 +225,7 @@
                 tasks.stream()
                         .filter(
                                 task ->
-                                        StageOrder.rank(task, limits.get().callMillis(), nowMillis)
+                                        StageOrder.rank(task, callMillis(limits.get()), nowMillis)
                                                 <= StageOrder.onTimeRank(rank))
                         .mapToInt(task -> task.waiting().size())
                         .sum();
@@ -188,11 +235,28 @@
     /** Returns the time that one piece takes when all upstreams run full calls, or as observed. */
     private double millisPerPiece(StagePool limits) {
         double speed = workers.values().stream().mapToDouble(w -> 1 / w.slowness()).sum();
-        double fullCallMillis = limits.callMillis() + limits.batch() * limits.pieceMillis();
-        double full = fullCallMillis / limits.batch() / Math.max(MIN_SPEED, speed);
+        double full = fullCallMillis(limits) / limits.batch() / Math.max(MIN_SPEED, speed);
         return Math.max(full, drain.millisPerPiece(loop.nowMillis()));
     }
 
+    /** Returns the time that a call takes, in milliseconds; 0 where the service is unknown. */
+    long expectedCallMillis() {
+        return Math.round(pool.get().map(this::callMillis).orElse(0.0));
+    }
+
+    private double callMillis(StagePool limits) {
+        return callTime.millisOr(limits.callMillis());
+    }
+
+    /** Books a call that was answered. */
+    void callEnded(double elapsedMillis) {
+        callTime.sample(elapsedMillis);
+    }
+
+    private static double fullCallMillis(StagePool limits) {
+        return limits.callMillis() + limits.batch() * limits.pieceMillis();
+    }
+
     /** Ends tasks that cannot be served in time and fills the idle upstreams. */
     void pump() {
         Optional<StagePool> limits = pool.get();
@@ -213,9 +277,9 @@
     private void failLate(StagePool limits, long nowMillis) {
         double pieceMillis = millisPerPiece(limits);
         int ahead = 0;
-        for (StageTask task : StageOrder.byRank(tasks, limits.callMillis(), nowMillis)) {
+        for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
             int waiting = task.waiting().size();
-            double doneMillis = nowMillis + ahead * pieceMillis + limits.callMillis();
+            double doneMillis = nowMillis + ahead * pieceMillis + callMillis(limits);
             double latest = task.job().deadlineAtMillis() - (double) task.job().laterMillis();
             if (waiting > 0 && doneMillis > latest) {
                 tally.count(StageTally.Event.LATE, waiting);
@@ -282,7 +346,7 @@
         StageBatch batch = new StageBatch(limits, usableRoom(limits) - worker.usedBytes(nowMillis));
         boolean probe = worker.slowness() >= SLOW;
         String failureDomain = worker.upstream().entry().failureDomain();
-        for (StageTask task : order.order(tasks, limits.callMillis(), nowMillis, failureDomain)) {
+        for (StageTask task : order.order(tasks, callMillis(limits), nowMillis, failureDomain)) {
             if (!task.waiting().isEmpty()
                     && !worker.lacksRoomFor(task.job().resultBytes(), nowMillis)
                     && mayTake(worker, task, limits, nowMillis)) {
@@ -305,7 +369,7 @@
     /** Tells whether an upstream in another failure domain than the task's may take it already. */
     private boolean mayTake(StageWorker worker, StageTask task, StagePool limits, long nowMillis) {
         String wanted = task.job().failureDomain();
-        return StageOrder.mayCross(task, limits.callMillis(), nowMillis)
+        return StageOrder.mayCross(task, callMillis(limits), nowMillis)
                 || worker.upstream().entry().failureDomain().equals(wanted)
                 || workers.values().stream()
                         .noneMatch(w -> w.upstream().entry().failureDomain().equals(wanted));
