--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -28,6 +28,7 @@
 import org.bronzewheel.serving.Refusal;
 import org.bronzewheel.serving.RequestEnd;
 import org.bronzewheel.serving.RequestObserver;
+import org.bronzewheel.serving.RunningRequest;
 import org.bronzewheel.serving.ServingEngine;
 import org.bronzewheel.serving.ServingParts;
 import org.bronzewheel.serving.UpstreamCall;
@@ -91,20 +92,24 @@
         return profile.failureDomains().get(index % profile.failureDomains().size());
     }
 
-    /** Serves requests for a while and returns once all had their deadlines. */
-    void run(double load, long millis) {
+    /**
+     * Serves requests for a while and returns once all had their deadlines.
+     *
+     * @param load the usual load, as a multiple of the profile's
+     * @param millis the time during which requests arrive, in milliseconds
+     * @param bursts the further requests
+     */
+    void run(double load, long millis, List<StageBurst> bursts) {
         routers.forEach(Router::start);
         scheduler.advanceTimeBy(WARM_UP_MILLIS, TimeUnit.MILLISECONDS);
-        for (StageRoute route : profile.routes()) {
-            double perMilli = load * route.requestsPerSecond() / 1_000;
-            double atMillis = 0;
-            for (int number = 0; atMillis < millis; number++) {
-                atMillis -= Math.log(1 - random.nextDouble()) / perMilli;
-                String id = route.name() + "/" + number;
-                Router router = routers.get(random.nextInt(routers.size()));
-                List<Integer> pieces = pieces(route);
-                loop.after(Math.round(atMillis), () -> ask(router, route, id, pieces));
-            }
+        profile.routes().forEach(route -> arrivals(route, "", load, 0, millis));
+        for (StageBurst burst : bursts) {
+            arrivals(
+                    profile.route(burst.route()),
+                    "burst-" + burst.fromMillis() + "-",
+                    burst.factor() - 1,
+                    burst.fromMillis(),
+                    burst.fromMillis() + burst.millis());
         }
         if (variant == StageVariant.OWNER_DIES) {
             loop.after(millis / 2, this::killOwner);
@@ -112,6 +117,19 @@
         scheduler.advanceTimeBy(millis + PATIENCE_AFTER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void arrivals(
+            StageRoute route, String prefix, double load, long fromMillis, long untilMillis) {
+        double perMilli = load * route.requestsPerSecond() / 1_000;
+        double atMillis = fromMillis;
+        for (int number = 0; atMillis < untilMillis; number++) {
+            atMillis -= Math.log(1 - random.nextDouble()) / perMilli;
+            String id = route.name() + "/" + prefix + number;
+            Router router = routers.get(random.nextInt(routers.size()));
+            List<Integer> pieces = pieces(route);
+            loop.after(Math.round(atMillis), () -> ask(router, route, id, pieces));
+        }
+    }
+
     /** Draws numbers of pieces evenly up to twice the mean; a mean below 1 leaves stages out. */
     private List<Integer> pieces(StageRoute route) {
         List<Integer> pieces = new ArrayList<>();
@@ -159,6 +177,7 @@
                                         route.deadlineMillis(),
                                         route.objectiveMillis(),
                                         0,
+                                        route.callerSilenceMillis(),
                                         route.priority(),
                                         2,
                                         List.of(new ServiceShare(ENGINE, 1)),
@@ -282,12 +301,17 @@
         }
     }
 
-    /** A caller, which comes back once after a refusal when it is told to in good time. */
+    /**
+     * A caller, which comes back once after a refusal when it is told to in good time, and leaves
+     * where nothing comes for too long.
+     */
     private final class Caller {
         private final StageRoute route;
         private final String id;
         private final List<Integer> pieces;
         private final long askedMillis = loop.nowMillis();
+        private int waitingAttempt;
+        private boolean ended;
 
         Caller(StageRoute route, String id, List<Integer> pieces) {
             this.route = route;
@@ -300,6 +324,7 @@
         }
 
         void attempt(Router router, int number) {
+            waitingAttempt = number;
             CallerRequest request =
                     new CallerRequest(
                             id + "/" + number,
@@ -317,18 +342,37 @@
                             List.of(),
                             pieces,
                             Optional.of("key"));
-            if (router.engine.run(request, new Attempt(this, router, number)) == null) {
+            RunningRequest running = router.engine.run(request, new Attempt(this, router, number));
+            if (running == null) {
                 throw new IllegalStateException("no run of " + id);
             }
+            loop.after(route.callerSilenceMillis(), () -> leave(running, number));
+        }
+
+        /** Leaves where nothing has come from this attempt for as long as a caller bears. */
+        private void leave(RunningRequest running, int attempt) {
+            if (!ended && attempt == waitingAttempt) {
+                ended = true;
+                tally.left();
+                running.callerLeft();
+            }
+        }
+
+        void failed() {
+            ended = true;
+            tally.failed();
         }
 
         void answered() {
+            ended = true;
             tally.answered(route, loop.nowMillis() - askedMillis);
         }
 
         void refused(Refusal refusal, int number) {
+            waitingAttempt = 0;
             long afterMillis = refusal.retryAfterMillis().orElse(0);
             if (number > RETURNS || afterMillis > leftMillis() / 3) {
+                ended = true;
                 tally.refused();
                 return;
             }
@@ -337,6 +381,7 @@
                     afterMillis,
                     () -> {
                         if (dead.filter(d -> d == next).isPresent()) {
+                            ended = true;
                             tally.refused();
                         } else {
                             attempt(next, number + 1);
@@ -376,7 +421,7 @@
 
         @Override
         public void abort() {
-            tally.failed();
+            caller.failed();
         }
 
         @Override
@@ -387,7 +432,7 @@
             if (refusal.status() == Refusal.UNAVAILABLE) {
                 caller.refused(refusal, number);
             } else {
-                tally.failed();
+                caller.failed();
             }
         }
     }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
@@ -13,11 +13,14 @@
     private final Histogram latencies = new Histogram(LONGEST_MILLIS, DIGITS);
     private final Map<Integer, Long> askedOfRank = new TreeMap<>();
     private final Map<Integer, Long> onTimeOfRank = new TreeMap<>();
+    private final Map<Integer, Double> owedOfRank = new TreeMap<>();
+    private final Map<Integer, Double> earnedOfRank = new TreeMap<>();
     private long asked;
     private long answered;
     private long onTime;
     private long refused;
     private long failed;
+    private long left;
     private double owedWorth;
     private double earnedWorth;
 
@@ -25,18 +28,20 @@
         asked++;
         askedOfRank.merge(route.priority(), 1L, Long::sum);
         owedWorth += route.worth();
+        owedOfRank.merge(route.priority(), route.worth(), Double::sum);
     }
 
     void answered(StageRoute route, long millis) {
         answered++;
         latencies.recordValue(Math.min(LONGEST_MILLIS, millis));
-        if (millis <= route.objectiveMillis()) {
+        boolean late = millis > route.objectiveMillis();
+        double worth = late ? route.lateWorth() : route.worth();
+        if (!late) {
             onTime++;
             onTimeOfRank.merge(route.priority(), 1L, Long::sum);
-            earnedWorth += route.worth();
-        } else {
-            earnedWorth += route.lateWorth();
         }
+        earnedWorth += worth;
+        earnedOfRank.merge(route.priority(), worth, Double::sum);
     }
 
     void refused() {
@@ -47,6 +52,11 @@
         failed++;
     }
 
+    /** Books a caller that left before it had an answer or a refusal. */
+    void left() {
+        left++;
+    }
+
     long answers() {
         return answered;
     }
@@ -69,6 +79,11 @@
         return earnedWorth / owedWorth;
     }
 
+    /** Returns the same for the requests of a rank. */
+    double worthShare(int rank) {
+        return earnedOfRank.getOrDefault(rank, 0.0) / owedOfRank.getOrDefault(rank, 1.0);
+    }
+
     double refusedShare() {
         return (double) refused / asked;
     }
@@ -77,6 +92,10 @@
         return (double) failed / asked;
     }
 
+    double leftShare() {
+        return (double) left / asked;
+    }
+
     double latencyMillis(double percentile) {
         return latencies.getValueAtPercentile(percentile);
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -13,7 +13,6 @@
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.serving.RequestObserver.Decision;
-import org.bronzewheel.upstreams.Prompt;
 import org.bronzewheel.upstreams.Upstream;
 import org.bronzewheel.upstreams.UpstreamChoice;
 import org.bronzewheel.upstreams.UpstreamHealth;
@@ -28,6 +27,9 @@
     private static final int LEAST_CONNECTIONS = 1;
     private static final int CONFLICT = 409;
 
+    /** The time that a refusal takes to reach its caller. */
+    private static final long REFUSAL_MILLIS = 150;
+
     /** In place of a status: no byte was handed to a connection. */
     static final int NOT_SENT = 0;
 
@@ -40,6 +42,7 @@
     private final long arrivedMillis;
     private final Consumer<RequestRun> onEnd;
     private final long deadlineAtMillis;
+    private final long firstAnswerAtMillis;
     private final double servicePoint;
     private final RequestRelay relay;
     private final RequestStages stages;
@@ -50,6 +53,7 @@
     private boolean ended;
     private RequestSend send;
     private Disposable timeout = Disposable.disposed();
+    private Disposable firstAnswerTimeout = Disposable.disposed();
     private Disposable pause = Disposable.disposed();
 
     RequestRun(
@@ -74,13 +78,14 @@
             patience = Math.min(patience, route.timeoutMillis());
         }
         this.deadlineAtMillis = arrivedMillis + patience;
+        this.firstAnswerAtMillis = arrivedMillis + route.firstAnswerMillis(patience);
         this.stages =
                 new RequestStages(
                         parts,
                         request,
                         route,
                         arrivedMillis,
-                        deadlineAtMillis,
+                        firstAnswerAtMillis,
                         this::dispatch,
                         this::giveUp);
         this.relay = new RequestRelay(request, route, exchange);
@@ -92,19 +97,28 @@
                 .decided(
                         request.id(),
                         Decision.ADMITTED,
-                        "route=%s rank=%d expectedMillis=%d patienceMillis=%d prompt=%s"
+                        ("route=%s rank=%d expectedMillis=%d objectiveMillis=%d patienceMillis=%d"
+                                        + " waits=%s prompt=%s")
                                 .formatted(
                                         route.name(),
                                         rank(),
                                         expectedMillis,
-                                        deadlineAtMillis - arrivedMillis,
+                                        route.objectiveMillis(),
+                                        firstAnswerAtMillis - arrivedMillis,
+                                        stages.describeWaits(),
                                         request.promptParts()));
         parts.budget().request(service(), 1, arrivedMillis);
-        if (expectedMillis > LONGEST_WAIT_SHARE * (deadlineAtMillis - arrivedMillis)) {
+        if (expectedMillis > LONGEST_WAIT_SHARE * (firstAnswerAtMillis - arrivedMillis)) {
             refuse("the queues are too long for the deadline");
             return;
         }
         timeout = loop.after(deadlineAtMillis - arrivedMillis, this::timedOut);
+        if (firstAnswerAtMillis < deadlineAtMillis) {
+            firstAnswerTimeout =
+                    loop.after(
+                            firstAnswerAtMillis - arrivedMillis - REFUSAL_MILLIS,
+                            this::firstAnswerTimedOut);
+        }
         stages.begin(
                 choose(service(), arrivedMillis)
                         .map(engine -> engine.entry().failureDomain())
@@ -184,7 +198,7 @@
             return UpstreamChoice.plain(candidates, tried, parts.failureDomain(), nowMillis);
         }
         return parts.engines()
-                .choose(candidates, tried, prompt(), parts.failureDomain(), nowMillis);
+                .choose(candidates, tried, stages.prompt(), parts.failureDomain(), nowMillis);
     }
 
     /** Returns the connections to one upstream that this router may have, as all share its cap. */
@@ -198,11 +212,6 @@
                 .orElse(Integer.MAX_VALUE);
     }
 
-    private Prompt prompt() {
-        return new Prompt(
-                request.promptTokens(), request.promptParts(), stages.bytesByFailureDomain());
-    }
-
     private boolean isEngine(String service) {
         return parts.catalog()
                 .current()
@@ -322,9 +331,18 @@
         }
     }
 
+    /** Refuses a request that nothing was sent of, while its caller is still there. */
+    private void firstAnswerTimedOut() {
+        if (!ended && !relay.hasBegun() && !mayHaveRun && send == null) {
+            refuse("the caller waits no longer for a first event");
+        }
+    }
+
     private void refuse(String reason) {
         long leftMillis = deadlineAtMillis - loop.nowMillis();
-        long excessMillis = stages.expectedMillis() - Math.round(LONGEST_WAIT_SHARE * leftMillis);
+        long excessMillis =
+                stages.expectedMillis()
+                        - Math.round(LONGEST_WAIT_SHARE * route.firstAnswerMillis(leftMillis));
         long after =
                 ReturnTime.afterMillis(
                         excessMillis, leftMillis, rank(), parts.random().nextDouble());
@@ -356,6 +374,7 @@
         }
         ended = true;
         timeout.dispose();
+        firstAnswerTimeout.dispose();
         pause.dispose();
         if (send != null) {
             send.cancel();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -19,7 +19,7 @@
     private static final long LONGEST_LOCAL_TURN_MILLIS = 400;
     private static final long SHORTEST_LOCAL_WAIT_MILLIS = 60;
     private static final long LONGEST_LOCAL_WAIT_MILLIS = 280;
-    private static final double LEAST_SLACK_MILLIS = 350;
+    private static final double LEAST_SLACK_MILLIS = 100;
     private static final long LARGE_BYTES = 100_000;
 
     private int calls;
@@ -87,8 +87,13 @@
 
     /** Returns the rank of a task in the queue, which falls once its objective cannot be met. */
     static int rank(StageTask task, double callMillis, long nowMillis) {
+        boolean late = isLate(task, callMillis, nowMillis);
+        return onTimeRank(task.job().rank()) + (late ? LATE_PENALTY : 0);
+    }
+
+    /** Tells whether the objective of a task's request can no longer be met. */
+    static boolean isLate(StageTask task, double callMillis, long nowMillis) {
         StageJob job = task.job();
-        boolean late = nowMillis + callMillis + job.laterMillis() > job.objectiveAtMillis();
-        return onTimeRank(job.rank()) + (late ? LATE_PENALTY : 0);
+        return nowMillis + callMillis + job.laterMillis() > job.objectiveAtMillis();
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -307,4 +307,60 @@
         assertThat(world.sends).hasSize(1);
         assertThat(world.refusedWith()).isEqualTo(502);
     }
+
+    @Test
+    void aStreamWhoseCallerWouldLeaveInTheQueuesIsRefusedAtOnce() {
+        World world = new World();
+        world.expectedWaitMillis = 1_200;
+        world.with(World.route(RepeatRule.AT_MOST_ONCE, true, 1, oneStage()))
+                .request("key", List.of(1));
+        assertThat(world.refusedWith()).isEqualTo(Refusal.UNAVAILABLE);
+        assertThat(world.jobs).isEmpty();
+    }
+
+    @Test
+    void aStreamThatIsStillInItsStagesIsRefusedBeforeItsCallerLeaves() {
+        World world =
+                new World()
+                        .with(World.route(RepeatRule.AT_MOST_ONCE, true, 1, oneStage()))
+                        .request("key", List.of(1));
+        assertThat(world.jobs.get(0).job().deadlineAtMillis())
+                .isEqualTo(World.CALLER_SILENCE_MILLIS);
+        world.advance(World.CALLER_SILENCE_MILLIS - 100);
+        assertThat(world.refusedWith()).isEqualTo(Refusal.UNAVAILABLE);
+    }
+
+    @Test
+    void aStreamThatWasSentIsNotRefusedForItsCallersSilence() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, true, 1)).request();
+        world.lastSend();
+        world.advance(World.CALLER_SILENCE_MILLIS);
+        assertThat(world.refusals).isEmpty();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        world.lastSend().listener.onEnd();
+        assertThat(world.finished).isTrue();
+    }
+
+    @Test
+    void aStageKnowsTheQueuesOfTheStagesAfterItAndTheTimeToReadThePrompt() {
+        World world = new World();
+        world.expectedWaitMillis = 200;
+        List<StageStep> chain =
+                List.of(
+                        new StageStep("s", List.of(), 10),
+                        new StageStep("s", List.of(0), 10),
+                        new StageStep("s", List.of(1), 10));
+        world.with(World.route(RepeatRule.AT_MOST_ONCE, false, 1, chain))
+                .request("key", List.of(1, 1, 1));
+        long engineMillis = 161;
+        long stageMillis = 200 + World.CALL_MILLIS;
+        assertThat(world.jobs.get(0).job().laterMillis()).isEqualTo(2 * stageMillis + engineMillis);
+        world.jobs.get(0).done();
+        assertThat(world.jobs.get(1).job().laterMillis()).isEqualTo(stageMillis + engineMillis);
+    }
+
+    private static List<StageStep> oneStage() {
+        return List.of(new StageStep("s", List.of(), 10));
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -26,6 +26,7 @@
 import org.bronzewheel.stages.StageListener;
 import org.bronzewheel.stages.StageResult;
 import org.bronzewheel.stages.StageService;
+import org.bronzewheel.stages.StageWait;
 import org.bronzewheel.upstreams.EngineChoice;
 import org.bronzewheel.upstreams.PromptPart;
 import org.bronzewheel.upstreams.UpstreamEntry;
@@ -34,9 +35,12 @@
 /** A serving engine in virtual time, with upstreams, stages and a caller that a test plays. */
 final class World implements StageService, CallerExchange, RequestObserver {
     static final long LEASE_MILLIS = 4_000;
+    static final long CALL_MILLIS = 330;
+    static final long CALLER_SILENCE_MILLIS = 2_400;
 
     final TestScheduler scheduler = new TestScheduler();
     final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
+    long expectedWaitMillis;
     final CatalogState catalog = new CatalogState(LEASE_MILLIS);
     final UpstreamTable upstreams = new UpstreamTable(2_000);
     final List<Sent> sends = new ArrayList<>();
@@ -169,6 +173,7 @@
                 3_000,
                 500,
                 300,
+                streaming ? CALLER_SILENCE_MILLIS : 0,
                 0,
                 attempts,
                 List.of(new ServiceShare("s", 1)),
@@ -231,8 +236,8 @@
     public void cancel(String service, String requestId) {}
 
     @Override
-    public long expectedWaitMillis(String service, int rank) {
-        return 0;
+    public StageWait expectedWait(String service, int rank) {
+        return new StageWait(expectedWaitMillis, CALL_MILLIS, 0);
     }
 
     @Override
