Work out once when a job's inputs lapse, and name the question of ownership

An owner asked the catalog for the keeping time of every waiting job's inputs at each pass over its queue, many times a second; it is now worked out when the job comes.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -124,7 +124,7 @@
 
     @Override
     public StageWait expectedWait(String service, int rank) {
-        if (isSelf(owner(service, Set.of()))) {
+        if (isOwner(service)) {
             StageDispatcher dispatcher = dispatcher(service);
             return new StageWait(
                     dispatcher.expectedWaitMillis(rank), dispatcher.expectedCallMillis(), 0);
@@ -153,7 +153,7 @@
         Map<String, Backlog> backlogs = new HashMap<>();
         dispatchers.forEach(
                 (service, dispatcher) -> {
-                    if (isSelf(owner(service, Set.of()))) {
+                    if (isOwner(service)) {
                         List<Long> byRank = new ArrayList<>();
                         for (int rank = 0; rank < TOLD_RANKS; rank++) {
                             byRank.add(dispatcher.expectedWaitMillis(rank));
@@ -230,8 +230,7 @@
         List.copyOf(dispatchers.keySet()).forEach(this::followOwner);
         dispatchers.values().forEach(StageDispatcher::pump);
         if (++ticks % TICKS_PER_LOG == 0) {
-            dispatchers.forEach(
-                    (service, dispatcher) -> dispatcher.logState(isSelf(owner(service, Set.of()))));
+            dispatchers.forEach((service, dispatcher) -> dispatcher.logState(isOwner(service)));
         }
     }
 
@@ -241,7 +240,7 @@
      */
     private void followOwner(String service) {
         StageDispatcher dispatcher = dispatchers.get(service);
-        if (isSelf(owner(service, Set.of()))) {
+        if (isOwner(service)) {
             if (owned.add(service)) {
                 dispatcher.takeOver();
             }
@@ -264,6 +263,10 @@
         return membership.ownerOf(service, excluded, loop.nowMillis());
     }
 
+    private boolean isOwner(String service) {
+        return isSelf(owner(service, Set.of()));
+    }
+
     private boolean isSelf(String owner) {
         return owner.equals(transport.self().vmId());
     }
@@ -275,14 +278,14 @@
         }
         StageDispatcher created = newDispatcher.create(service, this::release);
         dispatchers.put(service, created);
-        if (isSelf(owner(service, Set.of())) && owned.add(service)) {
+        if (isOwner(service) && owned.add(service)) {
             created.takeOver();
         }
         return created;
     }
 
     private void submitHere(StageJob job, StageListener listener) {
-        dispatcher(job.service()).submit(job, listener, isSelf(owner(job.service(), Set.of())));
+        dispatcher(job.service()).submit(job, listener, isOwner(job.service()));
     }
 
     private void send(String owner, StageFrame frame) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -83,7 +83,10 @@
      */
     void submit(StageJob job, StageListener listener, boolean owner) {
         budget.request(service, StageJob.OWNER_PART, loop.nowMillis());
-        tasks.add(new StageTask(job, listener, loop.nowMillis(), owner));
+        long nowMillis = loop.nowMillis();
+        tasks.add(
+                new StageTask(
+                        job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner));
         loop.execute(this::pump);
     }
 
@@ -286,7 +289,7 @@
         int ahead = 0;
         for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
             int waiting = task.waiting().size();
-            if (waiting > 0 && haveInputsLapsed(task, nowMillis)) {
+            if (waiting > 0 && task.haveInputsLapsed(nowMillis)) {
                 tally.count(StageTally.Event.INPUT_GONE, waiting);
                 fail(task, StageFailure.INPUT_GONE);
                 continue;
@@ -302,13 +305,15 @@
         }
     }
 
-    /** Tells whether a task has waited for longer than its inputs are kept. */
-    private boolean haveInputsLapsed(StageTask task, long nowMillis) {
-        return task.job().inputs().stream()
+    /** Returns when the first of a job's inputs lapses; never where it has none. */
+    private long inputsLapseAtMillis(StageJob job, long nowMillis) {
+        return job.inputs().stream()
                 .map(StageResult::service)
                 .distinct()
                 .flatMap(maker -> pools.apply(maker).stream())
-                .anyMatch(maker -> nowMillis - task.arrivedMillis() >= maker.resultMillis());
+                .mapToLong(maker -> nowMillis + maker.resultMillis())
+                .min()
+                .orElse(Long.MAX_VALUE);
     }
 
     void fail(StageTask task, StageFailure failure) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTask.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTask.java
@@ -8,6 +8,7 @@
     private final StageJob job;
     private final StageListener listener;
     private final long arrivedMillis;
+    private final long inputsLapseAtMillis;
     private final boolean ownerTook;
     private final StageResult[] results;
     private final List<Integer> waiting = new ArrayList<>();
@@ -17,12 +18,19 @@
     /**
      * Creates a task of which all pieces wait.
      *
+     * @param inputsLapseAtMillis when its inputs are no longer kept, by the steady clock
      * @param ownerTook whether this router owned the service when it took the job
      */
-    StageTask(StageJob job, StageListener listener, long arrivedMillis, boolean ownerTook) {
+    StageTask(
+            StageJob job,
+            StageListener listener,
+            long arrivedMillis,
+            long inputsLapseAtMillis,
+            boolean ownerTook) {
         this.job = job;
         this.listener = listener;
         this.arrivedMillis = arrivedMillis;
+        this.inputsLapseAtMillis = inputsLapseAtMillis;
         this.ownerTook = ownerTook;
         this.results = new StageResult[job.pieces()];
         for (int piece = 0; piece < job.pieces(); piece++) {
@@ -42,6 +50,11 @@
         return ownerTook;
     }
 
+    /** Tells whether the task has waited for longer than its inputs are kept. */
+    boolean haveInputsLapsed(long nowMillis) {
+        return nowMillis >= inputsLapseAtMillis;
+    }
+
     /** Tells whether no piece is made or in a call. */
     boolean isUntouched() {
         return waiting.size() == job.pieces();
