--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.bronzewheel.catalog.Catalog;
@@ -97,11 +98,12 @@
                 .decided(
                         request.id(),
                         Decision.ADMITTED,
-                        ("route=%s rank=%d expectedMillis=%d objectiveMillis=%d patienceMillis=%d"
-                                        + " waits=%s prompt=%s")
+                        ("route=%s rank=%d workspaceRank=%s expectedMillis=%d objectiveMillis=%d"
+                                        + " patienceMillis=%d waits=%s prompt=%s")
                                 .formatted(
                                         route.name(),
                                         rank(),
+                                        describeWorkspaceRank(),
                                         expectedMillis,
                                         route.objectiveMillis(),
                                         firstAnswerAtMillis - arrivedMillis,
@@ -157,6 +159,14 @@
         return route.priority();
     }
 
+    private String describeWorkspaceRank() {
+        return workspace
+                .map(WorkspaceEntry::priority)
+                .filter(OptionalInt::isPresent)
+                .map(priority -> Integer.toString(priority.getAsInt()))
+                .orElse("none");
+    }
+
     private void dispatch() {
         long nowMillis = loop.nowMillis();
         if (ended) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -193,10 +193,13 @@
     private final class Wait implements StageListener {
         private final int stage;
         private final StageProgress round;
+        private final long submittedMillis = parts.loop().nowMillis();
+        private final long toldMillis;
 
         Wait(int stage, StageProgress round) {
             this.stage = stage;
             this.round = round;
+            this.toldMillis = expectedWait(route.stages().get(stage).service()).totalMillis();
         }
 
         @Override
@@ -219,7 +222,12 @@
                     .decided(
                             request.id(),
                             Decision.STAGE_FAILED,
-                            "stage=" + stage + " failure=" + failure);
+                            "stage=%d failure=%s waitedMillis=%d toldMillis=%d"
+                                    .formatted(
+                                            stage,
+                                            failure,
+                                            parts.loop().nowMillis() - submittedMillis,
+                                            toldMillis));
             if (failure == StageFailure.INPUT_GONE) {
                 resultGone();
             } else {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -9,8 +9,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.StringJoiner;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.repeats.RepeatBudget;
@@ -53,6 +56,7 @@
     private final InputHold inputHold = new InputHold();
     private final TimeEstimate callTime = new TimeEstimate();
     private final StageTally tally = new StageTally();
+    private final Map<Integer, StageTally> tallyOfRank = new TreeMap<>();
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
     private final Map<String, List<String>> toFree = new HashMap<>();
@@ -181,7 +185,7 @@
         long nowMillis = loop.nowMillis();
         logger.atInfo().log(
                 "stage queue: service=%s owner=%s tasks=%d late=%d waiting=%d oldestMillis=%d %s"
-                        + " workers=%s",
+                        + " ranks=%s workers=%s",
                 service,
                 owner,
                 tasks.size(),
@@ -189,9 +193,44 @@
                 waitingPieces(),
                 oldestWaitMillis(),
                 tally.take(),
+                describeRanks(nowMillis),
                 workers.values().stream().map(w -> w.describe(nowMillis)).toList());
     }
 
+    /** Describes what waits of each rank, the told wait, and what became of its pieces. */
+    private String describeRanks(long nowMillis) {
+        double callMillis = pool().map(this::callMillis).orElse(0.0);
+        Map<Integer, List<StageTask>> tasksOfRank =
+                tasks.stream()
+                        .collect(Collectors.groupingBy(t -> t.job().rank(), Collectors.toList()));
+        tasksOfRank.keySet().forEach(this::tallyOf);
+        StringJoiner text = new StringJoiner(", ", "[", "]");
+        tallyOfRank.forEach(
+                (rank, counts) -> {
+                    List<StageTask> own = tasksOfRank.getOrDefault(rank, List.of());
+                    text.add(
+                            "%d: waiting=%d late=%d expectedMillis=%d %s"
+                                    .formatted(
+                                            rank,
+                                            own.stream().mapToInt(t -> t.waiting().size()).sum(),
+                                            own.stream()
+                                                    .filter(
+                                                            t ->
+                                                                    StageOrder.isLate(
+                                                                            t,
+                                                                            callMillis,
+                                                                            nowMillis))
+                                                    .count(),
+                                            expectedWaitMillis(rank),
+                                            counts.take()));
+                });
+        return text.toString();
+    }
+
+    private StageTally tallyOf(int rank) {
+        return tallyOfRank.computeIfAbsent(rank, unknown -> new StageTally());
+    }
+
     private long lateTasks(long nowMillis) {
         double callMillis = pool().map(this::callMillis).orElse(0.0);
         return tasks.stream()
@@ -298,6 +337,7 @@
             double latest = task.job().deadlineAtMillis() - (double) task.job().leastLaterMillis();
             if (waiting > 0 && doneMillis > latest) {
                 tally.count(StageTally.Event.LATE, waiting);
+                tallyOf(task.job().rank()).count(StageTally.Event.LATE, waiting);
                 fail(task, StageFailure.LATE);
             } else {
                 ahead += waiting;
@@ -410,6 +450,9 @@
                 .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
         tally.count(StageTally.Event.TAKEN, items.size());
+        batch.parts()
+                .forEach(
+                        part -> tallyOf(part.task().job().rank()).count(StageTally.Event.TAKEN, 1));
     }
 
     private static StageItem item(StageBatch.Part part, long nowMillis) {
