--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -34,6 +34,7 @@
                             "herd", HerdExperiment::run,
                             "stages", StageExperiment::run,
                             "bursts", StageBurstExperiment::run,
+                            "shortage", StageShortageExperiment::run,
                             "decision-cost", DecisionCost::run));
 
     private Experiments() {}
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageBurstExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageBurstExperiment.java
@@ -65,6 +65,7 @@
     static Row row(StageProfile profile, String route, double factor, long seed) {
         StageBurst burst = new StageBurst(route, factor, StageExperiment.MILLIS / 4, BURST_MILLIS);
         String fault = "%s x%.1f".formatted(route, factor);
-        return StageExperiment.row(profile, StageVariant.OWNER, USUAL, seed, fault, List.of(burst));
+        return StageExperiment.row(
+                profile, StageVariant.OWNER, USUAL, seed, fault, List.of(burst), List.of());
     }
 }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
@@ -57,7 +57,7 @@
 
     static Row row(StageProfile profile, StageVariant variant, double load, long seed) {
         String fault = variant == StageVariant.OWNER_DIES ? "owner dies" : "none";
-        return row(profile, variant, load, seed, fault, List.of());
+        return row(profile, variant, load, seed, fault, List.of(), List.of());
     }
 
     static Row row(
@@ -66,9 +66,10 @@
             double load,
             long seed,
             String fault,
-            List<StageBurst> bursts) {
+            List<StageBurst> bursts,
+            List<StageLoss> losses) {
         StageFleet fleet = new StageFleet(profile, variant, seed);
-        fleet.run(load, MILLIS, bursts);
+        fleet.run(load, MILLIS, bursts, losses);
         StageTally tally = fleet.tally();
         StageUpstreams upstreams = fleet.upstreams();
         double answers = Math.max(1, tally.answers());
@@ -81,10 +82,12 @@
         for (int rank = 0; rank < profile.routes().size(); rank++) {
             figures.put("rank " + rank, tally.onTimeShare(rank));
             figures.put("worth " + rank, tally.worthShare(rank));
+            figures.put("answered " + rank, tally.answeredShare(rank));
         }
         figures.put("worth", tally.worthShare());
         figures.put("answered", tally.answeredShare());
         figures.put("refused", tally.refusedShare());
+        figures.put("held", tally.heldShare());
         figures.put("failed", tally.failedShare());
         figures.put("left", tally.leftShare());
         figures.put("MB cross", upstreams.crossingMegabytes() / answers);
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -55,6 +55,9 @@
     private static final int OK = 200;
     private static final int RETURNS = 1;
 
+    /** A refusal that takes longer than this part of the objective comes late. */
+    private static final int OBJECTIVES_PER_HOLD = 8;
+
     private final StageProfile profile;
     private final StageVariant variant;
     private final SplittableRandom random;
@@ -98,8 +101,9 @@
      * @param load the usual load, as a multiple of the profile's
      * @param millis the time during which requests arrive, in milliseconds
      * @param bursts the further requests
+     * @param losses the upstreams that leave meanwhile
      */
-    void run(double load, long millis, List<StageBurst> bursts) {
+    void run(double load, long millis, List<StageBurst> bursts, List<StageLoss> losses) {
         routers.forEach(Router::start);
         scheduler.advanceTimeBy(WARM_UP_MILLIS, TimeUnit.MILLISECONDS);
         profile.routes().forEach(route -> arrivals(route, "", load, 0, millis));
@@ -111,6 +115,10 @@
                     burst.fromMillis(),
                     burst.fromMillis() + burst.millis());
         }
+        for (StageLoss loss : losses) {
+            loop.after(
+                    loss.atMillis(), () -> routers.forEach(router -> router.forgetUpstreams(loss)));
+        }
         if (variant == StageVariant.OWNER_DIES) {
             loop.after(millis / 2, this::killOwner);
         }
@@ -275,6 +283,14 @@
             table.replaceAll(own, loop.nowMillis());
         }
 
+        void forgetUpstreams(StageLoss loss) {
+            List<UpstreamEntry> left = new ArrayList<>(entries);
+            List<UpstreamEntry> ofService =
+                    entries.stream().filter(e -> e.service().equals(loss.service())).toList();
+            left.removeAll(ofService.subList(0, loss.upstreams()));
+            table.replaceAll(left, loop.nowMillis());
+        }
+
         int ownedServices() {
             return (int)
                     profile.pools().stream()
@@ -311,6 +327,7 @@
         private final List<Integer> pieces;
         private final long askedMillis = loop.nowMillis();
         private int waitingAttempt;
+        private long attemptedMillis;
         private boolean ended;
 
         Caller(StageRoute route, String id, List<Integer> pieces) {
@@ -325,6 +342,7 @@
 
         void attempt(Router router, int number) {
             waitingAttempt = number;
+            attemptedMillis = loop.nowMillis();
             CallerRequest request =
                     new CallerRequest(
                             id + "/" + number,
@@ -370,6 +388,10 @@
 
         void refused(Refusal refusal, int number) {
             waitingAttempt = 0;
+            if (loop.nowMillis() - attemptedMillis
+                    > route.objectiveMillis() / OBJECTIVES_PER_HOLD) {
+                tally.held();
+            }
             long afterMillis = refusal.retryAfterMillis().orElse(0);
             if (number > RETURNS || afterMillis > leftMillis() / 3) {
                 ended = true;
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
@@ -12,6 +12,7 @@
 
     private final Histogram latencies = new Histogram(LONGEST_MILLIS, DIGITS);
     private final Map<Integer, Long> askedOfRank = new TreeMap<>();
+    private final Map<Integer, Long> answeredOfRank = new TreeMap<>();
     private final Map<Integer, Long> onTimeOfRank = new TreeMap<>();
     private final Map<Integer, Double> owedOfRank = new TreeMap<>();
     private final Map<Integer, Double> earnedOfRank = new TreeMap<>();
@@ -19,6 +20,7 @@
     private long answered;
     private long onTime;
     private long refused;
+    private long held;
     private long failed;
     private long left;
     private double owedWorth;
@@ -33,6 +35,7 @@
 
     void answered(StageRoute route, long millis) {
         answered++;
+        answeredOfRank.merge(route.priority(), 1L, Long::sum);
         latencies.recordValue(Math.min(LONGEST_MILLIS, millis));
         boolean late = millis > route.objectiveMillis();
         double worth = late ? route.lateWorth() : route.worth();
@@ -48,6 +51,11 @@
         refused++;
     }
 
+    /** Books a refusal that came only after a time, of a first or of a further attempt. */
+    void held() {
+        held++;
+    }
+
     void failed() {
         failed++;
     }
@@ -84,10 +92,19 @@
         return earnedOfRank.getOrDefault(rank, 0.0) / owedOfRank.getOrDefault(rank, 1.0);
     }
 
+    double answeredShare(int rank) {
+        return (double) answeredOfRank.getOrDefault(rank, 0L) / askedOfRank.getOrDefault(rank, 1L);
+    }
+
     double refusedShare() {
         return (double) refused / asked;
     }
 
+    /** Returns the refusals that came only after a time, as a share of all requests. */
+    double heldShare() {
+        return (double) held / asked;
+    }
+
     double failedShare() {
         return (double) failed / asked;
     }
