Assure each rank of a share of a stage service while its upstreams are scarce

Cause: rank went first without a limit, so the last rank got what the others left; the class of fault is starvation under strict priority. Half of what the upstreams do is now assured to the ranks in proportion to what callers ask for. Refused requests count, else a rank that is refused would lose its share; routers tell owners what they refused with their next job. The other half goes by rank alone. What rank 1 gives up is more than it must: it is admitted by waits that do not count what goes ahead. At design size an owner keeps two numbers a rank, and a job tells at most one entry a rank.

--- a/bronzewheel-measure/src/test/java/org/bronzewheel/measure/StageShortageExperimentTest.java
+++ b/bronzewheel-measure/src/test/java/org/bronzewheel/measure/StageShortageExperimentTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -13,7 +12,6 @@
 
     // Guards against ranks that starve behind more urgent ones, as in the incident of the last
     // rank.
-    @Tag("known-red")
     @ParameterizedTest
     @CsvSource({"tokachi,crew-roster,2", "tokachi,field-registry,3", "ikaze,hr-sync,3"})
     void noRankStarvesWhileAStageServiceIsShortOfUpstreams(
@@ -28,7 +26,6 @@
     }
 
     // Guards against late jobs of an urgent rank that starve behind on-time ones of the next rank.
-    @Tag("known-red")
     @ParameterizedTest
     @CsvSource({"tokachi,crew-roster,2", "tokachi,field-registry,3", "ikaze,hr-sync,3"})
     void noRankIsServedLessOftenThanALessUrgentOneInAShortage(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -99,6 +99,7 @@
     /** Ends the work of the stages. */
     void end() {
         if (!ended && !read && !progress.isWhole()) {
+            noteUnmet();
             route.stages().stream()
                     .map(StageStep::service)
                     .distinct()
@@ -108,6 +109,20 @@
         release();
     }
 
+    /** Tells the owners of stages that were never begun what the caller asked for. */
+    private void noteUnmet() {
+        if (rounds == 0) {
+            progress.notBegun()
+                    .forEach(
+                            stage ->
+                                    parts.stages()
+                                            .unmet(
+                                                    route.stages().get(stage).service(),
+                                                    route.priority(),
+                                                    progress.piecesOf(stage)));
+        }
+    }
+
     /** Returns the expected time until all results are there, by the queues of the stages. */
     long expectedMillis() {
         return progress.longestWay().stream()
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.stages.StageResult;
@@ -57,6 +58,14 @@
         return stage < pieces.size() ? pieces.get(stage) : 0;
     }
 
+    /** Returns the stages that were never begun. */
+    List<Integer> notBegun() {
+        return IntStream.range(0, route.stages().size())
+                .filter(stage -> piecesOf(stage) > 0 && !begun.contains(stage))
+                .boxed()
+                .toList();
+    }
+
     private boolean hasInputs(int stage) {
         return route.stages().get(stage).after().stream().allMatch(this::isDone);
     }
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankShares.java
@@ -0,0 +1,69 @@
+package org.bronzewheel.stages;
+
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The shares of a stage service that its ranks are assured of while its upstreams are scarce.
+ *
+ * <p>Urgent ranks go first, but not without a limit: half of what the upstreams do is assured to
+ * the ranks in proportion to what their callers ask for, refused requests included. The other half
+ * goes by rank alone. Past capacity, each rank so gets at least half of the part that all would get
+ * if there were no ranks, and no rank gets a smaller part than a less urgent one.
+ *
+ * <p>A rank earns credit with each piece that is taken, whoever's it is, and spends it with its own
+ * pieces. A rank that gets its share by its urgency has no credit left.
+ */
+final class RankShares {
+    /** The part of the work that is assured. */
+    private static final double ASSURED_PART = 0.5;
+
+    private final Map<Integer, Rank> ranks = new TreeMap<>();
+
+    private static final class Rank {
+        private final DecayingRate asked = new DecayingRate();
+        private double credit;
+    }
+
+    /** Books pieces that callers asked for, served or not. */
+    void ask(int rank, int pieces, long nowMillis) {
+        ranks.computeIfAbsent(rank, unknown -> new Rank()).asked.add(pieces, nowMillis);
+    }
+
+    /** Returns the part of the work that a rank is assured of, from 0 to below 1. */
+    double assuredPart(int rank, long nowMillis) {
+        Rank known = ranks.get(rank);
+        if (known == null) {
+            return 0;
+        }
+        double all = ranks.values().stream().mapToDouble(r -> r.asked.perMilli(nowMillis)).sum();
+        return all > 0 ? ASSURED_PART * known.asked.perMilli(nowMillis) / all : 0;
+    }
+
+    /**
+     * Books the pieces of a call.
+     *
+     * @param taken the pieces by rank
+     * @param batch the pieces of a full call
+     */
+    void take(Map<Integer, Integer> taken, int batch, long nowMillis) {
+        int all = taken.values().stream().mapToInt(Integer::intValue).sum();
+        ranks.forEach(
+                (rank, state) -> {
+                    double earned = all * assuredPart(rank, nowMillis);
+                    double credit = state.credit + earned - taken.getOrDefault(rank, 0);
+                    state.credit = Math.max(0, Math.min(mostCredit(batch), credit));
+                });
+    }
+
+    /** Returns the pieces of a rank that may go before those of more urgent ranks. */
+    double credit(int rank) {
+        Rank known = ranks.get(rank);
+        return known == null ? 0 : known.credit;
+    }
+
+    /** Returns the credit that suffices for a task of any size, in pieces. */
+    static double mostCredit(int batch) {
+        return Math.max(1, ASSURED_PART * batch);
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -56,6 +56,10 @@
     private final Set<RemoteJob> remoteJobs = new LinkedHashSet<>();
     private final Map<String, ToldBacklog> toldBacklogs = new HashMap<>();
     private final Map<String, Long> submitterMillis = new TreeMap<>();
+
+    /** The unmet pieces by service and rank that the next job tells the owner. */
+    private final Map<String, Map<Integer, Integer>> unmetPieces = new HashMap<>();
+
     private int ticks;
 
     private record ToldBacklog(Backlog backlog, long atMillis) {}
@@ -122,6 +126,17 @@
         }
     }
 
+    @Override
+    public void unmet(String service, int rank, int pieces) {
+        if (isOwner(service)) {
+            dispatcher(service).unmet(rank, pieces);
+        } else {
+            unmetPieces
+                    .computeIfAbsent(service, unknown -> new TreeMap<>())
+                    .merge(rank, pieces, Integer::sum);
+        }
+    }
+
     @Override
     public StageWait expectedWait(String service, int rank) {
         if (isOwner(service)) {
@@ -144,6 +159,11 @@
                 ageMillis);
     }
 
+    /** Returns the part of the work of an own service that a rank is assured of. */
+    double assuredPart(String service, int rank) {
+        return dispatcher(service).assuredPart(rank);
+    }
+
     /**
      * Returns the work of the services that this router owns.
      *
@@ -304,6 +324,8 @@
             return;
         }
         StageJob job = StageCodec.decode(frame.getJob(), loop.nowMillis());
+        StageDispatcher dispatcher = dispatcher(job.service());
+        StageCodec.decodeUnmet(frame.getJob()).forEach(dispatcher::unmet);
         submitHere(
                 job,
                 new StageListener() {
@@ -357,8 +379,13 @@
             }
             remoteJobs.add(this);
             long nowMillis = loop.nowMillis();
+            Map<Integer, Integer> unmet = unmetPieces.remove(job.service());
             StageFrame frame =
-                    StageFrame.newBuilder().setJob(StageCodec.encode(job, nowMillis)).build();
+                    StageFrame.newBuilder()
+                            .setJob(
+                                    StageCodec.encode(
+                                            job, unmet == null ? Map.of() : unmet, nowMillis))
+                            .build();
             String asked = owner;
             call =
                     transport
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageBatch.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageBatch.java
@@ -1,7 +1,9 @@
 package org.bronzewheel.stages;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.bronzewheel.catalog.StagePool;
 
 /** The pieces that go into one call. */
@@ -46,6 +48,12 @@
         return parts.stream().filter(part -> part.task() == task).count() == task.job().pieces();
     }
 
+    Map<Integer, Integer> piecesOfRank() {
+        Map<Integer, Integer> pieces = new HashMap<>();
+        parts.forEach(part -> pieces.merge(part.task().job().rank(), 1, Integer::sum));
+        return pieces;
+    }
+
     boolean isFull() {
         return parts.size() >= pool.batch();
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.stages;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.bronzewheel.wire.StageHandle;
 import org.bronzewheel.wire.StageJobCall;
@@ -10,8 +11,12 @@
 final class StageCodec {
     private StageCodec() {}
 
-    /** Encodes a job; times are sent as what is left, as clocks are not shared. */
-    static StageJobCall encode(StageJob job, long nowMillis) {
+    /**
+     * Encodes a job; times are sent as what is left, as clocks are not shared.
+     *
+     * @param unmet the unmet pieces by rank that are told with it
+     */
+    static StageJobCall encode(StageJob job, Map<Integer, Integer> unmet, long nowMillis) {
         return StageJobCall.newBuilder()
                 .setRequestId(job.requestId())
                 .setStage(job.stage())
@@ -26,9 +31,15 @@
                 .setLaterMillis(job.laterMillis())
                 .setLeastLaterMillis(job.leastLaterMillis())
                 .setFailureDomain(job.failureDomain())
+                .putAllUnmetPieces(unmet)
                 .build();
     }
 
+    /** Decodes the unmet pieces by rank. */
+    static Map<Integer, Integer> decodeUnmet(StageJobCall call) {
+        return call.getUnmetPiecesMap();
+    }
+
     static StageJob decode(StageJobCall call, long nowMillis) {
         return new StageJob(
                 call.getRequestId(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -52,6 +52,7 @@
     private final Loop loop;
     private final Consumer<List<StageResult>> releaseInputs;
     private final StageOrder order = new StageOrder();
+    private final RankShares shares = new RankShares();
     private final DrainMeter drain = new DrainMeter();
     private final InputHold inputHold = new InputHold();
     private final TimeEstimate callTime = new TimeEstimate();
@@ -86,14 +87,28 @@
      * @param owner whether this router owns the service
      */
     void submit(StageJob job, StageListener listener, boolean owner) {
-        budget.request(service, StageJob.OWNER_PART, loop.nowMillis());
         long nowMillis = loop.nowMillis();
+        budget.request(service, StageJob.OWNER_PART, nowMillis);
+        shares.ask(job.rank(), job.pieces(), nowMillis);
         tasks.add(
                 new StageTask(
                         job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner));
         loop.execute(this::pump);
     }
 
+    /**
+     * Notes pieces that callers asked for and that were not submitted, as their requests were
+     * refused before.
+     */
+    void unmet(int rank, int pieces) {
+        shares.ask(rank, pieces, loop.nowMillis());
+    }
+
+    /** Returns the part of the work that a rank is assured of. */
+    double assuredPart(int rank) {
+        return shares.assuredPart(rank, loop.nowMillis());
+    }
+
     /** Notes that this router has just become the owner, so that the upstreams may be at work. */
     void takeOver() {
         pool().ifPresent(
@@ -262,15 +277,33 @@
             return 0;
         }
         long nowMillis = loop.nowMillis();
-        int ahead =
-                tasks.stream()
-                        .filter(
-                                task ->
-                                        StageOrder.rank(task, callMillis(limits.get()), nowMillis)
-                                                <= StageOrder.onTimeRank(rank))
-                        .mapToInt(task -> task.waiting().size())
-                        .sum();
-        return Math.round(ahead * millisPerPiece(limits.get()));
+        double callMillis = callMillis(limits.get());
+        int ahead = 0;
+        int ownAhead = 0;
+        for (StageTask task : tasks) {
+            int order = StageOrder.rank(task, callMillis, nowMillis);
+            if (order <= StageOrder.onTimeRank(rank)) {
+                ahead += task.waiting().size();
+            }
+            if (order == StageOrder.onTimeRank(rank)) {
+                ownAhead += task.waiting().size();
+            }
+        }
+        return Math.round(waitMillis(rank, ahead, ownAhead, millisPerPiece(limits.get())));
+    }
+
+    /**
+     * Returns the time until a piece is in a call, by its rank or by the share of its rank,
+     * whichever is sooner.
+     *
+     * @param ahead the pieces that go before it by rank
+     * @param ownAhead those of them that are of its rank
+     */
+    private double waitMillis(int rank, int ahead, int ownAhead, double pieceMillis) {
+        double assuredPart = assuredPart(rank);
+        return assuredPart > 0
+                ? pieceMillis * Math.min(ahead, ownAhead / assuredPart)
+                : pieceMillis * ahead;
     }
 
     /** Returns the time that one piece takes when all upstreams run full calls, or as observed. */
@@ -326,6 +359,7 @@
     private void failLate(StagePool limits, long nowMillis) {
         double pieceMillis = millisPerPiece(limits);
         int ahead = 0;
+        Map<Integer, Integer> aheadOfRank = new HashMap<>();
         for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
             int waiting = task.waiting().size();
             if (waiting > 0 && task.haveInputsLapsed(nowMillis)) {
@@ -333,14 +367,20 @@
                 fail(task, StageFailure.INPUT_GONE);
                 continue;
             }
-            double doneMillis = nowMillis + ahead * pieceMillis + limits.callMillis();
+            int rank = task.job().rank();
+            int ownAhead = aheadOfRank.getOrDefault(rank, 0);
+            double doneMillis =
+                    nowMillis
+                            + waitMillis(rank, ahead, ownAhead, pieceMillis)
+                            + limits.callMillis();
             double latest = task.job().deadlineAtMillis() - (double) task.job().leastLaterMillis();
             if (waiting > 0 && doneMillis > latest) {
                 tally.count(StageTally.Event.LATE, waiting);
-                tallyOf(task.job().rank()).count(StageTally.Event.LATE, waiting);
+                tallyOf(rank).count(StageTally.Event.LATE, waiting);
                 fail(task, StageFailure.LATE);
             } else {
                 ahead += waiting;
+                aheadOfRank.put(rank, ownAhead + waiting);
             }
         }
     }
@@ -412,12 +452,21 @@
         StageBatch batch = new StageBatch(limits, usableRoom(limits) - worker.usedBytes(nowMillis));
         boolean probe = worker.slowness() >= SLOW;
         String failureDomain = worker.upstream().entry().failureDomain();
-        for (StageTask task : order.order(tasks, callMillis(limits), nowMillis, failureDomain)) {
-            if (!task.waiting().isEmpty()
-                    && !worker.lacksRoomFor(task.job().resultBytes(), nowMillis)
-                    && mayTake(worker, task, limits, nowMillis)) {
-                batch.take(task);
-            }
+        List<StageTask> eligible =
+                tasks.stream()
+                        .filter(task -> !task.waiting().isEmpty())
+                        .filter(task -> !worker.lacksRoomFor(task.job().resultBytes(), nowMillis))
+                        .filter(task -> mayTake(worker, task, limits, nowMillis))
+                        .toList();
+        for (StageTask task :
+                order.order(
+                        eligible,
+                        callMillis(limits),
+                        nowMillis,
+                        failureDomain,
+                        shares,
+                        limits.batch())) {
+            batch.take(task);
             if (batch.isFull() || (probe && !batch.isEmpty())) {
                 break;
             }
@@ -450,9 +499,9 @@
                 .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
         tally.count(StageTally.Event.TAKEN, items.size());
-        batch.parts()
-                .forEach(
-                        part -> tallyOf(part.task().job().rank()).count(StageTally.Event.TAKEN, 1));
+        Map<Integer, Integer> taken = batch.piecesOfRank();
+        taken.forEach((rank, pieces) -> tallyOf(rank).count(StageTally.Event.TAKEN, pieces));
+        shares.take(taken, limits.batch(), nowMillis);
     }
 
     private static StageItem item(StageBatch.Part part, long nowMillis) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -2,15 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /**
  * The order in which an owner serves waiting tasks.
  *
  * <p>Rank decides first, and within a rank the earliest objective, so that requests that are nearly
  * done go before those that begin. A task that will miss its objective anyway falls behind the
- * on-time tasks of the next rank, for its answer is worth little more by being less late. Every few
- * calls the oldest task goes first, so that no rank starves.
+ * on-time tasks of the next rank, for its answer is worth little more by being less late. Tasks of
+ * a rank that has credit left of its share go before all others, so that no rank starves, and every
+ * few calls the oldest task does, so that no late one does.
  */
 final class StageOrder {
     private static final int STEP = 2;
@@ -35,27 +38,60 @@
 
     /**
      * Returns the order for a call in a failure domain, which goes to tasks of that domain first.
+     *
+     * @param shares the shares of the ranks
+     * @param batch the pieces of a full call
      */
     List<StageTask> order(
-            List<StageTask> tasks, double callMillis, long nowMillis, String failureDomain) {
+            List<StageTask> tasks,
+            double callMillis,
+            long nowMillis,
+            String failureDomain,
+            RankShares shares,
+            int batch) {
         calls++;
         List<StageTask> ordered = new ArrayList<>(tasks);
         ordered.sort(
                 Comparator.<StageTask>comparingInt(task -> rank(task, callMillis, nowMillis))
                         .thenComparing(task -> isForeign(task, failureDomain, nowMillis))
                         .thenComparingLong(task -> task.job().objectiveAtMillis()));
+        ordered = assuredFirst(ordered, shares, batch);
         if (calls % OLDEST_FIRST_EVERY == 0) {
-            tasks.stream()
-                    .min(Comparator.comparingLong(StageTask::arrivedMillis))
-                    .ifPresent(
-                            oldest -> {
-                                ordered.remove(oldest);
-                                ordered.add(0, oldest);
-                            });
+            moveOldestToFront(ordered);
         }
         return ordered;
     }
 
+    private static void moveOldestToFront(List<StageTask> ordered) {
+        ordered.stream()
+                .min(Comparator.comparingLong(StageTask::arrivedMillis))
+                .ifPresent(
+                        oldest -> {
+                            ordered.remove(oldest);
+                            ordered.add(0, oldest);
+                        });
+    }
+
+    /** Returns the tasks with those first that the credit of their rank pays for. */
+    private static List<StageTask> assuredFirst(
+            List<StageTask> ordered, RankShares shares, int batch) {
+        Map<Integer, Double> credits = new HashMap<>();
+        List<StageTask> assured = new ArrayList<>();
+        List<StageTask> others = new ArrayList<>();
+        for (StageTask task : ordered) {
+            int pieces = task.waiting().size();
+            double credit = credits.computeIfAbsent(task.job().rank(), shares::credit);
+            if (credit >= Math.min(pieces, RankShares.mostCredit(batch))) {
+                credits.put(task.job().rank(), credit - pieces);
+                assured.add(task);
+            } else {
+                others.add(task);
+            }
+        }
+        assured.addAll(others);
+        return assured;
+    }
+
     private static boolean isForeign(StageTask task, String failureDomain, long nowMillis) {
         return isLarge(task.job())
                 && nowMillis - task.arrivedMillis() < LONGEST_LOCAL_TURN_MILLIS
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageService.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageService.java
@@ -27,6 +27,15 @@
      */
     void cancel(String service, String requestId);
 
+    /**
+     * Notes pieces that a caller asked for and that are not submitted, as its request was refused.
+     *
+     * @param service the stage service
+     * @param rank the rank of the request
+     * @param pieces the number of pieces
+     */
+    void unmet(String service, int rank, int pieces);
+
     /**
      * Returns the time that a new job is expected to wait.
      *
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -318,6 +318,16 @@
         assertThat(world.jobs).isEmpty();
     }
 
+    @Test
+    void theOwnersLearnWhatARequestThatWasRefusedAtTheDoorAskedFor() {
+        World world = new World();
+        world.expectedWaitMillis = 60_000;
+        world.with(World.route(RepeatRule.AT_MOST_ONCE, true, 1, oneStage()))
+                .request("key", List.of(3));
+        assertThat(world.refusedWith()).isEqualTo(Refusal.UNAVAILABLE);
+        assertThat(world.unmetPieces).containsExactly("s", 3);
+    }
+
     @Test
     void aStreamThatIsStillInItsStagesIsRefusedBeforeItsCallerLeaves() {
         World world =
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -4,7 +4,9 @@
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
@@ -46,6 +48,7 @@
     final List<Sent> sends = new ArrayList<>();
     final List<Submitted> jobs = new ArrayList<>();
     final List<StageResult> released = new ArrayList<>();
+    final Map<String, Integer> unmetPieces = new HashMap<>();
     final List<Refusal> refusals = new ArrayList<>();
     final StringBuilder body = new StringBuilder();
     final ServingEngine engine;
@@ -235,6 +238,11 @@
     @Override
     public void cancel(String service, String requestId) {}
 
+    @Override
+    public void unmet(String service, int rank, int pieces) {
+        unmetPieces.merge(service, pieces, Integer::sum);
+    }
+
     @Override
     public StageWait expectedWait(String service, int rank) {
         return new StageWait(expectedWaitMillis, CALL_MILLIS, 0);
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/RankSharesTest.java
@@ -0,0 +1,51 @@
+package org.bronzewheel.stages;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class RankSharesTest {
+    private static final int BATCH = 8;
+
+    private final RankShares shares = new RankShares();
+
+    @Test
+    void halfOfTheWorkIsAssuredInProportionToWhatIsAskedFor() {
+        shares.ask(0, 10, 100);
+        shares.ask(2, 30, 100);
+        assertThat(shares.assuredPart(0, 100)).isWithin(1e-9).of(0.125);
+        assertThat(shares.assuredPart(2, 100)).isWithin(1e-9).of(0.375);
+        assertThat(shares.assuredPart(1, 100)).isEqualTo(0.0);
+    }
+
+    @Test
+    void whatWasAskedForLongAgoCountsLess() {
+        shares.ask(0, 10, 0);
+        shares.ask(2, 10, 30_000);
+        assertThat(shares.assuredPart(2, 30_000)).isGreaterThan(0.49);
+    }
+
+    @Test
+    void aRankEarnsCreditWhileOthersAreServedAndSpendsItWhenServed() {
+        shares.ask(0, 10, 0);
+        shares.ask(2, 10, 0);
+        shares.take(Map.of(0, 8), BATCH, 0);
+        assertThat(shares.credit(2)).isWithin(1e-9).of(2);
+        assertThat(shares.credit(0)).isEqualTo(0.0);
+        shares.take(Map.of(0, 6, 2, 2), BATCH, 0);
+        assertThat(shares.credit(2)).isWithin(1e-9).of(2);
+        shares.take(Map.of(2, 8), BATCH, 0);
+        assertThat(shares.credit(2)).isEqualTo(0.0);
+    }
+
+    @Test
+    void creditIsBoundedByHalfACall() {
+        shares.ask(0, 1, 0);
+        shares.ask(2, 100, 0);
+        for (int i = 0; i < 10; i++) {
+            shares.take(Map.of(0, 8), BATCH, 0);
+        }
+        assertThat(shares.credit(2)).isEqualTo(4.0);
+    }
+}
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
@@ -68,6 +68,17 @@
         assertThat(owner().stages.openJobs()).isEqualTo(0);
     }
 
+    // Guards against a rank whose share shrinks as its requests are refused at the door.
+    @Test
+    void anOwnerLearnsWithTheNextJobWhatASubmitterRefused() {
+        routers(10);
+        Router submitter = submitters().get(0);
+        submitter.stages.unmet(SERVICE, 2, 6);
+        submitter.submit("a", 2);
+        advance(50);
+        assertThat(owner().stages.assuredPart(SERVICE, 2)).isWithin(1e-3).of(0.375);
+    }
+
     @Test
     void aWaitThatIsNoLongerToldKeepsNobodyAway() {
         routers(10);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -176,6 +176,41 @@
         assertThat(calls.get(1).ids()).containsExactly("c/0", "c/1", "b/0", "b/1").inOrder();
     }
 
+    // Guards against a last rank that starves while urgent jobs keep coming.
+    @Test
+    void theLastRankGetsItsShareWhileUrgentJobsKeepComing() {
+        upstreams("u");
+        int waiting = 0;
+        for (int i = 0; i < 20; i++) {
+            submit("urgent" + i, 4, 0, 10, 60_000, 60_000, List.of());
+            submit("last" + i, 1, 2, 10, 60_000, 60_000, List.of());
+            dispatcher.unmet(2, 3);
+            advance(10);
+            calls.get(i).done();
+            waiting += 4;
+        }
+        long taken =
+                calls.stream()
+                        .flatMap(call -> call.ids().stream())
+                        .filter(id -> id.startsWith("last"))
+                        .count();
+        assertThat(taken).isAtLeast(waiting / 5);
+    }
+
+    @Test
+    void aJobOfTheLastRankIsToldTheWaitForItsShare() {
+        upstreams("u");
+        submit("busy", 4, 0, 10, 9_000);
+        advance(1);
+        for (int i = 0; i < 10; i++) {
+            submit("urgent" + i, 4, 0, 10, 9_000, 9_000, List.of());
+        }
+        submit("last", 4, 2, 10, 9_000, 9_000, List.of());
+        dispatcher.unmet(2, 36);
+        assertThat(dispatcher.expectedWaitMillis(2)).isLessThan(1_300L);
+        assertThat(dispatcher.expectedWaitMillis(0)).isEqualTo(2_800);
+    }
+
     @Test
     void aJobThatTheUsualCallMakesLateWaitsBehindJobsThatAreOnTime() {
         upstreams("u");
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCall.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCall.java
@@ -49,6 +49,18 @@
     return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_StageJobCall_descriptor;
   }
 
+  @SuppressWarnings({"rawtypes"})
+  @java.lang.Override
+  protected com.google.protobuf.MapFieldReflectionAccessor internalGetMapFieldReflection(
+      int number) {
+    switch (number) {
+      case 14:
+        return internalGetUnmetPieces();
+      default:
+        throw new RuntimeException(
+            "Invalid map field number: " + number);
+    }
+  }
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
@@ -342,6 +354,99 @@
     return leastLaterMillis_;
   }
 
+  public static final int UNMET_PIECES_FIELD_NUMBER = 14;
+  private static final class UnmetPiecesDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Integer, java.lang.Integer> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Integer, java.lang.Integer>newDefaultInstance(
+                org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_StageJobCall_UnmetPiecesEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.INT32,
+                0,
+                com.google.protobuf.WireFormat.FieldType.INT32,
+                0);
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Integer, java.lang.Integer> unmetPieces_;
+  private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+  internalGetUnmetPieces() {
+    if (unmetPieces_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          UnmetPiecesDefaultEntryHolder.defaultEntry);
+    }
+    return unmetPieces_;
+  }
+  public int getUnmetPiecesCount() {
+    return internalGetUnmetPieces().getMap().size();
+  }
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  @java.lang.Override
+  public boolean containsUnmetPieces(
+      int key) {
+
+    return internalGetUnmetPieces().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getUnmetPiecesMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Integer, java.lang.Integer> getUnmetPieces() {
+    return getUnmetPiecesMap();
+  }
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Integer, java.lang.Integer> getUnmetPiecesMap() {
+    return internalGetUnmetPieces().getMap();
+  }
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  @java.lang.Override
+  public int getUnmetPiecesOrDefault(
+      int key,
+      int defaultValue) {
+
+    java.util.Map<java.lang.Integer, java.lang.Integer> map =
+        internalGetUnmetPieces().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  @java.lang.Override
+  public int getUnmetPiecesOrThrow(
+      int key) {
+
+    java.util.Map<java.lang.Integer, java.lang.Integer> map =
+        internalGetUnmetPieces().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -395,6 +500,12 @@
     if (leastLaterMillis_ != 0L) {
       output.writeInt64(13, leastLaterMillis_);
     }
+    com.google.protobuf.GeneratedMessage
+      .serializeIntegerMapTo(
+        output,
+        internalGetUnmetPieces(),
+        UnmetPiecesDefaultEntryHolder.defaultEntry,
+        14);
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -452,6 +563,16 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(13, leastLaterMillis_);
     }
+    for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> entry
+         : internalGetUnmetPieces().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Integer, java.lang.Integer>
+      unmetPieces__ = UnmetPiecesDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(14, unmetPieces__);
+    }
     return size;
   }
   @java.lang.Override
@@ -502,6 +623,8 @@
         .equals(other.getFailureDomain())) return false;
     if (getLeastLaterMillis()
         != other.getLeastLaterMillis()) return false;
+    if (!internalGetUnmetPieces().equals(
+        other.internalGetUnmetPieces())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -546,6 +669,10 @@
     hash = (37 * hash) + LEAST_LATER_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLeastLaterMillis());
+    if (!internalGetUnmetPieces().getMap().isEmpty()) {
+      hash = (37 * hash) + UNMET_PIECES_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetUnmetPieces().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -659,6 +786,28 @@
       return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_StageJobCall_descriptor;
     }
 
+    @SuppressWarnings({"rawtypes"})
+    protected com.google.protobuf.MapFieldReflectionAccessor internalGetMapFieldReflection(
+        int number) {
+      switch (number) {
+        case 14:
+          return internalGetUnmetPieces();
+        default:
+          throw new RuntimeException(
+              "Invalid map field number: " + number);
+      }
+    }
+    @SuppressWarnings({"rawtypes"})
+    protected com.google.protobuf.MapFieldReflectionAccessor internalGetMutableMapFieldReflection(
+        int number) {
+      switch (number) {
+        case 14:
+          return internalGetMutableUnmetPieces();
+        default:
+          throw new RuntimeException(
+              "Invalid map field number: " + number);
+      }
+    }
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
@@ -700,6 +849,7 @@
       laterMillis_ = 0L;
       failureDomain_ = "";
       leastLaterMillis_ = 0L;
+      internalGetMutableUnmetPieces().clear();
       return this;
     }
 
@@ -782,6 +932,10 @@
       if (((from_bitField0_ & 0x00001000) != 0)) {
         result.leastLaterMillis_ = leastLaterMillis_;
       }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.unmetPieces_ = internalGetUnmetPieces();
+        result.unmetPieces_.makeImmutable();
+      }
     }
 
     @java.lang.Override
@@ -866,6 +1020,9 @@
       if (other.getLeastLaterMillis() != 0L) {
         setLeastLaterMillis(other.getLeastLaterMillis());
       }
+      internalGetMutableUnmetPieces().mergeFrom(
+          other.internalGetUnmetPieces());
+      bitField0_ |= 0x00002000;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -963,6 +1120,15 @@
               bitField0_ |= 0x00001000;
               break;
             } // case 104
+            case 114: {
+              com.google.protobuf.MapEntry<java.lang.Integer, java.lang.Integer>
+              unmetPieces__ = input.readMessage(
+                  UnmetPiecesDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableUnmetPieces().getMutableMap().put(
+                  unmetPieces__.getKey(), unmetPieces__.getValue());
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 114
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1758,6 +1924,159 @@
       return this;
     }
 
+    private com.google.protobuf.MapField<
+        java.lang.Integer, java.lang.Integer> unmetPieces_;
+    private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+        internalGetUnmetPieces() {
+      if (unmetPieces_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            UnmetPiecesDefaultEntryHolder.defaultEntry);
+      }
+      return unmetPieces_;
+    }
+    private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+        internalGetMutableUnmetPieces() {
+      if (unmetPieces_ == null) {
+        unmetPieces_ = com.google.protobuf.MapField.newMapField(
+            UnmetPiecesDefaultEntryHolder.defaultEntry);
+      }
+      if (!unmetPieces_.isMutable()) {
+        unmetPieces_ = unmetPieces_.copy();
+      }
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return unmetPieces_;
+    }
+    public int getUnmetPiecesCount() {
+      return internalGetUnmetPieces().getMap().size();
+    }
+    /**
+     * <pre>
+     * Pieces by rank that callers asked the sender for since its last job and that it refused.
+     * </pre>
+     *
+     * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+     */
+    @java.lang.Override
+    public boolean containsUnmetPieces(
+        int key) {
+
+      return internalGetUnmetPieces().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getUnmetPiecesMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, java.lang.Integer> getUnmetPieces() {
+      return getUnmetPiecesMap();
+    }
+    /**
+     * <pre>
+     * Pieces by rank that callers asked the sender for since its last job and that it refused.
+     * </pre>
+     *
+     * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Integer, java.lang.Integer> getUnmetPiecesMap() {
+      return internalGetUnmetPieces().getMap();
+    }
+    /**
+     * <pre>
+     * Pieces by rank that callers asked the sender for since its last job and that it refused.
+     * </pre>
+     *
+     * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+     */
+    @java.lang.Override
+    public int getUnmetPiecesOrDefault(
+        int key,
+        int defaultValue) {
+
+      java.util.Map<java.lang.Integer, java.lang.Integer> map =
+          internalGetUnmetPieces().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <pre>
+     * Pieces by rank that callers asked the sender for since its last job and that it refused.
+     * </pre>
+     *
+     * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+     */
+    @java.lang.Override
+    public int getUnmetPiecesOrThrow(
+        int key) {
+
+      java.util.Map<java.lang.Integer, java.lang.Integer> map =
+          internalGetUnmetPieces().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+    public Builder clearUnmetPieces() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      internalGetMutableUnmetPieces().getMutableMap()
+          .clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * Pieces by rank that callers asked the sender for since its last job and that it refused.
+     * </pre>
+     *
+     * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+     */
+    public Builder removeUnmetPieces(
+        int key) {
+
+      internalGetMutableUnmetPieces().getMutableMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, java.lang.Integer>
+        getMutableUnmetPieces() {
+      bitField0_ |= 0x00002000;
+      return internalGetMutableUnmetPieces().getMutableMap();
+    }
+    /**
+     * <pre>
+     * Pieces by rank that callers asked the sender for since its last job and that it refused.
+     * </pre>
+     *
+     * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+     */
+    public Builder putUnmetPieces(
+        int key,
+        int value) {
+
+
+      internalGetMutableUnmetPieces().getMutableMap()
+          .put(key, value);
+      bitField0_ |= 0x00002000;
+      return this;
+    }
+    /**
+     * <pre>
+     * Pieces by rank that callers asked the sender for since its last job and that it refused.
+     * </pre>
+     *
+     * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+     */
+    public Builder putAllUnmetPieces(
+        java.util.Map<java.lang.Integer, java.lang.Integer> values) {
+      internalGetMutableUnmetPieces().getMutableMap()
+          .putAll(values);
+      bitField0_ |= 0x00002000;
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.StageJobCall)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCallOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCallOrBuilder.java
@@ -129,4 +129,56 @@
    * @return The leastLaterMillis.
    */
   long getLeastLaterMillis();
+
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  int getUnmetPiecesCount();
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  boolean containsUnmetPieces(
+      int key);
+  /**
+   * Use {@link #getUnmetPiecesMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Integer, java.lang.Integer>
+  getUnmetPieces();
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  java.util.Map<java.lang.Integer, java.lang.Integer>
+  getUnmetPiecesMap();
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  int getUnmetPiecesOrDefault(
+      int key,
+      int defaultValue);
+  /**
+   * <pre>
+   * Pieces by rank that callers asked the sender for since its last job and that it refused.
+   * </pre>
+   *
+   * <code>map&lt;int32, int32&gt; unmet_pieces = 14;</code>
+   */
+  int getUnmetPiecesOrThrow(
+      int key);
 }
