Expect a stage that is held back after the stages that it waits for

Cause: the expected time followed the longest chain of inputs; a branch with large results begins only once the chain is nearly done, which is not an input. The class of fault is a critical path with an edge missing. Admission and the order of queues now take the longest way over inputs and over what holds a stage back.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -125,9 +125,8 @@
 
     /** Returns the expected time until all results are there, by the queues of the stages. */
     long expectedMillis() {
-        return progress.longestWay().stream()
-                .mapToLong(service -> expectedWait(service).waitMillis() + LEAST_STAGE_MILLIS)
-                .sum();
+        return progress.remainingMillis(
+                service -> expectedWait(service).waitMillis() + LEAST_STAGE_MILLIS);
     }
 
     private StageWait expectedWait(String service) {
@@ -138,9 +137,7 @@
     private long laterMillis(int stage) {
         int unreadTokens = request.promptTokens() - prompt().sharedTokens();
         long stagesMillis =
-                progress.longestWayAfter(stage).stream()
-                        .mapToLong(service -> expectedWait(service).totalMillis())
-                        .sum();
+                progress.millisAfter(stage, service -> expectedWait(service).totalMillis());
         return stagesMillis + ENGINE_MILLIS + EngineChoice.readMillis(unreadTokens);
     }
 
@@ -152,9 +149,9 @@
                 progress.outputBytesByFailureDomain());
     }
 
-    /** Returns the wait of each stage on the longest way, with its age. */
+    /** Returns the wait of each service whose results are needed, with its age. */
     String describeWaits() {
-        return progress.longestWay().stream()
+        return progress.openServices().stream()
                 .map(
                         service -> {
                             StageWait wait = expectedWait(service);
@@ -194,7 +191,7 @@
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
                         laterMillis(stage),
-                        ENGINE_MILLIS + LEAST_STAGE_MILLIS * progress.stagesAfter(stage),
+                        ENGINE_MILLIS + progress.millisAfter(stage, any -> LEAST_STAGE_MILLIS),
                         progress.inputFailureDomain(stage).orElse(failureDomain));
         parts.observer()
                 .decided(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import java.util.stream.IntStream;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.StageStep;
@@ -42,7 +43,7 @@
      * request's end, so those of a short branch wait until the long branch is nearly done.
      */
     private boolean isDue(int stage) {
-        if (route.stages().get(stage).resultBytes() < LARGE_RESULT_BYTES) {
+        if (!isHeldBack(stage)) {
             return true;
         }
         int longest = 0;
@@ -54,6 +55,10 @@
         return longest <= stagesAfter(stage) + 1;
     }
 
+    private boolean isHeldBack(int stage) {
+        return route.stages().get(stage).resultBytes() >= LARGE_RESULT_BYTES;
+    }
+
     int piecesOf(int stage) {
         return stage < pieces.size() ? pieces.get(stage) : 0;
     }
@@ -157,39 +162,42 @@
         return true;
     }
 
-    /** Returns the services on the longest way through the stages, in order. */
-    List<String> longestWay() {
-        return longestWayAfter(-1);
+    /** Returns the services of the stages that are not done, in order. */
+    List<String> openServices() {
+        return IntStream.range(0, route.stages().size())
+                .filter(stage -> !isDone(stage))
+                .mapToObj(stage -> route.stages().get(stage).service())
+                .distinct()
+                .toList();
     }
 
-    /** Returns the services on the longest way from a stage to the request, beside its own. */
-    List<String> longestWayAfter(int first) {
-        List<String> way = new ArrayList<>();
-        int next = first;
-        for (int stage = first + 1; stage < route.stages().size(); stage++) {
-            boolean follows =
-                    next < 0
-                            ? route.stages().get(stage).after().isEmpty()
-                            : route.stages().get(stage).after().contains(next);
-            if (piecesOf(stage) > 0 && follows && isLongest(stage, next)) {
-                way.add(route.stages().get(stage).service());
-                next = stage;
-            }
-        }
-        return way;
+    /** Returns the time until all stages are done, by the time of one stage of each service. */
+    long remainingMillis(ToLongFunction<String> stageMillis) {
+        return IntStream.range(0, route.stages().size())
+                .filter(stage -> !isDone(stage))
+                .mapToLong(stage -> stageMillis(stage, stageMillis))
+                .max()
+                .orElse(0);
     }
 
-    private boolean isLongest(int stage, int before) {
-        for (int other = stage + 1; other < route.stages().size(); other++) {
-            boolean rival =
-                    before < 0
-                            ? route.stages().get(other).after().isEmpty()
-                            : route.stages().get(other).after().contains(before);
-            if (piecesOf(other) > 0 && rival && stagesAfter(other) > stagesAfter(stage)) {
-                return false;
-            }
-        }
-        return true;
+    /** Returns the time from the end of a stage until all that begin after it are done. */
+    long millisAfter(int stage, ToLongFunction<String> stageMillis) {
+        return IntStream.range(0, route.stages().size())
+                .filter(other -> !isDone(other) && beginsAfter(other, stage))
+                .mapToLong(other -> stageMillis(other, stageMillis))
+                .max()
+                .orElse(0);
+    }
+
+    private long stageMillis(int stage, ToLongFunction<String> stageMillis) {
+        return stageMillis.applyAsLong(route.stages().get(stage).service())
+                + millisAfter(stage, stageMillis);
+    }
+
+    /** Tells whether a stage needs another one, or is held back until that one is done. */
+    private boolean beginsAfter(int stage, int before) {
+        return route.stages().get(stage).after().contains(before)
+                || (isHeldBack(stage) && stagesAfter(before) > stagesAfter(stage) + 1);
     }
 
     /** Returns the number of stages on the longest way from a stage to the request, beside it. */
