Let owners refuse at once the new requests that nobody will serve

Cause: the wait counted what is in the queue, and not what arrives during the wait and goes ahead; a request that could not be on time was told the wait of one that can. The class of fault is an estimate that takes the queue for closed. An owner now forecasts both waits by the queue and the rates at which jobs of each rank arrive on time and are served, and refuses a job at once that can neither meet its objective nor be served late before its caller leaves. Only requests for which nothing was done yet are refused so.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -192,7 +192,8 @@
                         deadlineAtMillis,
                         laterMillis(stage),
                         ENGINE_MILLIS + progress.millisAfter(stage, any -> LEAST_STAGE_MILLIS),
-                        progress.inputFailureDomain(stage).orElse(failureDomain));
+                        progress.inputFailureDomain(stage).orElse(failureDomain),
+                        rounds == 0 && progress.hasNoResults());
         parts.observer()
                 .decided(
                         request.id(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -83,6 +83,10 @@
         results.put(stage, made);
     }
 
+    boolean hasNoResults() {
+        return results.isEmpty();
+    }
+
     boolean isWhole() {
         for (int stage = 0; stage < route.stages().size(); stage++) {
             if (!isDone(stage)) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
@@ -31,6 +31,7 @@
                 .setLaterMillis(job.laterMillis())
                 .setLeastLaterMillis(job.leastLaterMillis())
                 .setFailureDomain(job.failureDomain())
+                .setFirst(job.isFirst())
                 .putAllUnmetPieces(unmet)
                 .build();
     }
@@ -54,7 +55,8 @@
                 nowMillis + call.getDeadlineLeftMillis(),
                 call.getLaterMillis(),
                 call.getLeastLaterMillis(),
-                call.getFailureDomain());
+                call.getFailureDomain(),
+                call.getFirst());
     }
 
     static StageJobReply encodeResults(List<StageResult> results) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -53,6 +53,7 @@
     private final Consumer<List<StageResult>> releaseInputs;
     private final StageOrder order = new StageOrder();
     private final RankShares shares = new RankShares();
+    private final StageForecast forecast = new StageForecast(shares);
     private final DrainMeter drain = new DrainMeter();
     private final InputHold inputHold = new InputHold();
     private final TimeEstimate callTime = new TimeEstimate();
@@ -90,12 +91,41 @@
         long nowMillis = loop.nowMillis();
         budget.request(service, StageJob.OWNER_PART, nowMillis);
         shares.ask(job.rank(), job.pieces(), nowMillis);
-        tasks.add(
-                new StageTask(
-                        job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner));
+        StageTask task =
+                new StageTask(job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner);
+        if (pool().filter(limits -> isHopeless(task, limits)).isPresent()) {
+            tally.count(StageTally.Event.LATE, job.pieces());
+            tallyOf(job.rank()).count(StageTally.Event.LATE, job.pieces());
+            loop.execute(() -> task.fail(StageFailure.LATE));
+            return;
+        }
+        tasks.add(task);
+        pool().ifPresent(limits -> forecast.arrive(task, callMillis(limits), nowMillis));
         loop.execute(this::pump);
     }
 
+    /**
+     * Tells whether a request that has not begun is better refused at once: it will be late, and
+     * with what arrives before it, not be served while its caller waits.
+     */
+    private boolean isHopeless(StageTask task, StagePool limits) {
+        StageJob job = task.job();
+        if (!job.isFirst()) {
+            return false;
+        }
+        StageForecast.Queue queue = queue(limits);
+        double onTimeMillis =
+                forecast.onTimeWaitMillis(job.rank(), queue)
+                        + limits.callMillis()
+                        + job.laterMillis();
+        double lateMillis =
+                forecast.lateWaitMillis(job.rank(), queue)
+                        + limits.callMillis()
+                        + job.leastLaterMillis();
+        return queue.nowMillis() + onTimeMillis > job.objectiveAtMillis()
+                && queue.nowMillis() + lateMillis > job.deadlineAtMillis();
+    }
+
     /**
      * Notes pieces that callers asked for and that were not submitted, as their requests were
      * refused before.
@@ -272,24 +302,13 @@
 
     /** Returns the time until a new piece of a rank would be in a call. */
     long expectedWaitMillis(int rank) {
-        Optional<StagePool> limits = pool();
-        if (limits.isEmpty()) {
-            return 0;
-        }
-        long nowMillis = loop.nowMillis();
-        double callMillis = callMillis(limits.get());
-        int ahead = 0;
-        int ownAhead = 0;
-        for (StageTask task : tasks) {
-            int order = StageOrder.rank(task, callMillis, nowMillis);
-            if (order <= StageOrder.onTimeRank(rank)) {
-                ahead += task.waiting().size();
-            }
-            if (order == StageOrder.onTimeRank(rank)) {
-                ownAhead += task.waiting().size();
-            }
-        }
-        return Math.round(waitMillis(rank, ahead, ownAhead, millisPerPiece(limits.get())));
+        return pool().map(limits -> Math.round(forecast.onTimeWaitMillis(rank, queue(limits))))
+                .orElse(0L);
+    }
+
+    private StageForecast.Queue queue(StagePool limits) {
+        return new StageForecast.Queue(
+                tasks, callMillis(limits), millisPerPiece(limits), loop.nowMillis());
     }
 
     /**
@@ -502,6 +521,8 @@
         Map<Integer, Integer> taken = batch.piecesOfRank();
         taken.forEach((rank, pieces) -> tallyOf(rank).count(StageTally.Event.TAKEN, pieces));
         shares.take(taken, limits.batch(), nowMillis);
+        double callMillis = callMillis(limits);
+        batch.parts().forEach(part -> forecast.serve(part.task(), callMillis, nowMillis));
     }
 
     private static StageItem item(StageBatch.Part part, long nowMillis) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
@@ -19,6 +19,7 @@
  * @param laterMillis the expected time from the end of this stage to the answer, in milliseconds
  * @param leastLaterMillis the same where nothing waits, in milliseconds
  * @param failureDomain the failure domain that is to take the results
+ * @param isFirst whether no work has been done for the request yet
  */
 public record StageJob(
         String requestId,
@@ -33,7 +34,8 @@
         long deadlineAtMillis,
         long laterMillis,
         long leastLaterMillis,
-        String failureDomain) {
+        String failureDomain,
+        boolean isFirst) {
     /** The part of the repeats that a job allows which its submitter may use, for lost owners. */
     static final double SUBMITTER_PART = 0.5;
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -121,10 +121,15 @@
         return rank * STEP;
     }
 
+    /** Returns the rank in the queue of a task that will miss its objective. */
+    static int lateRank(int rank) {
+        return onTimeRank(rank) + LATE_PENALTY;
+    }
+
     /** Returns the rank of a task in the queue, which falls once its objective cannot be met. */
     static int rank(StageTask task, double callMillis, long nowMillis) {
-        boolean late = isLate(task, callMillis, nowMillis);
-        return onTimeRank(task.job().rank()) + (late ? LATE_PENALTY : 0);
+        int rank = task.job().rank();
+        return isLate(task, callMillis, nowMillis) ? lateRank(rank) : onTimeRank(rank);
     }
 
     /** Tells whether the objective of a task's request can no longer be met. */
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -220,7 +220,7 @@
       "ire.StageJobCallH\000\0221\n\007release\030\002 \001(\0132\036.br" +
       "onzewheel.wire.StageReleaseH\000\022/\n\006cancel\030" +
       "\003 \001(\0132\035.bronzewheel.wire.StageCancelH\000B\006" +
-      "\n\004body\"\264\003\n\014StageJobCall\022\022\n\nrequest_id\030\001 " +
+      "\n\004body\"\303\003\n\014StageJobCall\022\022\n\nrequest_id\030\001 " +
       "\001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006p" +
       "ieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\013" +
       "2\035.bronzewheel.wire.StageHandle\022\024\n\014resul" +
@@ -229,17 +229,18 @@
       "is\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016failur" +
       "e_domain\030\014 \001(\t\022\032\n\022least_later_millis\030\r \001" +
       "(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.bronzewheel.w" +
-      "ire.StageJobCall.UnmetPiecesEntry\0322\n\020Unm" +
-      "etPiecesEntry\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(" +
-      "\005:\0028\001\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001(\t\022" +
-      ".\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Stag" +
-      "eHandle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010" +
-      "maker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r" +
-      "\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageR" +
-      "elease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\013" +
-      "2\035.bronzewheel.wire.StageHandle\"2\n\013Stage" +
-      "Cancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 " +
-      "\001(\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
+      "ire.StageJobCall.UnmetPiecesEntry\022\r\n\005fir" +
+      "st\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001 \001(" +
+      "\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStageJobReply\022\017\n" +
+      "\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronze" +
+      "wheel.wire.StageHandle\"e\n\013StageHandle\022\014\n" +
+      "\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure" +
+      "_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007service\030" +
+      "\005 \001(\t\"O\n\014StageRelease\022\017\n\007service\030\001 \001(\t\022." +
+      "\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Stage" +
+      "Handle\"2\n\013StageCancel\022\022\n\nrequest_id\030\001 \001(" +
+      "\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.bronzewheel.wi" +
+      "reP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -358,7 +359,7 @@
     internal_static_bronzewheel_wire_StageJobCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageJobCall_descriptor,
-        new java.lang.String[] { "RequestId", "Stage", "Service", "Pieces", "Key", "Inputs", "ResultBytes", "Rank", "ObjectiveLeftMillis", "DeadlineLeftMillis", "LaterMillis", "FailureDomain", "LeastLaterMillis", "UnmetPieces", });
+        new java.lang.String[] { "RequestId", "Stage", "Service", "Pieces", "Key", "Inputs", "ResultBytes", "Rank", "ObjectiveLeftMillis", "DeadlineLeftMillis", "LaterMillis", "FailureDomain", "LeastLaterMillis", "UnmetPieces", "First", });
     internal_static_bronzewheel_wire_StageJobCall_UnmetPiecesEntry_descriptor =
       internal_static_bronzewheel_wire_StageJobCall_descriptor.getNestedType(0);
     internal_static_bronzewheel_wire_StageJobCall_UnmetPiecesEntry_fieldAccessorTable = new
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCall.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCall.java
@@ -447,6 +447,21 @@
     return map.get(key);
   }
 
+  public static final int FIRST_FIELD_NUMBER = 15;
+  private boolean first_ = false;
+  /**
+   * <pre>
+   * Whether no work has been done for the request yet.
+   * </pre>
+   *
+   * <code>bool first = 15;</code>
+   * @return The first.
+   */
+  @java.lang.Override
+  public boolean getFirst() {
+    return first_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -506,6 +521,9 @@
         internalGetUnmetPieces(),
         UnmetPiecesDefaultEntryHolder.defaultEntry,
         14);
+    if (first_ != false) {
+      output.writeBool(15, first_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -573,6 +591,10 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(14, unmetPieces__);
     }
+    if (first_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(15, first_);
+    }
     return size;
   }
   @java.lang.Override
@@ -625,6 +647,8 @@
         != other.getLeastLaterMillis()) return false;
     if (!internalGetUnmetPieces().equals(
         other.internalGetUnmetPieces())) return false;
+    if (getFirst()
+        != other.getFirst()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -673,6 +697,9 @@
       hash = (37 * hash) + UNMET_PIECES_FIELD_NUMBER;
       hash = (53 * hash) + internalGetUnmetPieces().hashCode();
     }
+    hash = (37 * hash) + FIRST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFirst());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -850,6 +877,7 @@
       failureDomain_ = "";
       leastLaterMillis_ = 0L;
       internalGetMutableUnmetPieces().clear();
+      first_ = false;
       return this;
     }
 
@@ -936,6 +964,9 @@
         result.unmetPieces_ = internalGetUnmetPieces();
         result.unmetPieces_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.first_ = first_;
+      }
     }
 
     @java.lang.Override
@@ -1023,6 +1054,9 @@
       internalGetMutableUnmetPieces().mergeFrom(
           other.internalGetUnmetPieces());
       bitField0_ |= 0x00002000;
+      if (other.getFirst() != false) {
+        setFirst(other.getFirst());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1129,6 +1163,11 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 114
+            case 120: {
+              first_ = input.readBool();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2077,6 +2116,50 @@
       return this;
     }
 
+    private boolean first_ ;
+    /**
+     * <pre>
+     * Whether no work has been done for the request yet.
+     * </pre>
+     *
+     * <code>bool first = 15;</code>
+     * @return The first.
+     */
+    @java.lang.Override
+    public boolean getFirst() {
+      return first_;
+    }
+    /**
+     * <pre>
+     * Whether no work has been done for the request yet.
+     * </pre>
+     *
+     * <code>bool first = 15;</code>
+     * @param value The first to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFirst(boolean value) {
+
+      first_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether no work has been done for the request yet.
+     * </pre>
+     *
+     * <code>bool first = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFirst() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      first_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.StageJobCall)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCallOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageJobCallOrBuilder.java
@@ -181,4 +181,14 @@
    */
   int getUnmetPiecesOrThrow(
       int key);
+
+  /**
+   * <pre>
+   * Whether no work has been done for the request yet.
+   * </pre>
+   *
+   * <code>bool first = 15;</code>
+   * @return The first.
+   */
+  boolean getFirst();
 }
