--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankReport.java
@@ -0,0 +1,44 @@
+package org.bronzewheel.stages;
+
+import java.util.List;
+import java.util.Set;
+import java.util.StringJoiner;
+import java.util.TreeSet;
+import java.util.function.IntToLongFunction;
+
+/** The text that tells for each rank what waits, what a new job is told, and what became of it. */
+final class RankReport {
+    private final List<StageTask> tasks;
+    private final StageTally tally;
+    private final IntToLongFunction expectedWaitMillis;
+
+    RankReport(List<StageTask> tasks, StageTally tally, IntToLongFunction expectedWaitMillis) {
+        this.tasks = tasks;
+        this.tally = tally;
+        this.expectedWaitMillis = expectedWaitMillis;
+    }
+
+    /** Returns the text and begins the tallies of the ranks anew. */
+    String take(double callMillis, long nowMillis) {
+        Set<Integer> ranks = new TreeSet<>(tally.ranks());
+        tasks.forEach(task -> ranks.add(task.job().rank()));
+        StringJoiner text = new StringJoiner(", ", "[", "]");
+        for (int rank : ranks) {
+            List<StageTask> own = tasks.stream().filter(t -> t.job().rank() == rank).toList();
+            int waiting = own.stream().mapToInt(task -> task.waiting().size()).sum();
+            long late =
+                    own.stream()
+                            .filter(task -> StageOrder.isLate(task, callMillis, nowMillis))
+                            .count();
+            text.add(
+                    "%d: waiting=%d late=%d expectedMillis=%d %s"
+                            .formatted(
+                                    rank,
+                                    waiting,
+                                    late,
+                                    expectedWaitMillis.applyAsLong(rank),
+                                    tally.ofRank(rank).take()));
+        }
+        return text.toString();
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -9,11 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.StringJoiner;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.stream.Collectors;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.repeats.RepeatBudget;
@@ -58,7 +55,6 @@
     private final InputHold inputHold = new InputHold();
     private final TimeEstimate callTime = new TimeEstimate();
     private final StageTally tally = new StageTally();
-    private final Map<Integer, StageTally> tallyOfRank = new TreeMap<>();
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
     private final Map<String, List<String>> toFree = new HashMap<>();
@@ -94,8 +90,7 @@
         StageTask task =
                 new StageTask(job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner);
         if (pool().filter(limits -> isHopeless(task, limits)).isPresent()) {
-            tally.count(StageTally.Event.LATE, job.pieces());
-            tallyOf(job.rank()).count(StageTally.Event.LATE, job.pieces());
+            tally.count(StageTally.Event.LATE, job.rank(), job.pieces());
             loop.execute(() -> task.fail(StageFailure.LATE));
             return;
         }
@@ -113,6 +108,7 @@
         if (!job.isFirst()) {
             return false;
         }
+        refreshWorkers();
         StageForecast.Queue queue = queue(limits);
         double onTimeMillis =
                 forecast.onTimeWaitMillis(job.rank(), queue)
@@ -238,44 +234,11 @@
                 waitingPieces(),
                 oldestWaitMillis(),
                 tally.take(),
-                describeRanks(nowMillis),
+                new RankReport(tasks, tally, this::expectedWaitMillis)
+                        .take(pool().map(this::callMillis).orElse(0.0), nowMillis),
                 workers.values().stream().map(w -> w.describe(nowMillis)).toList());
     }
 
-    /** Describes what waits of each rank, the told wait, and what became of its pieces. */
-    private String describeRanks(long nowMillis) {
-        double callMillis = pool().map(this::callMillis).orElse(0.0);
-        Map<Integer, List<StageTask>> tasksOfRank =
-                tasks.stream()
-                        .collect(Collectors.groupingBy(t -> t.job().rank(), Collectors.toList()));
-        tasksOfRank.keySet().forEach(this::tallyOf);
-        StringJoiner text = new StringJoiner(", ", "[", "]");
-        tallyOfRank.forEach(
-                (rank, counts) -> {
-                    List<StageTask> own = tasksOfRank.getOrDefault(rank, List.of());
-                    text.add(
-                            "%d: waiting=%d late=%d expectedMillis=%d %s"
-                                    .formatted(
-                                            rank,
-                                            own.stream().mapToInt(t -> t.waiting().size()).sum(),
-                                            own.stream()
-                                                    .filter(
-                                                            t ->
-                                                                    StageOrder.isLate(
-                                                                            t,
-                                                                            callMillis,
-                                                                            nowMillis))
-                                                    .count(),
-                                            expectedWaitMillis(rank),
-                                            counts.take()));
-                });
-        return text.toString();
-    }
-
-    private StageTally tallyOf(int rank) {
-        return tallyOfRank.computeIfAbsent(rank, unknown -> new StageTally());
-    }
-
     private long lateTasks(long nowMillis) {
         double callMillis = pool().map(this::callMillis).orElse(0.0);
         return tasks.stream()
@@ -394,8 +357,7 @@
                             + limits.callMillis();
             double latest = task.job().deadlineAtMillis() - (double) task.job().leastLaterMillis();
             if (waiting > 0 && doneMillis > latest) {
-                tally.count(StageTally.Event.LATE, waiting);
-                tallyOf(rank).count(StageTally.Event.LATE, waiting);
+                tally.count(StageTally.Event.LATE, rank, waiting);
                 fail(task, StageFailure.LATE);
             } else {
                 ahead += waiting;
@@ -517,9 +479,8 @@
         new StageCall(this, service, worker, batch, limits.resultMillis(), inputHold, tally, loop)
                 .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
-        tally.count(StageTally.Event.TAKEN, items.size());
         Map<Integer, Integer> taken = batch.piecesOfRank();
-        taken.forEach((rank, pieces) -> tallyOf(rank).count(StageTally.Event.TAKEN, pieces));
+        taken.forEach((rank, pieces) -> tally.count(StageTally.Event.TAKEN, rank, pieces));
         shares.take(taken, limits.batch(), nowMillis);
         double callMillis = callMillis(limits);
         batch.parts().forEach(part -> forecast.serve(part.task(), callMillis, nowMillis));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTally.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTally.java
@@ -3,11 +3,14 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.StringJoiner;
+import java.util.TreeMap;
 
 /** Counts of what became of the pieces of a stage service since the counts were last read. */
 final class StageTally {
     private final Map<Event, Integer> counts = new EnumMap<>(Event.class);
+    private final Map<Integer, StageTally> ofRank = new TreeMap<>();
 
     /** What can happen to a piece. */
     enum Event {
@@ -31,6 +34,22 @@
         counts.merge(event, pieces, Integer::sum);
     }
 
+    /** Counts pieces of a rank, here and in the tally of the rank. */
+    void count(Event event, int rank, int pieces) {
+        count(event, pieces);
+        ofRank(rank).count(event, pieces);
+    }
+
+    /** Returns the tally of a rank. */
+    StageTally ofRank(int rank) {
+        return ofRank.computeIfAbsent(rank, unknown -> new StageTally());
+    }
+
+    /** Returns the ranks that were ever counted. */
+    Set<Integer> ranks() {
+        return ofRank.keySet();
+    }
+
     /** Returns the counts as {@code taken=12 made=10}, and begins anew. */
     String take() {
         StringJoiner text = new StringJoiner(" ");
