--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankShares.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankShares.java
@@ -9,7 +9,8 @@
  * <p>Urgent ranks go first, but not without a limit: half of what the upstreams do is assured to
  * the ranks in proportion to what their callers ask for, refused requests included. The other half
  * goes by rank alone. Past capacity, each rank so gets at least half of the part that all would get
- * if there were no ranks, and no rank gets a smaller part than a less urgent one.
+ * if there were no ranks, and no rank gets a smaller part than a less urgent one. A caller that is
+ * refused comes back once, as a rule, so that each refusal counts half.
  *
  * <p>A rank earns credit with each piece that is taken, whoever's it is, and spends it with its own
  * pieces. A rank that gets its share by its urgency has no credit left.
@@ -18,6 +19,9 @@
     /** The part of the work that is assured. */
     private static final double ASSURED_PART = 0.5;
 
+    /** The part of a refused request that is asked for again when its caller comes back. */
+    private static final double RETURNING_PART = 0.5;
+
     private final Map<Integer, Rank> ranks = new TreeMap<>();
 
     private static final class Rank {
@@ -26,10 +30,15 @@
     }
 
     /** Books pieces that callers asked for, served or not. */
-    void ask(int rank, int pieces, long nowMillis) {
+    void ask(int rank, double pieces, long nowMillis) {
         ranks.computeIfAbsent(rank, unknown -> new Rank()).asked.add(pieces, nowMillis);
     }
 
+    /** Books that pieces which were asked for will not be served. */
+    void refuse(int rank, int pieces, long nowMillis) {
+        ask(rank, -RETURNING_PART * pieces, nowMillis);
+    }
+
     /** Returns the part of the work that a rank is assured of, from 0 to below 1. */
     double assuredPart(int rank, long nowMillis) {
         Rank known = ranks.get(rank);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -91,6 +91,7 @@
                 new StageTask(job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner);
         if (pool().filter(limits -> isHopeless(task, limits)).isPresent()) {
             tally.count(StageTally.Event.LATE, job.rank(), job.pieces());
+            shares.refuse(job.rank(), job.pieces(), nowMillis);
             loop.execute(() -> task.fail(StageFailure.LATE));
             return;
         }
@@ -128,6 +129,7 @@
      */
     void unmet(int rank, int pieces) {
         shares.ask(rank, pieces, loop.nowMillis());
+        shares.refuse(rank, pieces, loop.nowMillis());
     }
 
     /** Returns the part of the work that a rank is assured of. */
@@ -379,6 +381,7 @@
 
     void fail(StageTask task, StageFailure failure) {
         if (tasks.remove(task)) {
+            shares.refuse(task.job().rank(), task.job().pieces(), loop.nowMillis());
             release(task.made());
             task.fail(failure);
         }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/RankSharesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/RankSharesTest.java
@@ -19,6 +19,14 @@
         assertThat(shares.assuredPart(1, 100)).isEqualTo(0.0);
     }
 
+    @Test
+    void aRefusalCountsHalfAsItsCallerComesBack() {
+        shares.ask(0, 10, 100);
+        shares.ask(2, 20, 100);
+        shares.refuse(2, 20, 100);
+        assertThat(shares.assuredPart(2, 100)).isWithin(1e-9).of(0.25);
+    }
+
     @Test
     void whatWasAskedForLongAgoCountsLess() {
         shares.ask(0, 10, 0);
