Take a refused job out of what its rank asks for as of when it was asked for

A job that is given up after seconds in the queue took out more than was still counted of it, down to a negative demand, so that the ranks whose jobs wait longest lost a part of their share. Found by reading; aRefusalAfterALongWaitTakesOutNoMoreThanIsStillCounted fails on the code before. The queue's least wait and its forecast now stand in one place.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/DecayingRate.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/DecayingRate.java
@@ -7,12 +7,17 @@
     private double weight;
     private long bookedMillis;
 
-    /** Books things that arrived at a time, which never goes back. */
+    /** Books things that arrive now. */
     void add(double count, long nowMillis) {
         weight = weightAt(nowMillis) + count;
         bookedMillis = nowMillis;
     }
 
+    /** Takes things out that were booked at an earlier time. */
+    void remove(double count, long arrivedMillis, long nowMillis) {
+        add(-count * Math.exp((arrivedMillis - nowMillis) / MEMORY_MILLIS), nowMillis);
+    }
+
     /** Returns how many things arrive in a millisecond. */
     double perMilli(long nowMillis) {
         return weightAt(nowMillis) / MEMORY_MILLIS;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankShares.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankShares.java
@@ -30,13 +30,16 @@
     }
 
     /** Books pieces that callers asked for, served or not. */
-    void ask(int rank, double pieces, long nowMillis) {
+    void ask(int rank, int pieces, long nowMillis) {
         ranks.computeIfAbsent(rank, unknown -> new Rank()).asked.add(pieces, nowMillis);
     }
 
-    /** Books that pieces which were asked for will not be served. */
-    void refuse(int rank, int pieces, long nowMillis) {
-        ask(rank, -RETURNING_PART * pieces, nowMillis);
+    /** Books that pieces which were asked for at an earlier time will not be served. */
+    void refuse(int rank, int pieces, long askedMillis, long nowMillis) {
+        Rank known = ranks.get(rank);
+        if (known != null) {
+            known.asked.remove(RETURNING_PART * pieces, askedMillis, nowMillis);
+        }
     }
 
     /** Returns the part of the work that a rank is assured of, from 0 to below 1. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -89,9 +89,9 @@
         shares.ask(job.rank(), job.pieces(), nowMillis);
         StageTask task =
                 new StageTask(job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner);
-        if (pool().filter(limits -> isHopeless(task, limits)).isPresent()) {
+        if (pool().filter(limits -> isInfeasible(task, limits)).isPresent()) {
             tally.count(StageTally.Event.LATE, job.rank(), job.pieces());
-            shares.refuse(job.rank(), job.pieces(), nowMillis);
+            shares.refuse(job.rank(), job.pieces(), nowMillis, nowMillis);
             loop.execute(() -> task.fail(StageFailure.LATE));
             return;
         }
@@ -104,7 +104,7 @@
      * Tells whether a request that has not begun is better refused at once: it will be late, and
      * with what arrives before it, not be served while its caller waits.
      */
-    private boolean isHopeless(StageTask task, StagePool limits) {
+    private boolean isInfeasible(StageTask task, StagePool limits) {
         StageJob job = task.job();
         if (!job.isFirst()) {
             return false;
@@ -128,8 +128,9 @@
      * refused before.
      */
     void unmet(int rank, int pieces) {
-        shares.ask(rank, pieces, loop.nowMillis());
-        shares.refuse(rank, pieces, loop.nowMillis());
+        long nowMillis = loop.nowMillis();
+        shares.ask(rank, pieces, nowMillis);
+        shares.refuse(rank, pieces, nowMillis, nowMillis);
     }
 
     /** Returns the part of the work that a rank is assured of. */
@@ -276,20 +277,6 @@
                 tasks, callMillis(limits), millisPerPiece(limits), loop.nowMillis());
     }
 
-    /**
-     * Returns the time until a piece is in a call, by its rank or by the share of its rank,
-     * whichever is sooner.
-     *
-     * @param ahead the pieces that go before it by rank
-     * @param ownAhead those of them that are of its rank
-     */
-    private double waitMillis(int rank, int ahead, int ownAhead, double pieceMillis) {
-        double assuredPart = assuredPart(rank);
-        return assuredPart > 0
-                ? pieceMillis * Math.min(ahead, ownAhead / assuredPart)
-                : pieceMillis * ahead;
-    }
-
     /** Returns the time that one piece takes when all upstreams run full calls, or as observed. */
     private double millisPerPiece(StagePool limits) {
         double speed = workers.values().stream().mapToDouble(w -> 1 / w.slowness()).sum();
@@ -355,7 +342,8 @@
             int ownAhead = aheadOfRank.getOrDefault(rank, 0);
             double doneMillis =
                     nowMillis
-                            + waitMillis(rank, ahead, ownAhead, pieceMillis)
+                            + forecast.leastWaitMillis(
+                                    rank, ahead, ownAhead, pieceMillis, nowMillis)
                             + limits.callMillis();
             double latest = task.job().deadlineAtMillis() - (double) task.job().leastLaterMillis();
             if (waiting > 0 && doneMillis > latest) {
@@ -381,7 +369,8 @@
 
     void fail(StageTask task, StageFailure failure) {
         if (tasks.remove(task)) {
-            shares.refuse(task.job().rank(), task.job().pieces(), loop.nowMillis());
+            shares.refuse(
+                    task.job().rank(), task.job().pieces(), task.arrivedMillis(), loop.nowMillis());
             release(task.made());
             task.fail(failure);
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageForecast.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageForecast.java
@@ -67,6 +67,20 @@
         return waitMillis(rank, StageOrder.lateRank(rank), queue);
     }
 
+    /**
+     * Returns the least time until a waiting piece is in a call, by its rank or by its share,
+     * whichever is sooner, as if nothing arrived.
+     *
+     * @param ahead the pieces that go before it by rank
+     * @param ownAhead those of them that are of its rank
+     */
+    double leastWaitMillis(int rank, int ahead, int ownAhead, double pieceMillis, long nowMillis) {
+        double assured = shares.assuredPart(rank, nowMillis);
+        return assured > 0
+                ? pieceMillis * Math.min(ahead, ownAhead / assured)
+                : pieceMillis * ahead;
+    }
+
     private double waitMillis(int rank, int order, Queue queue) {
         int ahead = 0;
         int withOwn = 1;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/RankSharesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/RankSharesTest.java
@@ -23,10 +23,20 @@
     void aRefusalCountsHalfAsItsCallerComesBack() {
         shares.ask(0, 10, 100);
         shares.ask(2, 20, 100);
-        shares.refuse(2, 20, 100);
+        shares.refuse(2, 20, 100, 100);
         assertThat(shares.assuredPart(2, 100)).isWithin(1e-9).of(0.25);
     }
 
+    // Guards against ranks that owe demand once jobs are given up that waited for long.
+    @Test
+    void aRefusalAfterALongWaitTakesOutNoMoreThanIsStillCounted() {
+        shares.ask(0, 10, 0);
+        shares.ask(2, 20, 0);
+        shares.refuse(2, 20, 0, 9_000);
+        assertThat(shares.assuredPart(2, 9_000)).isWithin(1e-9).of(0.25);
+        assertThat(shares.assuredPart(0, 9_000)).isWithin(1e-9).of(0.25);
+    }
+
     @Test
     void whatWasAskedForLongAgoCountsLess() {
         shares.ask(0, 10, 0);
