--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -99,6 +99,7 @@
     /** Ends the work of the stages. */
     void end() {
         if (!ended && !read && !progress.isWhole()) {
+            noteUnmet();
             route.stages().stream()
                     .map(StageStep::service)
                     .distinct()
@@ -108,11 +109,24 @@
         release();
     }
 
+    /** Tells the owners of stages that were never begun what the caller asked for. */
+    private void noteUnmet() {
+        if (rounds == 0) {
+            progress.notBegun()
+                    .forEach(
+                            stage ->
+                                    parts.stages()
+                                            .unmet(
+                                                    route.stages().get(stage).service(),
+                                                    route.priority(),
+                                                    progress.piecesOf(stage)));
+        }
+    }
+
     /** Returns the expected time until all results are there, by the queues of the stages. */
     long expectedMillis() {
-        return progress.longestWay().stream()
-                .mapToLong(service -> expectedWait(service).waitMillis() + LEAST_STAGE_MILLIS)
-                .sum();
+        return progress.remainingMillis(
+                service -> expectedWait(service).waitMillis() + LEAST_STAGE_MILLIS);
     }
 
     private StageWait expectedWait(String service) {
@@ -123,9 +137,7 @@
     private long laterMillis(int stage) {
         int unreadTokens = request.promptTokens() - prompt().sharedTokens();
         long stagesMillis =
-                progress.longestWayAfter(stage).stream()
-                        .mapToLong(service -> expectedWait(service).totalMillis())
-                        .sum();
+                progress.millisAfter(stage, service -> expectedWait(service).totalMillis());
         return stagesMillis + ENGINE_MILLIS + EngineChoice.readMillis(unreadTokens);
     }
 
@@ -137,9 +149,9 @@
                 progress.outputBytesByFailureDomain());
     }
 
-    /** Returns the wait of each stage on the longest way, with its age. */
+    /** Returns the wait of each service whose results are needed, with its age. */
     String describeWaits() {
-        return progress.longestWay().stream()
+        return progress.openServices().stream()
                 .map(
                         service -> {
                             StageWait wait = expectedWait(service);
@@ -179,8 +191,9 @@
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
                         laterMillis(stage),
-                        ENGINE_MILLIS + LEAST_STAGE_MILLIS * progress.stagesAfter(stage),
-                        progress.inputFailureDomain(stage).orElse(failureDomain));
+                        ENGINE_MILLIS + progress.millisAfter(stage, any -> LEAST_STAGE_MILLIS),
+                        progress.inputFailureDomain(stage).orElse(failureDomain),
+                        rounds == 0 && progress.hasNoResults());
         parts.observer()
                 .decided(
                         request.id(),
@@ -193,10 +206,13 @@
     private final class Wait implements StageListener {
         private final int stage;
         private final StageProgress round;
+        private final long submittedMillis = parts.loop().nowMillis();
+        private final long toldMillis;
 
         Wait(int stage, StageProgress round) {
             this.stage = stage;
             this.round = round;
+            this.toldMillis = expectedWait(route.stages().get(stage).service()).totalMillis();
         }
 
         @Override
@@ -219,7 +235,12 @@
                     .decided(
                             request.id(),
                             Decision.STAGE_FAILED,
-                            "stage=" + stage + " failure=" + failure);
+                            "stage=%d failure=%s waitedMillis=%d toldMillis=%d"
+                                    .formatted(
+                                            stage,
+                                            failure,
+                                            parts.loop().nowMillis() - submittedMillis,
+                                            toldMillis));
             if (failure == StageFailure.INPUT_GONE) {
                 resultGone();
             } else {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -49,6 +49,8 @@
     private final Loop loop;
     private final Consumer<List<StageResult>> releaseInputs;
     private final StageOrder order = new StageOrder();
+    private final RankShares shares = new RankShares();
+    private final StageForecast forecast = new StageForecast(shares);
     private final DrainMeter drain = new DrainMeter();
     private final InputHold inputHold = new InputHold();
     private final TimeEstimate callTime = new TimeEstimate();
@@ -82,14 +84,57 @@
      * @param owner whether this router owns the service
      */
     void submit(StageJob job, StageListener listener, boolean owner) {
-        budget.request(service, StageJob.OWNER_PART, loop.nowMillis());
         long nowMillis = loop.nowMillis();
-        tasks.add(
-                new StageTask(
-                        job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner));
+        budget.request(service, StageJob.OWNER_PART, nowMillis);
+        shares.ask(job.rank(), job.pieces(), nowMillis);
+        StageTask task =
+                new StageTask(job, listener, nowMillis, inputsLapseAtMillis(job, nowMillis), owner);
+        if (pool().filter(limits -> isHopeless(task, limits)).isPresent()) {
+            tally.count(StageTally.Event.LATE, job.rank(), job.pieces());
+            loop.execute(() -> task.fail(StageFailure.LATE));
+            return;
+        }
+        tasks.add(task);
+        pool().ifPresent(limits -> forecast.arrive(task, callMillis(limits), nowMillis));
         loop.execute(this::pump);
     }
 
+    /**
+     * Tells whether a request that has not begun is better refused at once: it will be late, and
+     * with what arrives before it, not be served while its caller waits.
+     */
+    private boolean isHopeless(StageTask task, StagePool limits) {
+        StageJob job = task.job();
+        if (!job.isFirst()) {
+            return false;
+        }
+        refreshWorkers();
+        StageForecast.Queue queue = queue(limits);
+        double onTimeMillis =
+                forecast.onTimeWaitMillis(job.rank(), queue)
+                        + limits.callMillis()
+                        + job.laterMillis();
+        double lateMillis =
+                forecast.lateWaitMillis(job.rank(), queue)
+                        + limits.callMillis()
+                        + job.leastLaterMillis();
+        return queue.nowMillis() + onTimeMillis > job.objectiveAtMillis()
+                && queue.nowMillis() + lateMillis > job.deadlineAtMillis();
+    }
+
+    /**
+     * Notes pieces that callers asked for and that were not submitted, as their requests were
+     * refused before.
+     */
+    void unmet(int rank, int pieces) {
+        shares.ask(rank, pieces, loop.nowMillis());
+    }
+
+    /** Returns the part of the work that a rank is assured of. */
+    double assuredPart(int rank) {
+        return shares.assuredPart(rank, loop.nowMillis());
+    }
+
     /** Notes that this router has just become the owner, so that the upstreams may be at work. */
     void takeOver() {
         pool().ifPresent(
@@ -181,7 +226,7 @@
         long nowMillis = loop.nowMillis();
         logger.atInfo().log(
                 "stage queue: service=%s owner=%s tasks=%d late=%d waiting=%d oldestMillis=%d %s"
-                        + " workers=%s",
+                        + " ranks=%s workers=%s",
                 service,
                 owner,
                 tasks.size(),
@@ -189,6 +234,8 @@
                 waitingPieces(),
                 oldestWaitMillis(),
                 tally.take(),
+                new RankReport(tasks, tally, this::expectedWaitMillis)
+                        .take(pool().map(this::callMillis).orElse(0.0), nowMillis),
                 workers.values().stream().map(w -> w.describe(nowMillis)).toList());
     }
 
@@ -218,20 +265,27 @@
 
     /** Returns the time until a new piece of a rank would be in a call. */
     long expectedWaitMillis(int rank) {
-        Optional<StagePool> limits = pool();
-        if (limits.isEmpty()) {
-            return 0;
-        }
-        long nowMillis = loop.nowMillis();
-        int ahead =
-                tasks.stream()
-                        .filter(
-                                task ->
-                                        StageOrder.rank(task, callMillis(limits.get()), nowMillis)
-                                                <= StageOrder.onTimeRank(rank))
-                        .mapToInt(task -> task.waiting().size())
-                        .sum();
-        return Math.round(ahead * millisPerPiece(limits.get()));
+        return pool().map(limits -> Math.round(forecast.onTimeWaitMillis(rank, queue(limits))))
+                .orElse(0L);
+    }
+
+    private StageForecast.Queue queue(StagePool limits) {
+        return new StageForecast.Queue(
+                tasks, callMillis(limits), millisPerPiece(limits), loop.nowMillis());
+    }
+
+    /**
+     * Returns the time until a piece is in a call, by its rank or by the share of its rank,
+     * whichever is sooner.
+     *
+     * @param ahead the pieces that go before it by rank
+     * @param ownAhead those of them that are of its rank
+     */
+    private double waitMillis(int rank, int ahead, int ownAhead, double pieceMillis) {
+        double assuredPart = assuredPart(rank);
+        return assuredPart > 0
+                ? pieceMillis * Math.min(ahead, ownAhead / assuredPart)
+                : pieceMillis * ahead;
     }
 
     /** Returns the time that one piece takes when all upstreams run full calls, or as observed. */
@@ -287,6 +341,7 @@
     private void failLate(StagePool limits, long nowMillis) {
         double pieceMillis = millisPerPiece(limits);
         int ahead = 0;
+        Map<Integer, Integer> aheadOfRank = new HashMap<>();
         for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
             int waiting = task.waiting().size();
             if (waiting > 0 && task.haveInputsLapsed(nowMillis)) {
@@ -294,13 +349,19 @@
                 fail(task, StageFailure.INPUT_GONE);
                 continue;
             }
-            double doneMillis = nowMillis + ahead * pieceMillis + limits.callMillis();
+            int rank = task.job().rank();
+            int ownAhead = aheadOfRank.getOrDefault(rank, 0);
+            double doneMillis =
+                    nowMillis
+                            + waitMillis(rank, ahead, ownAhead, pieceMillis)
+                            + limits.callMillis();
             double latest = task.job().deadlineAtMillis() - (double) task.job().leastLaterMillis();
             if (waiting > 0 && doneMillis > latest) {
-                tally.count(StageTally.Event.LATE, waiting);
+                tally.count(StageTally.Event.LATE, rank, waiting);
                 fail(task, StageFailure.LATE);
             } else {
                 ahead += waiting;
+                aheadOfRank.put(rank, ownAhead + waiting);
             }
         }
     }
@@ -372,12 +433,21 @@
         StageBatch batch = new StageBatch(limits, usableRoom(limits) - worker.usedBytes(nowMillis));
         boolean probe = worker.slowness() >= SLOW;
         String failureDomain = worker.upstream().entry().failureDomain();
-        for (StageTask task : order.order(tasks, callMillis(limits), nowMillis, failureDomain)) {
-            if (!task.waiting().isEmpty()
-                    && !worker.lacksRoomFor(task.job().resultBytes(), nowMillis)
-                    && mayTake(worker, task, limits, nowMillis)) {
-                batch.take(task);
-            }
+        List<StageTask> eligible =
+                tasks.stream()
+                        .filter(task -> !task.waiting().isEmpty())
+                        .filter(task -> !worker.lacksRoomFor(task.job().resultBytes(), nowMillis))
+                        .filter(task -> mayTake(worker, task, limits, nowMillis))
+                        .toList();
+        for (StageTask task :
+                order.order(
+                        eligible,
+                        callMillis(limits),
+                        nowMillis,
+                        failureDomain,
+                        shares,
+                        limits.batch())) {
+            batch.take(task);
             if (batch.isFull() || (probe && !batch.isEmpty())) {
                 break;
             }
@@ -409,7 +479,11 @@
         new StageCall(this, service, worker, batch, limits.resultMillis(), inputHold, tally, loop)
                 .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
-        tally.count(StageTally.Event.TAKEN, items.size());
+        Map<Integer, Integer> taken = batch.piecesOfRank();
+        taken.forEach((rank, pieces) -> tally.count(StageTally.Event.TAKEN, rank, pieces));
+        shares.take(taken, limits.batch(), nowMillis);
+        double callMillis = callMillis(limits);
+        batch.parts().forEach(part -> forecast.serve(part.task(), callMillis, nowMillis));
     }
 
     private static StageItem item(StageBatch.Part part, long nowMillis) {
