--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/DecayingRate.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/DecayingRate.java
@@ -2,6 +2,7 @@
 
 /** A rate of things that arrive, in which older arrivals count exponentially less. */
 final class DecayingRate {
+    /** The time in which the weight of an arrival falls to 1/e, in milliseconds. */
     private static final double MEMORY_MILLIS = 3_000;
 
     private double weight;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankShares.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankShares.java
@@ -12,7 +12,7 @@
  * if there were no ranks, and no rank gets a smaller part than a less urgent one. A caller that is
  * refused comes back once, as a rule, so that each refusal counts half.
  *
- * <p>A rank earns credit with each piece that is taken, whoever's it is, and spends it with its own
+ * <p>A rank earns credit with each piece that is taken, of any rank, and spends it with its own
  * pieces. A rank that gets its share by its urgency has no credit left.
  */
 final class RankShares {
