--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageForecast.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageForecast.java
@@ -5,9 +5,9 @@
 import java.util.TreeMap;
 
 /**
- * The waits that new jobs of a stage service are to expect: by what waits and what arrives ahead of
- * a job meanwhile, by the share of its rank, or by the rate at which such jobs were lately served
- * (Little's law), whichever is sooner.
+ * The waits that new jobs of a stage service are to expect: by what waits ahead of them, by the
+ * share of their rank, or by the rate at which such jobs were lately served (Little's law),
+ * whichever is sooner. The wait of a late job counts what arrives ahead of it meanwhile, too.
  */
 final class StageForecast {
     /** The wait of a job that is not served as long as others arrive as they do now. */
