Read the limits that upstreams name, and log them

The logs could not tell whether routers knew of an upstream's limit, whose it was, or which sends were made under one. Answers to requests and stage calls are now read for it; a change is logged, each SENT line and a gauge show it. An answer to a request from before the limit was heard neither raises nor ends it, an unreadable one changes nothing. Nothing acts on it yet.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -39,6 +39,7 @@
 import org.bronzewheel.standin.VirtualPeers;
 import org.bronzewheel.transport.PeerTransport;
 import org.bronzewheel.upstreams.EngineChoice;
+import org.bronzewheel.upstreams.NamedLimit;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
 
@@ -311,7 +312,9 @@
             return loop.after(
                     ENGINE_MILLIS,
                     () -> {
-                        listener.onHead(new UpstreamHead(OK, List.of(), true, false, false, false));
+                        listener.onHead(
+                                new UpstreamHead(
+                                        OK, List.of(), true, false, false, false, NamedLimit.NONE));
                         listener.onEnd();
                     });
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -14,6 +14,7 @@
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.serving.RequestObserver.Decision;
+import org.bronzewheel.upstreams.NamedLimits;
 import org.bronzewheel.upstreams.Upstream;
 import org.bronzewheel.upstreams.UpstreamChoice;
 import org.bronzewheel.upstreams.UpstreamHealth;
@@ -247,7 +248,14 @@
                 .decided(
                         request.id(),
                         Decision.SENT,
-                        "service=" + service + " upstream=" + upstream.entry().id());
+                        "service=%s upstream=%s limitPerSecond=%s"
+                                .formatted(
+                                        service,
+                                        upstream.entry().id(),
+                                        NamedLimits.describe(
+                                                parts.upstreams()
+                                                        .limits()
+                                                        .perSecond(upstream.entry().id()))));
         tried.add(upstream.entry().id());
         runs++;
         send = new RequestSend(this, service, upstream, engine);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
@@ -84,6 +84,10 @@
         head = next;
         if (next.misdirected()) {
             upstream.markMisdirected();
+        } else if (next.signed() || next.neverRan()) {
+            parts.upstreams()
+                    .limits()
+                    .answered(upstream.entry().id(), next.limit(), sentMillis, heardMillis);
         }
         if (next.neverRan()) {
             cancel();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamHead.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamHead.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.serving;
 
 import java.util.List;
+import org.bronzewheel.upstreams.NamedLimit;
 
 /**
  * The head of an upstream's answer.
@@ -11,6 +12,7 @@
  * @param neverRan whether the upstream states that the request did not run
  * @param misdirected whether another upstream answers at the address
  * @param encoded whether the body is not the plain body of the upstream
+ * @param limit what the answer says of the requests that the upstream takes
  */
 public record UpstreamHead(
         int status,
@@ -18,7 +20,8 @@
         boolean signed,
         boolean neverRan,
         boolean misdirected,
-        boolean encoded) {
+        boolean encoded,
+        NamedLimit limit) {
     boolean isSuccess() {
         return status >= 200 && status < 300;
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -468,7 +468,16 @@
         worker.begin(batch.bytes(), nowMillis);
         double factor = worker.slowness() >= SLOW ? TIMEOUT_FACTOR_WHEN_SLOW : TIMEOUT_FACTOR;
         long timeoutMillis = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
-        new StageCall(this, service, worker, batch, limits.resultMillis(), inputHold, tally, loop)
+        new StageCall(
+                        this,
+                        service,
+                        worker,
+                        batch,
+                        limits.resultMillis(),
+                        inputHold,
+                        tally,
+                        upstreams.limits(),
+                        loop)
                 .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
         Map<Integer, Integer> taken = batch.piecesOfRank();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
@@ -26,6 +26,7 @@
     private final Map<String, List<Upstream>> byService = new HashMap<>();
     private final Map<String, Long> lapsedUntilMillis = new HashMap<>();
     private final Set<Runnable> listeners = new HashSet<>();
+    private final NamedLimits limits = new NamedLimits();
     private boolean loaded;
     private long outageEndMillis = Long.MIN_VALUE / 2;
     private boolean outage;
@@ -49,6 +50,15 @@
         listeners.add(listener);
     }
 
+    /**
+     * Returns what upstreams said of the requests that they take.
+     *
+     * @return the limits, also of upstreams that are not known any more
+     */
+    public NamedLimits limits() {
+        return limits;
+    }
+
     /** Books that the platform does not answer. */
     public void platformLost() {
         outage = true;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -9,6 +9,7 @@
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.stages.StageFailure;
+import org.bronzewheel.upstreams.NamedLimit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -23,7 +24,10 @@
     private enum Fault {
         REJECTED(s -> s.listener.onHead(head(503, false, true)), true, 0),
         MISDIRECTED(
-                s -> s.listener.onHead(new UpstreamHead(421, List.of(), false, true, true, false)),
+                s ->
+                        s.listener.onHead(
+                                new UpstreamHead(
+                                        421, List.of(), false, true, true, false, NamedLimit.NONE)),
                 true,
                 0),
         NOT_CONNECTED(s -> s.listener.onFailure(CallFailure.NOT_SENT, "refused"), true, 0),
@@ -38,7 +42,10 @@
                 502),
         UNSIGNED_SUCCESS(s -> s.listener.onHead(head(200, false, false)), false, 502),
         ENCODED_SUCCESS(
-                s -> s.listener.onHead(new UpstreamHead(200, List.of(), true, false, false, true)),
+                s ->
+                        s.listener.onHead(
+                                new UpstreamHead(
+                                        200, List.of(), true, false, false, true, NamedLimit.NONE)),
                 false,
                 502),
         // A 503 without the statement that the request did not run promises nothing.
@@ -56,7 +63,8 @@
         }
 
         private static UpstreamHead head(int status, boolean signed, boolean neverRan) {
-            return new UpstreamHead(status, List.of(), signed, neverRan, false, false);
+            return new UpstreamHead(
+                    status, List.of(), signed, neverRan, false, false, NamedLimit.NONE);
         }
     }
 
@@ -273,7 +281,9 @@
         world.jobs.get(0).done();
         world.lastSend()
                 .listener
-                .onHead(new UpstreamHead(409, List.of(), false, true, false, false));
+                .onHead(
+                        new UpstreamHead(
+                                409, List.of(), false, true, false, false, NamedLimit.NONE));
         assertThat(world.jobs).hasSize(2);
 
         world.jobs.get(1).fail(StageFailure.LATE);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -30,6 +30,7 @@
 import org.bronzewheel.stages.StageService;
 import org.bronzewheel.stages.StageWait;
 import org.bronzewheel.upstreams.EngineChoice;
+import org.bronzewheel.upstreams.NamedLimit;
 import org.bronzewheel.upstreams.PromptPart;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
@@ -70,7 +71,9 @@
         }
 
         void head(int status) {
-            listener.onHead(new UpstreamHead(status, List.of(), true, false, false, false));
+            listener.onHead(
+                    new UpstreamHead(
+                            status, List.of(), true, false, false, false, NamedLimit.NONE));
         }
 
         void data(String text) {
