--- a/bronzewheel-ctl/src/test/java/org/bronzewheel/architecture/ModulesTest.java
+++ b/bronzewheel-ctl/src/test/java/org/bronzewheel/architecture/ModulesTest.java
@@ -32,7 +32,7 @@
                     Map.entry("wire", Set.of()),
                     Map.entry("fleet", Set.of("model", "wire")),
                     Map.entry("http", Set.of("model")),
-                    Map.entry("serving", Set.of("model", "wire", "fleet")),
+                    Map.entry("serving", Set.of("model", "decision", "wire", "fleet")),
                     Map.entry("upstream", Set.of("model")),
                     Map.entry(
                             "router",
--- a/bronzewheel-decision/src/main/java/org/bronzewheel/admission/TokenBucket.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/admission/TokenBucket.java
@@ -23,6 +23,20 @@
         this.tokens = size();
     }
 
+    /**
+     * Creates an empty bucket, for a rate of which others may just have used a part.
+     *
+     * @param ratePerSecond this router's share of the rate, in tokens a second
+     * @param burstSeconds the size of the bucket, in seconds of its rate; it holds at least 1 token
+     * @param nowNanos the present time
+     * @return the bucket
+     */
+    public static TokenBucket empty(double ratePerSecond, double burstSeconds, long nowNanos) {
+        TokenBucket bucket = new TokenBucket(ratePerSecond, burstSeconds, nowNanos);
+        bucket.tokens = 0;
+        return bucket;
+    }
+
     /**
      * Sets the share; tokens above the new size are lost.
      *
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -21,6 +21,7 @@
 import org.bronzewheel.measure.StageProfile.StageRoute;
 import org.bronzewheel.peering.PeerNetwork;
 import org.bronzewheel.peering.SeedMembership;
+import org.bronzewheel.permits.Permits;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.serving.CallerExchange;
 import org.bronzewheel.serving.CallerRequest;
@@ -236,7 +237,15 @@
             catalog.confirm(1, loop.now());
             table.replaceAll(entries, 0);
             shared =
-                    new StageParts(catalog, table, upstreams, transport, membership, budget, loop)
+                    new StageParts(
+                                    catalog,
+                                    table,
+                                    Permits.UNLIMITED,
+                                    upstreams,
+                                    transport,
+                                    membership,
+                                    budget,
+                                    loop)
                             .build();
             network =
                     new PeerNetwork(
@@ -245,13 +254,15 @@
                             loop,
                             shared::ownBacklogs,
                             shared::submitters,
-                            shared::takeBacklog);
+                            shared::takeBacklog,
+                            table.limits());
             engine =
                     new ServingEngine(
                             new ServingParts(
                                     catalog,
                                     table,
                                     this::send,
+                                    Permits.UNLIMITED,
                                     shared,
                                     budget,
                                     new EngineChoice(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
@@ -9,12 +9,15 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.permits.PermitCodec;
 import org.bronzewheel.service.Service;
 import org.bronzewheel.transport.Channel;
 import org.bronzewheel.transport.Peer;
 import org.bronzewheel.transport.PeerTransport;
+import org.bronzewheel.upstreams.NamedLimits;
 import org.bronzewheel.wire.SeedHello;
 import org.bronzewheel.wire.StageBacklog;
+import org.bronzewheel.wire.UpstreamLimit;
 
 /** The exchange of signs of life and of the backlogs of stage services between routers. */
 public final class PeerNetwork implements Service {
@@ -26,6 +29,7 @@
     private final Supplier<Map<String, Backlog>> ownBacklogs;
     private final Supplier<Set<String>> backlogReaders;
     private final BiConsumer<String, Backlog> onBacklog;
+    private final NamedLimits limits;
     private List<String> lastLive = List.of();
     private Disposable ticks = Disposable.disposed();
 
@@ -38,6 +42,7 @@
      * @param ownBacklogs the work of the services that this router owns
      * @param backlogReaders the VMs that are to hear of them each time
      * @param onBacklog takes those that other owners tell
+     * @param limits what upstreams said of the requests that they take, told and heard
      */
     public PeerNetwork(
             PeerTransport transport,
@@ -45,13 +50,15 @@
             Loop loop,
             Supplier<Map<String, Backlog>> ownBacklogs,
             Supplier<Set<String>> backlogReaders,
-            BiConsumer<String, Backlog> onBacklog) {
+            BiConsumer<String, Backlog> onBacklog,
+            NamedLimits limits) {
         this.transport = transport;
         this.membership = membership;
         this.loop = loop;
         this.ownBacklogs = ownBacklogs;
         this.backlogReaders = backlogReaders;
         this.onBacklog = onBacklog;
+        this.limits = limits;
         transport.listen(
                 Channel.MEMBERSHIP, (from, bytes) -> loop.execute(() -> receive(from, bytes)));
     }
@@ -85,6 +92,10 @@
                                                 .setService(service)
                                                 .addAllWaitMillis(backlog.waitMillis())
                                                 .setCallMillis(backlog.callMillis())));
+        limits.recent(nowMillis)
+                .forEach(
+                        (id, statement) ->
+                                message.addLimits(PermitCodec.encode(id, statement, nowMillis)));
         byte[] bytes = message.build().toByteArray();
         Set<String> targets = membership.targets(nowMillis);
         targets.addAll(backlogReaders.get());
@@ -135,7 +146,11 @@
     private void receive(Peer from, byte[] bytes) {
         try {
             SeedHello message = SeedHello.parseFrom(bytes);
-            membership.receive(decode(message), loop.nowMillis());
+            long nowMillis = loop.nowMillis();
+            membership.receive(decode(message), nowMillis);
+            for (UpstreamLimit limit : message.getLimitsList()) {
+                limits.learned(limit.getUpstreamId(), PermitCodec.decode(limit, nowMillis));
+            }
             for (StageBacklog backlog : message.getBacklogsList()) {
                 onBacklog.accept(
                         backlog.getService(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
@@ -269,10 +269,7 @@
         for (Map.Entry<String, PeerRecord> entry : known.entrySet()) {
             PeerRecord peer = entry.getValue();
             boolean able =
-                    peer.isLive(nowMillis, silenceMillis)
-                            && !peer.isSuspected()
-                            && !peer.isLeaving()
-                            && !excluded.contains(entry.getKey());
+                    isAble(peer, nowMillis, silenceMillis) && !excluded.contains(entry.getKey());
             long score = able ? RendezvousHash.score(thing, entry.getKey()) : 0;
             if (able && (!own || Long.compareUnsigned(score, best) > 0)) {
                 own = true;
@@ -283,6 +280,22 @@
         return owner;
     }
 
+    /**
+     * Returns the number of routers that may own something.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the number of those heard lately that neither leave nor failed to answer, with this
+     *     router
+     */
+    public int able(long nowMillis) {
+        long silenceMillis = silenceMillis();
+        return 1 + idsOf(peer -> isAble(peer, nowMillis, silenceMillis)).size();
+    }
+
+    private static boolean isAble(PeerRecord peer, long nowMillis, long silenceMillis) {
+        return peer.isLive(nowMillis, silenceMillis) && !peer.isSuspected() && !peer.isLeaving();
+    }
+
     /**
      * Returns the number of routers among which shared limits are split.
      *
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PermitKeeper.java
@@ -0,0 +1,108 @@
+package org.bronzewheel.permits;
+
+import com.google.common.flogger.FluentLogger;
+import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.upstreams.NamedLimits;
+
+/** The books of the limits that this router keeps. Owned by the serving loop. */
+final class PermitKeeper {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long REPORT_MILLIS = 1_000;
+    private static final long IDLE_MILLIS = 60_000;
+
+    private final NamedLimits limits;
+    private final Loop loop;
+    private final Map<String, Kept> kept = new TreeMap<>();
+
+    /** A book with its timer. */
+    private static final class Kept {
+        private final PermitBook book;
+        private long askedMillis;
+        private Disposable timer = Disposable.disposed();
+
+        Kept(PermitBook book) {
+            this.book = book;
+        }
+    }
+
+    PermitKeeper(NamedLimits limits, Loop loop) {
+        this.limits = limits;
+        this.loop = loop;
+    }
+
+    /**
+     * Decides on a request.
+     *
+     * @param part the part of the limit that this router may grant
+     * @param reply takes the decision, possibly before this method returns
+     */
+    void ask(
+            String upstreamId,
+            int rank,
+            long patienceMillis,
+            double part,
+            Consumer<PermitDecision> reply) {
+        OptionalDouble limit = limits.perSecond(upstreamId);
+        if (limit.isEmpty()) {
+            giveUp(upstreamId);
+            reply.accept(PermitDecision.GRANTED);
+            return;
+        }
+        long nowMillis = loop.nowMillis();
+        Kept found =
+                kept.computeIfAbsent(
+                        upstreamId,
+                        id -> new Kept(new PermitBook(limit.getAsDouble(), part, nowMillis)));
+        found.askedMillis = nowMillis;
+        found.book.setLimit(limit.getAsDouble(), part, nowMillis);
+        found.book.ask(rank, patienceMillis, nowMillis, reply);
+        schedule(found);
+    }
+
+    private void schedule(Kept found) {
+        found.timer.dispose();
+        if (found.book.hasWaiting()) {
+            found.timer =
+                    loop.after(found.book.nextEndMillis(loop.nowMillis()), () -> serve(found));
+        }
+    }
+
+    private void serve(Kept found) {
+        found.book.serve(loop.nowMillis());
+        schedule(found);
+    }
+
+    /** Closes the book of an upstream whose limit this router does not keep any more. */
+    void giveUp(String upstreamId) {
+        Kept closed = kept.remove(upstreamId);
+        if (closed != null) {
+            closed.timer.dispose();
+            closed.book.close(loop.nowMillis());
+        }
+    }
+
+    /** Starts writing what was decided, and forgets the books that nobody asks any more. */
+    Disposable start() {
+        return loop.every(REPORT_MILLIS, this::report);
+    }
+
+    private void report() {
+        long nowMillis = loop.nowMillis();
+        for (Iterator<Map.Entry<String, Kept>> it = kept.entrySet().iterator(); it.hasNext(); ) {
+            Map.Entry<String, Kept> entry = it.next();
+            PermitBook book = entry.getValue().book;
+            if (book.hasNews()) {
+                logger.atInfo().log("permits: upstream=%s %s", entry.getKey(), book.takeReport());
+            }
+            if (!book.hasWaiting() && nowMillis - entry.getValue().askedMillis > IDLE_MILLIS) {
+                it.remove();
+            }
+        }
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -13,6 +13,7 @@
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.upstreams.NamedLimits;
 import org.bronzewheel.upstreams.Upstream;
@@ -24,6 +25,7 @@
     private static final long DEFAULT_PATIENCE_MILLIS = 30_000;
     private static final long LEAST_SEND_MILLIS = 5;
     private static final double LONGEST_WAIT_SHARE = 0.6;
+    private static final double LONGEST_PERMIT_WAIT_SHARE = 0.5;
     private static final int MOST_REJECTIONS = 4;
     private static final long REJECTION_PAUSE_MILLIS = 40;
     private static final int LEAST_CONNECTIONS = 1;
@@ -57,6 +59,8 @@
     private Disposable timeout = Disposable.disposed();
     private Disposable firstAnswerTimeout = Disposable.disposed();
     private Disposable pause = Disposable.disposed();
+    private Disposable permit = Disposable.disposed();
+    private long permitRetryMillis;
 
     RequestRun(
             ServingParts parts,
@@ -170,24 +174,64 @@
 
     private void dispatch() {
         long nowMillis = loop.nowMillis();
-        if (ended) {
+        if (!maySend(nowMillis)) {
             return;
         }
+        String service = service();
+        Optional<Upstream> upstream = choose(service, nowMillis);
+        if (upstream.isEmpty()) {
+            giveUp("no upstream of " + service + " can take the request");
+        } else if (parts.permits().isNeeded(upstream.get().entry().id())) {
+            takePermit(service, upstream.get(), nowMillis);
+        } else {
+            send(service, upstream.get(), nowMillis);
+        }
+    }
+
+    /** Tells whether the request may still be sent; otherwise it has ended. */
+    private boolean maySend(long nowMillis) {
+        if (ended) {
+            return false;
+        }
         if (deadlineAtMillis - nowMillis < LEAST_SEND_MILLIS) {
             timedOut();
-            return;
+            return false;
         }
         if (!isStillAllowed()) {
             giveUp("the key may no longer be honoured");
-            return;
+            return false;
         }
-        String service = service();
-        Optional<Upstream> upstream = choose(service, nowMillis);
-        if (upstream.isEmpty()) {
-            giveUp("no upstream of " + service + " can take the request");
-            return;
+        return true;
+    }
+
+    private void takePermit(String service, Upstream upstream, long nowMillis) {
+        permit =
+                parts.permits()
+                        .take(
+                                upstream.entry().id(),
+                                rank(),
+                                permitPatienceMillis(service, nowMillis),
+                                decision -> permitDecided(service, upstream, decision));
+    }
+
+    /** A request waits for a permit only where no other upstream can take it. */
+    private long permitPatienceMillis(String service, long nowMillis) {
+        if (open(service).size() > 1) {
+            return 0;
+        }
+        long leftMillis = arrivedMillis + route.objectiveMillis() - nowMillis;
+        return Math.max(0, Math.round(LONGEST_PERMIT_WAIT_SHARE * leftMillis));
+    }
+
+    private void permitDecided(String service, Upstream upstream, PermitDecision decision) {
+        permitRetryMillis = decision.retryAfterMillis();
+        long nowMillis = loop.nowMillis();
+        boolean serving = parts.upstreams().serving(service).contains(upstream);
+        if (!decision.granted() || !serving || !service.equals(service())) {
+            dispatch();
+        } else if (maySend(nowMillis)) {
+            send(service, upstream, nowMillis);
         }
-        send(service, upstream.get(), nowMillis);
     }
 
     private boolean isStillAllowed() {
@@ -200,11 +244,7 @@
     }
 
     private Optional<Upstream> choose(String service, long nowMillis) {
-        int share = connectionShare(service);
-        List<Upstream> candidates =
-                parts.upstreams().serving(service).stream()
-                        .filter(upstream -> upstream.openCalls() < share)
-                        .toList();
+        List<Upstream> candidates = open(service);
         if (!isEngine(service)) {
             return UpstreamChoice.plain(candidates, tried, parts.failureDomain(), nowMillis);
         }
@@ -212,6 +252,24 @@
                 .choose(candidates, tried, stages.prompt(), parts.failureDomain(), nowMillis);
     }
 
+    /** Returns the upstreams that have a connection and, as far as is known, a permit left. */
+    private List<Upstream> open(String service) {
+        int share = connectionShare(service);
+        return parts.upstreams().serving(service).stream()
+                .filter(upstream -> upstream.openCalls() < share)
+                .filter(upstream -> !tried.contains(upstream.entry().id()))
+                .filter(u -> parts.permits().opensAfterMillis(u.entry().id()) == 0)
+                .toList();
+    }
+
+    /** Returns the time until the first upstream of the service may take a request again. */
+    private long opensAfterMillis() {
+        return parts.upstreams().serving(service()).stream()
+                .mapToLong(upstream -> parts.permits().opensAfterMillis(upstream.entry().id()))
+                .min()
+                .orElse(0);
+    }
+
     /** Returns the connections to one upstream that this router may have, as all share its cap. */
     private int connectionShare(String service) {
         return parts.catalog()
@@ -359,8 +417,11 @@
     private void refuse(String reason) {
         long leftMillis = deadlineAtMillis - loop.nowMillis();
         long excessMillis =
-                stages.expectedMillis()
-                        - Math.round(LONGEST_WAIT_SHARE * route.firstAnswerMillis(leftMillis));
+                Math.max(
+                        Math.max(permitRetryMillis, opensAfterMillis()),
+                        stages.expectedMillis()
+                                - Math.round(
+                                        LONGEST_WAIT_SHARE * route.firstAnswerMillis(leftMillis)));
         long after =
                 ReturnTime.afterMillis(
                         excessMillis, leftMillis, rank(), parts.random().nextDouble());
@@ -394,6 +455,7 @@
         timeout.dispose();
         firstAnswerTimeout.dispose();
         pause.dispose();
+        permit.dispose();
         if (send != null) {
             send.cancel();
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingParts.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingParts.java
@@ -3,6 +3,7 @@
 import java.util.random.RandomGenerator;
 import org.bronzewheel.catalog.CatalogState;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.permits.Permits;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.stages.StageService;
 import org.bronzewheel.upstreams.EngineChoice;
@@ -14,6 +15,7 @@
  * @param catalog the catalog in force
  * @param upstreams the upstreams that may get work
  * @param port the way to them
+ * @param permits the permits for upstreams that limit what they take
  * @param stages the work of stages
  * @param budget the budget of repeats
  * @param engines the choice of model engines
@@ -26,6 +28,7 @@
         CatalogState catalog,
         UpstreamTable upstreams,
         UpstreamPort port,
+        Permits permits,
         StageService stages,
         RepeatBudget budget,
         EngineChoice engines,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/RankShares.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/shares/RankShares.java
@@ -1,10 +1,11 @@
-package org.bronzewheel.stages;
+package org.bronzewheel.shares;
 
 import java.util.Map;
 import java.util.TreeMap;
 
 /**
- * The shares of a stage service that its ranks are assured of while its upstreams are scarce.
+ * The shares that ranks are assured of while what they ask for is scarce: the work of a stage
+ * service, or the requests that an upstream takes.
  *
  * <p>Urgent ranks go first, but not without a limit: half of what the upstreams do is assured to
  * the ranks in proportion to what their callers ask for, refused requests included. The other half
@@ -15,7 +16,7 @@
  * <p>A rank earns credit with each piece that is taken, of any rank, and spends it with its own
  * pieces. A rank that gets its share by its urgency has no credit left.
  */
-final class RankShares {
+public final class RankShares {
     /** The part of the work that is assured. */
     private static final double ASSURED_PART = 0.5;
 
@@ -29,21 +30,40 @@
         private double credit;
     }
 
-    /** Books pieces that callers asked for, served or not. */
-    void ask(int rank, int pieces, long nowMillis) {
+    /**
+     * Books pieces that callers asked for, served or not.
+     *
+     * @param rank the rank, 0 first
+     * @param pieces the number of pieces
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    public void ask(int rank, int pieces, long nowMillis) {
         ranks.computeIfAbsent(rank, unknown -> new Rank()).asked.add(pieces, nowMillis);
     }
 
-    /** Books that pieces which were asked for at an earlier time will not be served. */
-    void refuse(int rank, int pieces, long askedMillis, long nowMillis) {
+    /**
+     * Books that pieces which were asked for at an earlier time will not be served.
+     *
+     * @param rank the rank
+     * @param pieces the number of pieces
+     * @param askedMillis when they were asked for, in milliseconds of the steady clock
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    public void refuse(int rank, int pieces, long askedMillis, long nowMillis) {
         Rank known = ranks.get(rank);
         if (known != null) {
             known.asked.remove(RETURNING_PART * pieces, askedMillis, nowMillis);
         }
     }
 
-    /** Returns the part of the work that a rank is assured of, from 0 to below 1. */
-    double assuredPart(int rank, long nowMillis) {
+    /**
+     * Returns the part of the work that a rank is assured of.
+     *
+     * @param rank the rank
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the part, from 0 to below 1
+     */
+    public double assuredPart(int rank, long nowMillis) {
         Rank known = ranks.get(rank);
         if (known == null) {
             return 0;
@@ -57,8 +77,9 @@
      *
      * @param taken the pieces by rank
      * @param batch the pieces of a full call
+     * @param nowMillis the time, in milliseconds of the steady clock
      */
-    void take(Map<Integer, Integer> taken, int batch, long nowMillis) {
+    public void take(Map<Integer, Integer> taken, int batch, long nowMillis) {
         int all = taken.values().stream().mapToInt(Integer::intValue).sum();
         ranks.forEach(
                 (rank, state) -> {
@@ -68,14 +89,24 @@
                 });
     }
 
-    /** Returns the pieces of a rank that may go before those of more urgent ranks. */
-    double credit(int rank) {
+    /**
+     * Returns the pieces of a rank that may go before those of more urgent ranks.
+     *
+     * @param rank the rank
+     * @return the number of pieces
+     */
+    public double credit(int rank) {
         Rank known = ranks.get(rank);
         return known == null ? 0 : known.credit;
     }
 
-    /** Returns the credit that suffices for a task of any size, in pieces. */
-    static double mostCredit(int batch) {
+    /**
+     * Returns the credit that suffices for a task of any size.
+     *
+     * @param batch the pieces of a full call
+     * @return the number of pieces
+     */
+    public static double mostCredit(int batch) {
         return Math.max(1, ASSURED_PART * batch);
     }
 }
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/shares/package-info.java
@@ -0,0 +1,2 @@
+/** Shares of what is scarce, by rank. */
+package org.bronzewheel.shares;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -13,7 +13,9 @@
 import java.util.function.Function;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.permits.Permits;
 import org.bronzewheel.repeats.RepeatBudget;
+import org.bronzewheel.shares.RankShares;
 import org.bronzewheel.upstreams.Upstream;
 import org.bronzewheel.upstreams.UpstreamTable;
 
@@ -33,6 +35,7 @@
     private static final double TIMEOUT_FACTOR_WHEN_SLOW = 8;
     private static final long FREE_DELAY_MILLIS = 10;
     private static final long FREE_SETTLE_MILLIS = 12;
+    private static final long FREE_RETRY_MILLIS = 50;
     private static final long WAKE_UP_MILLIS = 50;
 
     /** Calls of a former owner that may be ahead of the first one of a new owner. */
@@ -44,6 +47,7 @@
     private final String service;
     private final Function<String, Optional<StagePool>> pools;
     private final UpstreamTable upstreams;
+    private final Permits permits;
     private final StagePort port;
     private final RepeatBudget budget;
     private final Loop loop;
@@ -58,6 +62,7 @@
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
     private final Map<String, List<String>> toFree = new HashMap<>();
+    private final Map<String, StagePermit> freePermits = new HashMap<>();
     private Disposable wakeUp = Disposable.disposed();
     private boolean freeing;
 
@@ -65,6 +70,7 @@
             String service,
             Function<String, Optional<StagePool>> pools,
             UpstreamTable upstreams,
+            Permits permits,
             StagePort port,
             RepeatBudget budget,
             Loop loop,
@@ -72,6 +78,7 @@
         this.service = service;
         this.pools = pools;
         this.upstreams = upstreams;
+        this.permits = permits;
         this.port = port;
         this.budget = budget;
         this.loop = loop;
@@ -190,20 +197,58 @@
             }
             toFree.computeIfAbsent(result.makerId(), id -> new ArrayList<>()).add(result.handle());
         }
-        if (!freeing && !results.isEmpty()) {
+        if (!results.isEmpty()) {
+            scheduleFree(FREE_DELAY_MILLIS);
+        }
+    }
+
+    private void scheduleFree(long delayMillis) {
+        if (!freeing) {
             freeing = true;
-            loop.after(FREE_DELAY_MILLIS, this::free);
+            loop.after(delayMillis, this::free);
         }
     }
 
     private void free() {
         freeing = false;
-        toFree.forEach(this::free);
+        Map<String, List<String>> due = new HashMap<>(toFree);
         toFree.clear();
+        due.forEach(this::free);
     }
 
-    /** Frees results at their maker; their room counts as taken until the maker had time for it. */
+    /** Frees results at their maker; one that limits what it takes is called with a permit. */
     private void free(String makerId, List<String> handles) {
+        if (!permits.isNeeded(makerId)) {
+            freeNow(makerId, handles);
+            return;
+        }
+        freePermits
+                .computeIfAbsent(makerId, id -> new StagePermit())
+                .ask(permits, makerId, loop, () -> loop.execute(this::free));
+        if (freePermits.get(makerId).isHeld(loop.now())) {
+            freePermits.remove(makerId);
+            freeNow(makerId, handles);
+        } else {
+            freeLater(makerId, handles);
+        }
+    }
+
+    /** Keeps results that have not lapsed for another try. */
+    private void freeLater(String makerId, List<String> handles) {
+        StageWorker worker = workers.get(makerId);
+        if (worker == null) {
+            return;
+        }
+        worker.usedBytes(loop.nowMillis());
+        List<String> kept = handles.stream().filter(worker::keeps).toList();
+        if (!kept.isEmpty()) {
+            toFree.computeIfAbsent(makerId, id -> new ArrayList<>()).addAll(kept);
+            scheduleFree(FREE_RETRY_MILLIS);
+        }
+    }
+
+    /** The room of freed results counts as taken until their maker had time for it. */
+    private void freeNow(String makerId, List<String> handles) {
         upstreams.known(makerId).ifPresent(maker -> port.free(maker.entry(), handles));
         loop.after(
                 FREE_SETTLE_MILLIS,
@@ -409,10 +454,25 @@
         return workers.values().stream()
                 .filter(worker -> worker.isIdle(nowMillis, limits.slots()))
                 .filter(worker -> !isTooSlow(worker, nowMillis))
+                .filter(this::hasPermit)
                 .sorted(Comparator.comparingDouble(StageWorker::slowness))
                 .toList();
     }
 
+    /**
+     * Tells whether an upstream may be called; otherwise a permit is asked for where work waits.
+     */
+    private boolean hasPermit(StageWorker worker) {
+        String id = worker.upstream().entry().id();
+        if (!permits.isNeeded(id) || worker.permit().isHeld(loop.now())) {
+            return true;
+        }
+        if (waitingPieces() > 0) {
+            worker.permit().ask(permits, id, loop, this::pump);
+        }
+        return false;
+    }
+
     /** Keeps a slow upstream idle but for a call now and then that measures it anew. */
     private boolean isTooSlow(StageWorker worker, long nowMillis) {
         if (worker.slowness() < SLOW || nowMillis - worker.lastCallMillis() > SLOW_PROBE_MILLIS) {
@@ -466,6 +526,7 @@
     private void send(StageWorker worker, StageBatch batch, StagePool limits, long nowMillis) {
         List<StageItem> items = batch.parts().stream().map(part -> item(part, nowMillis)).toList();
         worker.begin(batch.bytes(), nowMillis);
+        worker.permit().use();
         double factor = worker.slowness() >= SLOW ? TIMEOUT_FACTOR_WHEN_SLOW : TIMEOUT_FACTOR;
         long timeoutMillis = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
         new StageCall(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageForecast.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageForecast.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.bronzewheel.shares.DecayingRate;
+import org.bronzewheel.shares.RankShares;
 
 /**
  * The waits that new jobs of a stage service are to expect: by what waits ahead of them, by the
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.bronzewheel.shares.RankShares;
 
 /**
  * The order in which an owner serves waiting tasks.
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageParts.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageParts.java
@@ -6,6 +6,7 @@
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.peering.SeedMembership;
+import org.bronzewheel.permits.Permits;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.transport.PeerTransport;
 import org.bronzewheel.upstreams.UpstreamTable;
@@ -15,6 +16,7 @@
  *
  * @param catalog the limits of the services
  * @param upstreams the upstreams that may get work
+ * @param permits the permits for upstreams that limit what they take
  * @param port the way to them
  * @param transport the way to the other routers
  * @param membership the other routers
@@ -24,6 +26,7 @@
 public record StageParts(
         CatalogState catalog,
         UpstreamTable upstreams,
+        Permits permits,
         StagePort port,
         PeerTransport transport,
         SeedMembership membership,
@@ -42,7 +45,14 @@
                 loop,
                 (service, releaseInputs) ->
                         new StageDispatcher(
-                                service, this::pool, upstreams, port, budget, loop, releaseInputs));
+                                service,
+                                this::pool,
+                                upstreams,
+                                permits,
+                                port,
+                                budget,
+                                loop,
+                                releaseInputs));
     }
 
     private Optional<StagePool> pool(String service) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -15,6 +15,7 @@
     private static final long LONGEST_FULL_MILLIS = 800;
 
     private final Upstream upstream;
+    private final StagePermit permit = new StagePermit();
     private final Map<String, Kept> kept = new HashMap<>();
     private final Set<String> freed = new HashSet<>();
     private int running;
@@ -47,6 +48,14 @@
         return upstream;
     }
 
+    StagePermit permit() {
+        return permit;
+    }
+
+    boolean keeps(String handle) {
+        return kept.containsKey(handle);
+    }
+
     boolean isIdle(long nowMillis, int slots) {
         return running < slots && nowMillis >= pausedUntilMillis && !upstream.isMisdirected();
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/NamedLimits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/NamedLimits.java
@@ -1,10 +1,12 @@
 package org.bronzewheel.upstreams;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.stream.Collectors;
 
 /**
  * The limits that upstreams name in their answers, by the id of the upstream.
@@ -15,6 +17,8 @@
 public final class NamedLimits {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MOST_STATEMENTS = 10_000;
+    private static final int MOST_TOLD = 50;
+    private static final long TOLD_MILLIS = 10_000;
 
     private final Map<String, LimitStatement> statements = new HashMap<>();
 
@@ -100,6 +104,24 @@
         return Optional.ofNullable(statements.get(id));
     }
 
+    /**
+     * Returns the limits that are told to other routers: those that were heard of lately.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the statements by upstream, the newest ones where there are many
+     */
+    public Map<String, LimitStatement> recent(long nowMillis) {
+        return statements.entrySet().stream()
+                .filter(entry -> entry.getValue().perSecond().isPresent())
+                .filter(entry -> nowMillis - entry.getValue().heardMillis() <= TOLD_MILLIS)
+                .sorted(
+                        Comparator.comparingLong(
+                                (Map.Entry<String, LimitStatement> entry) ->
+                                        -entry.getValue().heardMillis()))
+                .limit(MOST_TOLD)
+                .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+    }
+
     /**
      * Returns the number of upstreams that name a limit.
      *
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/PermitBookTest.java
@@ -0,0 +1,99 @@
+package org.bronzewheel.permits;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PermitBookTest {
+    private static final long WINDOW_MILLIS = 4_000;
+
+    private final List<PermitDecision> decisions = new ArrayList<>();
+
+    private boolean ask(PermitBook book, long nowMillis) {
+        book.ask(0, 0, nowMillis, decisions::add);
+        return decisions.get(decisions.size() - 1).granted();
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.3, 1, 20, 250})
+    void noWindowHoldsMoreThanTheLimitAllowsAndMostOfItIsUsed(double limit) {
+        PermitBook book = new PermitBook(limit, 1, 0);
+        List<Long> granted = new ArrayList<>();
+        for (long now = 0; now < 60_000; now++) {
+            if ((now < 20_000 || now > 30_000) && ask(book, now)) {
+                granted.add(now);
+            }
+        }
+        for (long first : granted) {
+            long inWindow =
+                    granted.stream().filter(t -> t >= first && t < first + WINDOW_MILLIS).count();
+            assertWithMessage("from %s", first).that(inWindow).isAtMost((long) (6 * limit + 5));
+        }
+        assertThat(granted.size()).isAtLeast((int) (0.95 * 50 * limit) - 1);
+        assertWithMessage("requests that find out").that(granted.size()).isAtLeast(10);
+    }
+
+    @Test
+    void aBookBeginsWithoutPermits() {
+        PermitBook book = new PermitBook(2, 1, 0);
+        assertThat(ask(book, 0)).isFalse();
+        assertThat(decisions.get(0).nextMillis()).isEqualTo(500);
+        assertThat(ask(book, 500)).isTrue();
+    }
+
+    @Test
+    void aLowerLimitHoldsAtOnce() {
+        PermitBook book = new PermitBook(100, 1, 0);
+        book.setLimit(1, 1, 5_000);
+        assertThat(ask(book, 5_000)).isTrue();
+        assertThat(ask(book, 5_000)).isFalse();
+        assertThat(ask(book, 5_999)).isFalse();
+        assertThat(ask(book, 6_000)).isTrue();
+    }
+
+    @Test
+    void whatCannotBeGrantedInTimeIsRefusedAtOnceWithTheTimeThatTheRateGives() {
+        PermitBook book = new PermitBook(1, 1, 0);
+        book.ask(0, 1_500, 0, decisions::add);
+        assertThat(decisions).isEmpty();
+        book.ask(0, 1_500, 0, decisions::add);
+        assertThat(decisions).hasSize(1);
+        assertThat(decisions.get(0).granted()).isFalse();
+        assertThat(decisions.get(0).retryAfterMillis()).isEqualTo(2_000);
+        assertThat(decisions.get(0).nextMillis()).isEqualTo(1_000);
+    }
+
+    @Test
+    void aWaitThatMoreUrgentOnesOvertakeEndsWhenItsPatienceDoes() {
+        PermitBook book = new PermitBook(1, 1, 0);
+        List<String> ended = new ArrayList<>();
+        book.ask(2, 1_200, 0, d -> ended.add("late " + d.granted()));
+        book.ask(0, 1_200, 0, d -> ended.add("urgent " + d.granted()));
+        assertThat(book.nextEndMillis(0)).isEqualTo(1_000);
+        book.serve(1_000);
+        assertThat(book.nextEndMillis(1_000)).isEqualTo(201);
+        book.serve(1_201);
+        assertThat(ended).containsExactly("urgent true", "late false").inOrder();
+        assertThat(book.hasWaiting()).isFalse();
+    }
+
+    @Test
+    void pastTheLimitUrgentRanksGetMoreAndNoRankStarves() {
+        PermitBook book = new PermitBook(10, 1, 0);
+        int[] granted = new int[3];
+        for (long now = 0; now < 60_000; now += 20) {
+            int rank = (int) (now / 20 % 3);
+            book.ask(rank, 400, now, d -> granted[rank] += d.granted() ? 1 : 0);
+            book.serve(now);
+        }
+        assertThat(granted[0]).isGreaterThan(granted[2]);
+        // A quarter of the part that all would get without ranks.
+        assertThat(granted[2]).isAtLeast(600 / 3 / 4);
+        assertThat(granted[1]).isAtLeast(granted[2]);
+    }
+}
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.bronzewheel.catalog.RepeatRule;
 import org.bronzewheel.catalog.StageStep;
+import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.stages.StageFailure;
 import org.bronzewheel.upstreams.NamedLimit;
@@ -383,4 +384,65 @@
     private static List<StageStep> oneStage() {
         return List.of(new StageStep("s", List.of(), 10));
     }
+
+    @Test
+    void aRequestGoesToAnUpstreamThatLimitsWhatItTakesOnlyWithAPermit() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        List.of("u1", "u2", "u3").forEach(world.permits::limit);
+        world.request();
+        assertThat(world.sends).isEmpty();
+
+        world.permits.decide(PermitDecision.GRANTED);
+        world.lastSend().answer(200);
+        assertThat(world.finished).isTrue();
+        assertThat(world.sends).hasSize(1);
+        assertThat(world.permits.questions()).hasSize(1);
+    }
+
+    @Test
+    void aRequestWithoutAPermitGoesToAnotherUpstreamAndDrawsOnNoBudget() {
+        RepeatBudget none = new RepeatBudget(0, 0, 10_000, 1);
+        World world = new World(none).with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        world.permits.limit("u1");
+        world.request();
+        assertThat(world.permits.questions().get(0).patienceMillis()).isEqualTo(0);
+
+        world.permits.close("u1", 700);
+        world.permits.decide(PermitDecision.closedFor(700));
+        assertThat(world.lastSend().call.target().id()).isNotEqualTo("u1");
+        world.lastSend().answer(200);
+        assertThat(world.finished).isTrue();
+    }
+
+    @Test
+    void whereNoUpstreamHasAPermitTheRequestIsRefusedAtOnceWithTheTimeUntilOneHas() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        List.of("u1", "u2", "u3").forEach(id -> world.permits.close(id, 600));
+        world.request();
+        assertThat(world.sends).isEmpty();
+        assertThat(world.refusedWith()).isEqualTo(503);
+        assertThat(world.refusals.get(0).retryAfterMillis().getAsLong()).isAtLeast(600);
+    }
+
+    @Test
+    void aPermitOfAnUpstreamThatHasLeftMeanwhileIsNotUsed() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        world.permits.limit("u1");
+        world.request();
+        world.upstreams.remove("u1", 0);
+        world.permits.decide(PermitDecision.GRANTED);
+        assertThat(world.lastSend().call.target().id()).isNotEqualTo("u1");
+    }
+
+    @Test
+    void anAnswerThatNamesALimitIsTakenAlsoWhereTheUpstreamRejectsTheRequest() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1)).request();
+        String id = world.lastSend().call.target().id();
+        world.lastSend()
+                .listener
+                .onHead(
+                        new UpstreamHead(
+                                503, List.of(), false, true, false, false, NamedLimit.of(2)));
+        assertThat(world.upstreams.limits().perSecond(id).getAsDouble()).isEqualTo(2);
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -22,6 +22,7 @@
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.permits.FakePermits;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.stages.StageFailure;
 import org.bronzewheel.stages.StageJob;
@@ -46,6 +47,7 @@
     long expectedWaitMillis;
     final CatalogState catalog = new CatalogState(LEASE_MILLIS);
     final UpstreamTable upstreams = new UpstreamTable(2_000);
+    final FakePermits permits = new FakePermits();
     final List<Sent> sends = new ArrayList<>();
     final List<Submitted> jobs = new ArrayList<>();
     final List<StageResult> released = new ArrayList<>();
@@ -115,6 +117,7 @@
                                 catalog,
                                 upstreams,
                                 this::send,
+                                permits,
                                 this,
                                 budget,
                                 new EngineChoice(),
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
@@ -16,6 +16,7 @@
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.peering.PeerNetwork;
 import org.bronzewheel.peering.SeedMembership;
+import org.bronzewheel.permits.Permits;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.standin.VirtualPeers;
 import org.bronzewheel.transport.PeerTransport;
@@ -72,7 +73,15 @@
                             new CallerLimits(1, 1, 1, 1)));
             RepeatBudget budget = new RepeatBudget(0, repeatSlack, 10_000, 1);
             stages =
-                    new StageParts(catalog, upstreams, this, transport, membership, budget, loop)
+                    new StageParts(
+                                    catalog,
+                                    upstreams,
+                                    Permits.UNLIMITED,
+                                    this,
+                                    transport,
+                                    membership,
+                                    budget,
+                                    loop)
                             .build();
             network =
                     new PeerNetwork(
@@ -81,7 +90,8 @@
                             loop,
                             stages::ownBacklogs,
                             stages::submitters,
-                            stages::takeBacklog);
+                            stages::takeBacklog,
+                            upstreams.limits());
             network.start();
         }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.permits.FakePermits;
+import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
@@ -23,6 +25,7 @@
     private final TestScheduler scheduler = new TestScheduler();
     private final Loop loop = new Loop(scheduler, () -> 0);
     private final UpstreamTable upstreams = new UpstreamTable(2_000);
+    private final FakePermits permits = new FakePermits();
     private final List<Call> calls = new ArrayList<>();
     private final List<String> freed = new ArrayList<>();
     private final List<StageResult> inputsReleased = new ArrayList<>();
@@ -32,6 +35,7 @@
                     "s",
                     service -> Optional.of(POOL),
                     upstreams,
+                    permits,
                     new Port(),
                     new RepeatBudget(0, 100, 10_000, 1),
                     loop,
@@ -460,4 +464,52 @@
         advance(500);
         assertThat(calls).isEmpty();
     }
+
+    @Test
+    void aCallGoesToAnUpstreamThatLimitsWhatItTakesOnlyWithAPermit() {
+        upstreams("u1");
+        permits.limit("u1");
+        submit("a", 2, 0, 10, 5_000);
+        scheduler.advanceTimeBy(300, TimeUnit.MILLISECONDS);
+        assertThat(calls).isEmpty();
+        assertThat(permits.questions()).hasSize(1);
+
+        permits.decide(PermitDecision.GRANTED);
+        assertThat(calls).hasSize(1);
+        submit("b", 2, 0, 10, 5_000);
+        calls.get(0).done();
+        scheduler.advanceTimeBy(300, TimeUnit.MILLISECONDS);
+        assertThat(calls).hasSize(1);
+        assertThat(permits.questions()).hasSize(2);
+    }
+
+    @Test
+    void aPermitThatWasKeptForTooLongIsNotUsed() {
+        upstreams("u1");
+        permits.limit("u1");
+        submit("a", 2, 0, 10, 5_000);
+        scheduler.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+        dispatcher.cancel("a");
+        permits.decide(PermitDecision.GRANTED);
+        scheduler.advanceTimeBy(300, TimeUnit.MILLISECONDS);
+        submit("b", 2, 0, 10, 5_000);
+        scheduler.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+        assertThat(calls).isEmpty();
+        assertThat(permits.questions()).hasSize(2);
+    }
+
+    @Test
+    void resultsAreFreedAtAnUpstreamThatLimitsWhatItTakesOnceThereIsAPermit() {
+        upstreams("u1");
+        Outcome outcome = submit("a", 2, 0, 10, 5_000);
+        scheduler.advanceTimeBy(10, TimeUnit.MILLISECONDS);
+        calls.get(0).done();
+        permits.limit("u1");
+        dispatcher.release(outcome.results);
+        scheduler.advanceTimeBy(300, TimeUnit.MILLISECONDS);
+        assertThat(freed).isEmpty();
+        permits.decide(PermitDecision.GRANTED);
+        scheduler.advanceTimeBy(100, TimeUnit.MILLISECONDS);
+        assertThat(freed).hasSize(2);
+    }
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
@@ -35,6 +35,7 @@
     vmId_ = "";
     backlogs_ = java.util.Collections.emptyList();
     others_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -233,6 +234,67 @@
     return others_.get(index);
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.bronzewheel.wire.UpstreamLimit> limits_;
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.bronzewheel.wire.UpstreamLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.bronzewheel.wire.UpstreamLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public org.bronzewheel.wire.UpstreamLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  @java.lang.Override
+  public org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -265,6 +327,9 @@
     for (int i = 0; i < others_.size(); i++) {
       output.writeMessage(7, others_.get(i));
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(8, limits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -302,6 +367,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -338,6 +412,8 @@
         != other.getBeat()) return false;
     if (!getOthersList()
         .equals(other.getOthersList())) return false;
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -368,6 +444,10 @@
       hash = (37 * hash) + OTHERS_FIELD_NUMBER;
       hash = (53 * hash) + getOthersList().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -521,6 +601,13 @@
         othersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -572,6 +659,15 @@
       } else {
         result.others_ = othersBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.bronzewheel.wire.SeedHello result) {
@@ -668,6 +764,32 @@
           }
         }
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -738,6 +860,19 @@
               }
               break;
             } // case 58
+            case 66: {
+              org.bronzewheel.wire.UpstreamLimit m =
+                  input.readMessage(
+                      org.bronzewheel.wire.UpstreamLimit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1475,6 +1610,312 @@
       return othersBuilder_;
     }
 
+    private java.util.List<org.bronzewheel.wire.UpstreamLimit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        limits_ = new java.util.ArrayList<org.bronzewheel.wire.UpstreamLimit>(limits_);
+        bitField0_ |= 0x00000040;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public java.util.List<org.bronzewheel.wire.UpstreamLimit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public org.bronzewheel.wire.UpstreamLimit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder setLimits(
+        int index, org.bronzewheel.wire.UpstreamLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder setLimits(
+        int index, org.bronzewheel.wire.UpstreamLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder addLimits(org.bronzewheel.wire.UpstreamLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        int index, org.bronzewheel.wire.UpstreamLimit value) {
+      if (limitsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        org.bronzewheel.wire.UpstreamLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder addLimits(
+        int index, org.bronzewheel.wire.UpstreamLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends org.bronzewheel.wire.UpstreamLimit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public org.bronzewheel.wire.UpstreamLimit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public java.util.List<? extends org.bronzewheel.wire.UpstreamLimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public org.bronzewheel.wire.UpstreamLimit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          org.bronzewheel.wire.UpstreamLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public org.bronzewheel.wire.UpstreamLimit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, org.bronzewheel.wire.UpstreamLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The limits that upstreams named lately.
+     * </pre>
+     *
+     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     */
+    public java.util.List<org.bronzewheel.wire.UpstreamLimit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.SeedHello)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
@@ -111,4 +111,48 @@
    */
   org.bronzewheel.wire.PeerBeatOrBuilder getOthersOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  java.util.List<org.bronzewheel.wire.UpstreamLimit> 
+      getLimitsList();
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  org.bronzewheel.wire.UpstreamLimit getLimits(int index);
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  java.util.List<? extends org.bronzewheel.wire.UpstreamLimitOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <pre>
+   * The limits that upstreams named lately.
+   * </pre>
+   *
+   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   */
+  org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitsOrBuilder(
+      int index);
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -31,6 +31,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bronzewheel_wire_UpstreamLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bronzewheel_wire_UpstreamLimit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bronzewheel_wire_PermitQuestion_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bronzewheel_wire_PermitQuestion_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bronzewheel_wire_PermitReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bronzewheel_wire_PermitReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bronzewheel_wire_PeerBeat_descriptor;
   static final 
@@ -155,92 +170,102 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rserving.proto\022\020bronzewheel.wire\"\262\001\n\tSe" +
+      "\n\rserving.proto\022\020bronzewheel.wire\"\343\001\n\tSe" +
       "edHello\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
       "\001(\003\022\017\n\007leaving\030\003 \001(\010\0220\n\010backlogs\030\005 \003(\0132\036" +
       ".bronzewheel.wire.StageBacklog\022\014\n\004beat\030\006" +
       " \001(\003\022*\n\006others\030\007 \003(\0132\032.bronzewheel.wire." +
-      "PeerBeatJ\004\010\004\020\005\"M\n\010PeerBeat\022\r\n\005vm_id\030\001 \001(" +
-      "\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\017\n\007" +
-      "leaving\030\004 \001(\010\"@\n\021PublishedQuestion\022\026\n\016af" +
-      "ter_revision\030\001 \001(\003\022\023\n\013wait_millis\030\002 \001(\003\"" +
-      "\336\001\n\017PublishedAnswer\022:\n\007outcome\030\001 \001(\0162).b" +
-      "ronzewheel.wire.PublishedAnswer.Outcome\022" +
-      "\020\n\010revision\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\0220\n" +
-      "\007changes\030\004 \003(\0132\037.bronzewheel.wire.Publis" +
-      "hedItem\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HISTO" +
-      "RY_LOST\020\001\022\r\n\tNO_READER\020\002\"\340\001\n\rPublishedIt" +
-      "em\0225\n\007catalog\030\001 \001(\0132\".bronzewheel.wire.P" +
-      "ublishedCatalogH\000\0227\n\010upstream\030\002 \001(\0132#.br" +
-      "onzewheel.wire.PublishedUpstreamH\000\022\032\n\020re" +
-      "moved_upstream\030\003 \001(\tH\000\022;\n\nunreadable\030\004 \001" +
-      "(\0132%.bronzewheel.wire.PublishedUnreadabl" +
-      "eH\000B\006\n\004kind\"3\n\023PublishedUnreadable\022\014\n\004na" +
-      "me\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\221\001\n\021PublishedUp" +
-      "stream\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007a" +
-      "ddress\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005" +
-      "slots\030\005 \001(\005\022\026\n\016started_millis\030\006 \001(\003\022\017\n\007l" +
-      "eaving\030\007 \001(\010\"\370\001\n\020PublishedCatalog\022\017\n\007ver" +
-      "sion\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132 .bronzewheel" +
-      ".wire.PublishedRoute\0224\n\010services\030\003 \003(\0132\"" +
-      ".bronzewheel.wire.PublishedService\0228\n\nwo" +
-      "rkspaces\030\004 \003(\0132$.bronzewheel.wire.Publis" +
-      "hedWorkspace\0221\n\006limits\030\005 \001(\0132!.bronzewhe" +
-      "el.wire.PublishedLimits\"\355\002\n\016PublishedRou" +
-      "te\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix" +
-      "\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023\n\013repeat_rule" +
-      "\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\003\022\030\n\020object" +
-      "ive_millis\030\007 \001(\003\022\034\n\024gap_objective_millis" +
-      "\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014max_attempts" +
-      "\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .bronzewheel.wir" +
-      "e.PublishedShare\0220\n\006stages\030\014 \003(\0132 .bronz" +
-      "ewheel.wire.PublishedStage\022\014\n\004open\030\r \001(\010" +
-      "\022\035\n\025caller_silence_millis\030\016 \001(\003\"1\n\016Publi" +
-      "shedShare\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001" +
-      "(\001\"F\n\016PublishedStage\022\017\n\007service\030\001 \001(\t\022\r\n" +
-      "\005after\030\002 \003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n\020P" +
-      "ublishedService\022\014\n\004name\030\001 \001(\t\022\027\n\017max_con" +
-      "nections\030\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.bro" +
-      "nzewheel.wire.PublishedStagePool\022:\n\013engi" +
-      "ne_pool\030\004 \001(\0132%.bronzewheel.wire.Publish" +
-      "edEnginePool\"\227\001\n\022PublishedStagePool\022\r\n\005s" +
-      "lots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005" +
-      "\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piece_millis\030\005 " +
-      "\001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rresult_millis" +
-      "\030\007 \001(\003\":\n\023PublishedEnginePool\022\r\n\005slots\030\001" +
-      " \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n\022PublishedW" +
-      "orkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010" +
-      "priority\030\003 \001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017Publ" +
-      "ishedLimits\022\030\n\020max_header_bytes\030\001 \001(\005\022\026\n" +
-      "\016max_body_bytes\030\002 \001(\005\022\035\n\025header_timeout_" +
-      "millis\030\003 \001(\003\022\033\n\023idle_timeout_millis\030\004 \001(" +
-      "\003\"I\n\014StageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wa" +
-      "it_millis\030\002 \003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247\001\n" +
-      "\nStageFrame\022-\n\003job\030\001 \001(\0132\036.bronzewheel.w" +
-      "ire.StageJobCallH\000\0221\n\007release\030\002 \001(\0132\036.br" +
-      "onzewheel.wire.StageReleaseH\000\022/\n\006cancel\030" +
-      "\003 \001(\0132\035.bronzewheel.wire.StageCancelH\000B\006" +
-      "\n\004body\"\303\003\n\014StageJobCall\022\022\n\nrequest_id\030\001 " +
-      "\001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006p" +
-      "ieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\013" +
-      "2\035.bronzewheel.wire.StageHandle\022\024\n\014resul" +
-      "t_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective" +
-      "_left_millis\030\t \001(\003\022\034\n\024deadline_left_mill" +
-      "is\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016failur" +
-      "e_domain\030\014 \001(\t\022\032\n\022least_later_millis\030\r \001" +
-      "(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.bronzewheel.w" +
-      "ire.StageJobCall.UnmetPiecesEntry\022\r\n\005fir" +
-      "st\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001 \001(" +
-      "\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStageJobReply\022\017\n" +
-      "\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronze" +
-      "wheel.wire.StageHandle\"e\n\013StageHandle\022\014\n" +
-      "\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure" +
-      "_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007service\030" +
-      "\005 \001(\t\"O\n\014StageRelease\022\017\n\007service\030\001 \001(\t\022." +
-      "\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Stage" +
-      "Handle\"2\n\013StageCancel\022\022\n\nrequest_id\030\001 \001(" +
-      "\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.bronzewheel.wi" +
-      "reP\001b\006proto3"
+      "PeerBeat\022/\n\006limits\030\010 \003(\0132\037.bronzewheel.w" +
+      "ire.UpstreamLimitJ\004\010\004\020\005\"`\n\rUpstreamLimit" +
+      "\022\023\n\013upstream_id\030\001 \001(\t\022\027\n\nper_second\030\002 \001(" +
+      "\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003B\r\n\013_per_secon" +
+      "d\"|\n\016PermitQuestion\022\023\n\013upstream_id\030\001 \001(\t" +
+      "\022\014\n\004rank\030\002 \001(\005\022\027\n\017patience_millis\030\003 \001(\003\022" +
+      ".\n\005limit\030\004 \001(\0132\037.bronzewheel.wire.Upstre" +
+      "amLimit\"\177\n\013PermitReply\022\017\n\007granted\030\001 \001(\010\022" +
+      "\032\n\022retry_after_millis\030\002 \001(\003\022.\n\005limit\030\003 \001" +
+      "(\0132\037.bronzewheel.wire.UpstreamLimit\022\023\n\013n" +
+      "ext_millis\030\004 \001(\003\"M\n\010PeerBeat\022\r\n\005vm_id\030\001 " +
+      "\001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\017" +
+      "\n\007leaving\030\004 \001(\010\"@\n\021PublishedQuestion\022\026\n\016" +
+      "after_revision\030\001 \001(\003\022\023\n\013wait_millis\030\002 \001(" +
+      "\003\"\336\001\n\017PublishedAnswer\022:\n\007outcome\030\001 \001(\0162)" +
+      ".bronzewheel.wire.PublishedAnswer.Outcom" +
+      "e\022\020\n\010revision\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\022" +
+      "0\n\007changes\030\004 \003(\0132\037.bronzewheel.wire.Publ" +
+      "ishedItem\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HIS" +
+      "TORY_LOST\020\001\022\r\n\tNO_READER\020\002\"\340\001\n\rPublished" +
+      "Item\0225\n\007catalog\030\001 \001(\0132\".bronzewheel.wire" +
+      ".PublishedCatalogH\000\0227\n\010upstream\030\002 \001(\0132#." +
+      "bronzewheel.wire.PublishedUpstreamH\000\022\032\n\020" +
+      "removed_upstream\030\003 \001(\tH\000\022;\n\nunreadable\030\004" +
+      " \001(\0132%.bronzewheel.wire.PublishedUnreada" +
+      "bleH\000B\006\n\004kind\"3\n\023PublishedUnreadable\022\014\n\004" +
+      "name\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\221\001\n\021Published" +
+      "Upstream\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n" +
+      "\007address\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r" +
+      "\n\005slots\030\005 \001(\005\022\026\n\016started_millis\030\006 \001(\003\022\017\n" +
+      "\007leaving\030\007 \001(\010\"\370\001\n\020PublishedCatalog\022\017\n\007v" +
+      "ersion\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132 .bronzewhe" +
+      "el.wire.PublishedRoute\0224\n\010services\030\003 \003(\013" +
+      "2\".bronzewheel.wire.PublishedService\0228\n\n" +
+      "workspaces\030\004 \003(\0132$.bronzewheel.wire.Publ" +
+      "ishedWorkspace\0221\n\006limits\030\005 \001(\0132!.bronzew" +
+      "heel.wire.PublishedLimits\"\355\002\n\016PublishedR" +
+      "oute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006pref" +
+      "ix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023\n\013repeat_ru" +
+      "le\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\003\022\030\n\020obje" +
+      "ctive_millis\030\007 \001(\003\022\034\n\024gap_objective_mill" +
+      "is\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014max_attemp" +
+      "ts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .bronzewheel.w" +
+      "ire.PublishedShare\0220\n\006stages\030\014 \003(\0132 .bro" +
+      "nzewheel.wire.PublishedStage\022\014\n\004open\030\r \001" +
+      "(\010\022\035\n\025caller_silence_millis\030\016 \001(\003\"1\n\016Pub" +
+      "lishedShare\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002" +
+      " \001(\001\"F\n\016PublishedStage\022\017\n\007service\030\001 \001(\t\022" +
+      "\r\n\005after\030\002 \003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n" +
+      "\020PublishedService\022\014\n\004name\030\001 \001(\t\022\027\n\017max_c" +
+      "onnections\030\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.b" +
+      "ronzewheel.wire.PublishedStagePool\022:\n\013en" +
+      "gine_pool\030\004 \001(\0132%.bronzewheel.wire.Publi" +
+      "shedEnginePool\"\227\001\n\022PublishedStagePool\022\r\n" +
+      "\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001" +
+      "(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piece_millis\030" +
+      "\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rresult_mill" +
+      "is\030\007 \001(\003\":\n\023PublishedEnginePool\022\r\n\005slots" +
+      "\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n\022Publishe" +
+      "dWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025" +
+      "\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017Pu" +
+      "blishedLimits\022\030\n\020max_header_bytes\030\001 \001(\005\022" +
+      "\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025header_timeou" +
+      "t_millis\030\003 \001(\003\022\033\n\023idle_timeout_millis\030\004 " +
+      "\001(\003\"I\n\014StageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n\013" +
+      "wait_millis\030\002 \003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247" +
+      "\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036.bronzewheel" +
+      ".wire.StageJobCallH\000\0221\n\007release\030\002 \001(\0132\036." +
+      "bronzewheel.wire.StageReleaseH\000\022/\n\006cance" +
+      "l\030\003 \001(\0132\035.bronzewheel.wire.StageCancelH\000" +
+      "B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\nrequest_id\030" +
+      "\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n" +
+      "\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003" +
+      "(\0132\035.bronzewheel.wire.StageHandle\022\024\n\014res" +
+      "ult_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objecti" +
+      "ve_left_millis\030\t \001(\003\022\034\n\024deadline_left_mi" +
+      "llis\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016fail" +
+      "ure_domain\030\014 \001(\t\022\032\n\022least_later_millis\030\r" +
+      " \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.bronzewheel" +
+      ".wire.StageJobCall.UnmetPiecesEntry\022\r\n\005f" +
+      "irst\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001 " +
+      "\001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStageJobReply\022" +
+      "\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bron" +
+      "zewheel.wire.StageHandle\"e\n\013StageHandle\022" +
+      "\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failu" +
+      "re_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007servic" +
+      "e\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007service\030\001 \001(\t" +
+      "\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Sta" +
+      "geHandle\"2\n\013StageCancel\022\022\n\nrequest_id\030\001 " +
+      "\001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.bronzewheel." +
+      "wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -251,111 +276,129 @@
     internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_SeedHello_descriptor,
-        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", });
-    internal_static_bronzewheel_wire_PeerBeat_descriptor =
+        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", "Limits", });
+    internal_static_bronzewheel_wire_UpstreamLimit_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_bronzewheel_wire_UpstreamLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bronzewheel_wire_UpstreamLimit_descriptor,
+        new java.lang.String[] { "UpstreamId", "PerSecond", "AgeMillis", });
+    internal_static_bronzewheel_wire_PermitQuestion_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_bronzewheel_wire_PermitQuestion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bronzewheel_wire_PermitQuestion_descriptor,
+        new java.lang.String[] { "UpstreamId", "Rank", "PatienceMillis", "Limit", });
+    internal_static_bronzewheel_wire_PermitReply_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_bronzewheel_wire_PermitReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bronzewheel_wire_PermitReply_descriptor,
+        new java.lang.String[] { "Granted", "RetryAfterMillis", "Limit", "NextMillis", });
+    internal_static_bronzewheel_wire_PeerBeat_descriptor =
+      getDescriptor().getMessageType(4);
     internal_static_bronzewheel_wire_PeerBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PeerBeat_descriptor,
         new java.lang.String[] { "VmId", "Incarnation", "Beat", "Leaving", });
     internal_static_bronzewheel_wire_PublishedQuestion_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(5);
     internal_static_bronzewheel_wire_PublishedQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedQuestion_descriptor,
         new java.lang.String[] { "AfterRevision", "WaitMillis", });
     internal_static_bronzewheel_wire_PublishedAnswer_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(6);
     internal_static_bronzewheel_wire_PublishedAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedAnswer_descriptor,
         new java.lang.String[] { "Outcome", "Revision", "AgeMillis", "Changes", });
     internal_static_bronzewheel_wire_PublishedItem_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(7);
     internal_static_bronzewheel_wire_PublishedItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedItem_descriptor,
         new java.lang.String[] { "Catalog", "Upstream", "RemovedUpstream", "Unreadable", "Kind", });
     internal_static_bronzewheel_wire_PublishedUnreadable_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(8);
     internal_static_bronzewheel_wire_PublishedUnreadable_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedUnreadable_descriptor,
         new java.lang.String[] { "Name", "Reason", });
     internal_static_bronzewheel_wire_PublishedUpstream_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(9);
     internal_static_bronzewheel_wire_PublishedUpstream_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedUpstream_descriptor,
         new java.lang.String[] { "Id", "Service", "Address", "FailureDomain", "Slots", "StartedMillis", "Leaving", });
     internal_static_bronzewheel_wire_PublishedCatalog_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(10);
     internal_static_bronzewheel_wire_PublishedCatalog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedCatalog_descriptor,
         new java.lang.String[] { "Version", "Routes", "Services", "Workspaces", "Limits", });
     internal_static_bronzewheel_wire_PublishedRoute_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(11);
     internal_static_bronzewheel_wire_PublishedRoute_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedRoute_descriptor,
         new java.lang.String[] { "Name", "Host", "Prefix", "Streaming", "RepeatRule", "TimeoutMillis", "ObjectiveMillis", "GapObjectiveMillis", "Priority", "MaxAttempts", "Shares", "Stages", "Open", "CallerSilenceMillis", });
     internal_static_bronzewheel_wire_PublishedShare_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(12);
     internal_static_bronzewheel_wire_PublishedShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedShare_descriptor,
         new java.lang.String[] { "Service", "Weight", });
     internal_static_bronzewheel_wire_PublishedStage_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(13);
     internal_static_bronzewheel_wire_PublishedStage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedStage_descriptor,
         new java.lang.String[] { "Service", "After", "ResultBytes", });
     internal_static_bronzewheel_wire_PublishedService_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(14);
     internal_static_bronzewheel_wire_PublishedService_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedService_descriptor,
         new java.lang.String[] { "Name", "MaxConnections", "StagePool", "EnginePool", });
     internal_static_bronzewheel_wire_PublishedStagePool_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(15);
     internal_static_bronzewheel_wire_PublishedStagePool_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedStagePool_descriptor,
         new java.lang.String[] { "Slots", "Queue", "Batch", "CallMillis", "PieceMillis", "RoomBytes", "ResultMillis", });
     internal_static_bronzewheel_wire_PublishedEnginePool_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(16);
     internal_static_bronzewheel_wire_PublishedEnginePool_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedEnginePool_descriptor,
         new java.lang.String[] { "Slots", "CacheTokens", });
     internal_static_bronzewheel_wire_PublishedWorkspace_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(17);
     internal_static_bronzewheel_wire_PublishedWorkspace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedWorkspace_descriptor,
         new java.lang.String[] { "Name", "Keys", "Priority", });
     internal_static_bronzewheel_wire_PublishedLimits_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(18);
     internal_static_bronzewheel_wire_PublishedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedLimits_descriptor,
         new java.lang.String[] { "MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeoutMillis", "IdleTimeoutMillis", });
     internal_static_bronzewheel_wire_StageBacklog_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(19);
     internal_static_bronzewheel_wire_StageBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageBacklog_descriptor,
         new java.lang.String[] { "Service", "WaitMillis", "CallMillis", });
     internal_static_bronzewheel_wire_StageFrame_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(20);
     internal_static_bronzewheel_wire_StageFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageFrame_descriptor,
         new java.lang.String[] { "Job", "Release", "Cancel", "Body", });
     internal_static_bronzewheel_wire_StageJobCall_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(21);
     internal_static_bronzewheel_wire_StageJobCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageJobCall_descriptor,
@@ -367,25 +410,25 @@
         internal_static_bronzewheel_wire_StageJobCall_UnmetPiecesEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_bronzewheel_wire_StageJobReply_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(22);
     internal_static_bronzewheel_wire_StageJobReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageJobReply_descriptor,
         new java.lang.String[] { "Failure", "Handles", });
     internal_static_bronzewheel_wire_StageHandle_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(23);
     internal_static_bronzewheel_wire_StageHandle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageHandle_descriptor,
         new java.lang.String[] { "Text", "MakerId", "FailureDomain", "Bytes", "Service", });
     internal_static_bronzewheel_wire_StageRelease_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(24);
     internal_static_bronzewheel_wire_StageRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageRelease_descriptor,
         new java.lang.String[] { "Service", "Handles", });
     internal_static_bronzewheel_wire_StageCancel_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(25);
     internal_static_bronzewheel_wire_StageCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageCancel_descriptor,
