--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -35,6 +35,7 @@
                             "stages", StageExperiment::run,
                             "bursts", StageBurstExperiment::run,
                             "shortage", StageShortageExperiment::run,
+                            "limits", LimitExperiment::run,
                             "decision-cost", DecisionCost::run));
 
     private Experiments() {}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
@@ -84,7 +84,7 @@
         head = next;
         if (next.misdirected()) {
             upstream.markMisdirected();
-        } else if (next.signed() || next.neverRan()) {
+        } else if (saysLimit(next)) {
             parts.upstreams()
                     .limits()
                     .answered(upstream.entry().id(), next.limit(), sentMillis, heardMillis);
@@ -103,6 +103,13 @@
         }
     }
 
+    /** Tells whether the answer says what its upstream takes; only a good one ends a limit. */
+    private static boolean saysLimit(UpstreamHead head) {
+        return head.limit().isNamed()
+                ? head.signed() || head.neverRan()
+                : head.signed() && head.isSuccess();
+    }
+
     /** Tells whether a failure would say more to the caller than the upstream promised. */
     private static boolean mustNotPass(UpstreamHead head) {
         return !head.signed()
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/NamedLimit.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/NamedLimit.java
@@ -16,6 +16,15 @@
     /** An answer with a limit that cannot be read. */
     public static final NamedLimit UNREADABLE = new NamedLimit(false, OptionalDouble.empty());
 
+    /**
+     * Tells whether the answer names a limit.
+     *
+     * @return whether there is a readable one
+     */
+    public boolean isNamed() {
+        return perSecond.isPresent();
+    }
+
     /**
      * Returns an answer's limit.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/NamedLimits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/NamedLimits.java
@@ -105,14 +105,14 @@
     }
 
     /**
-     * Returns the limits that are told to other routers: those that were heard of lately.
+     * Returns what is told to other routers: the limits, and the ends of limits, that were heard of
+     * lately.
      *
      * @param nowMillis the time, in milliseconds of the steady clock
      * @return the statements by upstream, the newest ones where there are many
      */
     public Map<String, LimitStatement> recent(long nowMillis) {
         return statements.entrySet().stream()
-                .filter(entry -> entry.getValue().perSecond().isPresent())
                 .filter(entry -> nowMillis - entry.getValue().heardMillis() <= TOLD_MILLIS)
                 .sorted(
                         Comparator.comparingLong(
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -11,6 +11,7 @@
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.stages.StageFailure;
 import org.bronzewheel.upstreams.NamedLimit;
+import org.bronzewheel.upstreams.NamedLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -445,4 +446,23 @@
                                 503, List.of(), false, true, false, false, NamedLimit.of(2)));
         assertThat(world.upstreams.limits().perSecond(id).getAsDouble()).isEqualTo(2);
     }
+
+    @Test
+    void onlyAGoodAnswerEndsALimit() {
+        World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2)).request();
+        String id = world.lastSend().call.target().id();
+        NamedLimits limits = world.upstreams.limits();
+        limits.answered(id, NamedLimit.of(2), 0, 0);
+        world.lastSend()
+                .listener
+                .onHead(
+                        new UpstreamHead(
+                                503, List.of(), false, true, false, false, NamedLimit.NONE));
+        assertThat(limits.perSecond(id).isPresent()).isTrue();
+
+        World other = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2)).request();
+        other.upstreams.limits().answered(id, NamedLimit.of(2), 0, 0);
+        other.lastSend().answer(200);
+        assertThat(other.upstreams.limits().perSecond(id).isPresent()).isFalse();
+    }
 }
--- a/bronzewheel-standin/src/main/java/org/bronzewheel/standin/VirtualPeers.java
+++ b/bronzewheel-standin/src/main/java/org/bronzewheel/standin/VirtualPeers.java
@@ -23,6 +23,9 @@
     private final Scheduler scheduler;
     private final Map<String, Router> routers = new HashMap<>();
     private final Set<String> silent = new HashSet<>();
+    private final Set<String> apart = new HashSet<>();
+    private final Map<Channel, Long> bytes = new EnumMap<>(Channel.class);
+    private final Map<Channel, Long> messages = new EnumMap<>(Channel.class);
 
     /**
      * Creates a network without routers.
@@ -63,8 +66,46 @@
         silent.remove(vmId);
     }
 
+    /**
+     * Cuts the network in two; the routers of a side reach each other.
+     *
+     * @param side the VMs of one side; none where the network is whole again
+     */
+    public void cut(Set<String> side) {
+        apart.clear();
+        apart.addAll(side);
+    }
+
+    /**
+     * Returns the number of messages, calls and replies that were sent.
+     *
+     * @param channel the kind of traffic
+     * @return the number since the start
+     */
+    public long messages(Channel channel) {
+        return messages.getOrDefault(channel, 0L);
+    }
+
+    /**
+     * Returns the length of all messages, calls and replies that were sent.
+     *
+     * @param channel the kind of traffic
+     * @return the payloads since the start, in bytes
+     */
+    public long bytes(Channel channel) {
+        return bytes.getOrDefault(channel, 0L);
+    }
+
+    private void count(Channel channel, byte[] payload) {
+        messages.merge(channel, 1L, Long::sum);
+        bytes.merge(channel, (long) payload.length, Long::sum);
+    }
+
     private boolean reaches(String from, String to) {
-        return routers.containsKey(to) && !silent.contains(from) && !silent.contains(to);
+        return routers.containsKey(to)
+                && !silent.contains(from)
+                && !silent.contains(to)
+                && apart.contains(from) == apart.contains(to);
     }
 
     private final class Router implements PeerTransport {
@@ -83,6 +124,7 @@
 
         @Override
         public boolean send(String toVmId, Channel channel, byte[] payload) {
+            count(channel, payload);
             if (!reaches(self.vmId(), toVmId)) {
                 return false;
             }
@@ -96,6 +138,7 @@
         @Override
         public Single<byte[]> call(
                 String toVmId, Channel channel, byte[] payload, long timeoutMillis) {
+            count(channel, payload);
             Single<byte[]> answer =
                     Single.timer(DELAY_MILLIS, TimeUnit.MILLISECONDS, scheduler)
                             .flatMap(
@@ -106,6 +149,7 @@
                                                             .get(channel)
                                                             .handle(self, payload)
                                                     : Single.never())
+                            .doOnSuccess(reply -> count(channel, reply))
                             .delay(DELAY_MILLIS, TimeUnit.MILLISECONDS, scheduler)
                             .flatMap(
                                     bytes ->
