Bound the answers of upstreams that send without end

Cause: a head and a plain body were bounded, but not an event that never ends, the body of a stage call or of a call that frees results, interim heads, the answer to another request that is skipped, and what a caller leaves unread. Such answers grew in memory, or kept a connection for good.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -448,6 +448,11 @@
         @Override
         public void write(byte[] bytes) {}
 
+        @Override
+        public long unsentBytes() {
+            return 0;
+        }
+
         @Override
         public void finish() {
             if (!isLost()) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/CallerExchange.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/CallerExchange.java
@@ -20,6 +20,13 @@
      */
     void write(byte[] bytes);
 
+    /**
+     * Returns what the caller has not read yet of a body that is passed on piece by piece.
+     *
+     * @return the number of bytes that wait in memory
+     */
+    long unsentBytes();
+
     /** Ends the answer as complete. */
     void finish();
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
@@ -39,6 +39,11 @@
         return events;
     }
 
+    /** Returns the length of the event that is not whole yet, in bytes. */
+    int pendingBytes() {
+        return pending.size();
+    }
+
     /** Returns the bytes of an event that is not whole yet. */
     byte[] rest() {
         return pending.toByteArray();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRelay.java
@@ -12,6 +12,7 @@
  */
 final class RequestRelay {
     private static final int MAX_BUFFERED_BYTES = 8 << 20;
+    private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private final ServiceRoute route;
     private final CallerExchange exchange;
@@ -63,8 +64,11 @@
         return begun && !before;
     }
 
+    /** Tells whether more of the answer waits in memory than this router keeps for a request. */
     boolean isTooLarge() {
-        return body.size() > MAX_BUFFERED_BYTES;
+        return body.size() > MAX_BUFFERED_BYTES
+                || events.pendingBytes() > MAX_EVENT_BYTES
+                || exchange.unsentBytes() > MAX_BUFFERED_BYTES;
     }
 
     private void pass(EventSplitter.Event event) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -264,6 +264,11 @@
         body.append(new String(bytes, StandardCharsets.UTF_8));
     }
 
+    @Override
+    public long unsentBytes() {
+        return 0;
+    }
+
     @Override
     public void finish() {
         finished = true;
