Bound the events that the client of model engines decodes

An event whose blank line never comes grew in memory line by line; lines alone were bounded. Found by looking for the cause of the endless answers elsewhere. SseDecoderTest.anEventWithoutEndIsRefused holds it.

--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/SseDecoder.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/SseDecoder.java
@@ -9,6 +9,7 @@
 final class SseDecoder {
     private static final String DATA = "data:";
     private static final int MAX_LINE_BYTES = 64 << 10;
+    private static final int MAX_EVENT_CHARS = 1 << 20;
 
     private final Consumer<String> events;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
@@ -21,7 +22,7 @@
     /**
      * Decodes a chunk.
      *
-     * @throws IllegalStateException where a line is too long
+     * @throws IllegalStateException where a line or an event is too long
      */
     void decode(Buffer chunk) {
         for (byte b : chunk.getBytes()) {
@@ -49,6 +50,9 @@
                 data.append('\n');
             }
             data.append(text.substring(DATA.length()).strip());
+            if (data.length() > MAX_EVENT_CHARS) {
+                throw new IllegalStateException("an event exceeds " + MAX_EVENT_CHARS);
+            }
         }
     }
 
