Wait for a silent upstream where the request cannot go on elsewhere

What callers saw: streams and answers that were slow but sound were cut after 0.5 to 1.4 s of silence although no attempt, budget or other upstream was left, and a stalled stream that sent a byte now and then was never left.

Cause: the check for silence gave the send up first and asked for a repeat afterwards; any byte counted as progress of a stream.

Evidence: three new tests of RequestRunTest failed before, with 502 after 500 ms, an aborted stream, and no second send.

Fix: the send is given up only where another one would follow for sure; until then the silence is booked to the upstream's health once. Of a stream only whole events are progress.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/repeats/RepeatBudget.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/repeats/RepeatBudget.java
@@ -91,15 +91,25 @@
      * @return whether the repeat may be sent
      */
     public boolean tryRepeat(String service, long nowMillis) {
-        Window spent = window(repeats, service, nowMillis);
-        double allowed = ratio * window(requests, service, nowMillis).sum + slack / routers;
-        if (spent.booked.size() + 1 > allowed) {
+        if (!mayRepeat(service, nowMillis)) {
             return false;
         }
-        spent.add(1, nowMillis);
+        window(repeats, service, nowMillis).add(1, nowMillis);
         return true;
     }
 
+    /**
+     * Tells whether the budget allows a repeat.
+     *
+     * @param service the service that is to run it
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return whether {@link #tryRepeat} would take one
+     */
+    public boolean mayRepeat(String service, long nowMillis) {
+        double allowed = ratio * window(requests, service, nowMillis).sum + slack / routers;
+        return window(repeats, service, nowMillis).booked.size() + 1 <= allowed;
+    }
+
     private Window window(Map<String, Window> windows, String service, long nowMillis) {
         Window window = windows.computeIfAbsent(service, s -> new Window());
         window.forgetUntil(nowMillis - windowMillis);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRelay.java
@@ -18,6 +18,7 @@
     private final CallerExchange exchange;
     private Optional<Long> lastEventId;
     private boolean begun;
+    private long passedEvents;
     private UpstreamHead head;
     private EventSplitter events = new EventSplitter();
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -33,6 +34,11 @@
         return begun;
     }
 
+    /** Returns the number of events that were passed on. */
+    long passedEvents() {
+        return passedEvents;
+    }
+
     /** Returns the last event that the caller has. */
     Optional<Long> resumePoint() {
         return lastEventId;
@@ -80,6 +86,7 @@
             lastEventId = Optional.of(id);
         }
         beginStream();
+        passedEvents++;
         exchange.write(event.bytes());
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -343,6 +343,15 @@
         pause = loop.after(rejections > 1 ? REJECTION_PAUSE_MILLIS : 0, this::dispatch);
     }
 
+    /** Tells whether a send that is given up would be followed by another one. */
+    boolean mayGoElsewhere() {
+        return route.repeatRule() != RepeatRule.AT_MOST_ONCE
+                && runs < route.maxAttempts()
+                && parts.budget().mayRepeat(service(), loop.nowMillis())
+                && open(service()).stream()
+                        .anyMatch(upstream -> !parts.permits().isNeeded(upstream.entry().id()));
+    }
+
     /** The send failed, and the request may have run; tells whether it goes on elsewhere. */
     boolean failed(String reason) {
         mayHaveRun = true;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
@@ -28,6 +28,7 @@
     private long heardMillis;
     private UpstreamHead head;
     private boolean promptRead;
+    private boolean silenceBooked;
     private boolean ended;
     private Disposable call = Disposable.disposed();
     private Disposable check = Disposable.disposed();
@@ -150,8 +151,13 @@
         if (ended) {
             return;
         }
-        heard();
+        upstream.heard(loop.nowMillis());
+        long passedBefore = run.relay().passedEvents();
         boolean first = run.relay().data(bytes);
+        // Bytes of a stream that complete no event are no progress.
+        if (!run.route().streaming() || run.relay().passedEvents() > passedBefore) {
+            heardMillis = loop.nowMillis();
+        }
         if (!promptRead && engine && (first || run.relay().hasBegun())) {
             promptRead = true;
             upstream.promptRead(promptTokens);
@@ -196,7 +202,7 @@
         }
     }
 
-    /** Moves a request that may be repeated away from an upstream that says nothing. */
+    /** Moves a request that may go on elsewhere away from an upstream that says nothing. */
     private void checkSilence() {
         if (ended) {
             return;
@@ -204,8 +210,14 @@
         long nowMillis = loop.nowMillis();
         boolean silentToAll = nowMillis - upstream.heardMillis(sentMillis) > silenceMillis();
         boolean silentToThis = nowMillis - heardMillis > busyMillis();
-        if (silentToAll || silentToThis) {
+        if (!silentToAll && !silentToThis) {
+            return;
+        }
+        if (run.mayGoElsewhere()) {
             broken("silent for " + (nowMillis - heardMillis) + " ms");
+        } else if (!silenceBooked) {
+            silenceBooked = true;
+            run.health(upstream, service, true);
         }
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -465,4 +465,50 @@
         other.lastSend().answer(200);
         assertThat(other.upstreams.limits().perSecond(id).isPresent()).isFalse();
     }
+
+    @Test
+    void aSlowStreamThatCannotGoOnElsewhereIsNotCut() {
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 1)).request();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        world.advance(2_000);
+        assertThat(world.aborted).isFalse();
+
+        world.lastSend().data(EVENT_2);
+        world.sends.get(0).listener.onEnd();
+        assertThat(world.finished).isTrue();
+        assertThat(world.sends).hasSize(1);
+    }
+
+    @Test
+    void aSlowAnswerIsWaitedForWhereNoOtherUpstreamOrBudgetIsLeft() {
+        RepeatBudget none = new RepeatBudget(0, 0, 10_000, 1);
+        World world = new World(none).with(World.route(RepeatRule.IDEMPOTENT, false, 3)).request();
+        world.advance(1_500);
+        assertThat(world.refusals).isEmpty();
+        world.lastSend().answer(200);
+        assertThat(world.finished).isTrue();
+
+        World alone = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 3));
+        alone.upstreams.remove("u2", 0);
+        alone.upstreams.remove("u3", 0);
+        alone.request().advance(1_500);
+        assertThat(alone.refusals).isEmpty();
+        alone.lastSend().answer(200);
+        assertThat(alone.finished).isTrue();
+    }
+
+    @Test
+    void aStalledStreamThatSendsAByteNowAndThenIsLeft() {
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2)).request();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        for (int i = 0; i < 20; i++) {
+            world.sends.get(0).listener.onData(new byte[] {':'});
+            world.advance(100);
+        }
+        assertThat(world.sends).hasSize(2);
+        assertThat(world.sends.get(0).cancelled).isTrue();
+        assertThat(world.sends.get(1).call.resumeAfter()).hasValue(1L);
+    }
 }
