Let periodic tasks go on after an unexpected error

One error in a tick ended it for good: a router that failed once to tell its signs of life, or to expire upstreams, never did it again, though its process went on. RxJava ends a periodic task at its first error. LoopTest failed before (one run in place of three).

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/loop/Loop.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/loop/Loop.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.loop;
 
+import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.core.Scheduler;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.concurrent.TimeUnit;
@@ -8,6 +9,8 @@
 
 /** The one thread of a router's serving part, with its clocks and timers. */
 public final class Loop {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
     private final Scheduler scheduler;
     private final LongSupplier wallMillis;
 
@@ -60,8 +63,17 @@
         return scheduler.scheduleDirect(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
     }
 
+    /** A scheduler ends a periodic task at its first error. */
+    private static void runSafely(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("a periodic task failed; it goes on");
+        }
+    }
+
     /**
-     * Runs a task again and again.
+     * Runs a task again and again, also after it has failed.
      *
      * @param periodMillis the time between two runs, in milliseconds
      * @param task the task
@@ -69,6 +81,6 @@
      */
     public Disposable every(long periodMillis, Runnable task) {
         return scheduler.schedulePeriodicallyDirect(
-                task, periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+                () -> runSafely(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
     }
 }
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/loop/LoopTest.java
@@ -0,0 +1,43 @@
+package org.bronzewheel.loop;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.plugins.RxJavaPlugins;
+import io.reactivex.rxjava3.schedulers.TestScheduler;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class LoopTest {
+    private final TestScheduler scheduler = new TestScheduler();
+    private final Loop loop = new Loop(scheduler, () -> 0);
+    private int runs;
+
+    @BeforeEach
+    void keepErrorsQuiet() {
+        RxJavaPlugins.setErrorHandler(error -> {});
+    }
+
+    @AfterEach
+    void reset() {
+        RxJavaPlugins.reset();
+    }
+
+    @Test
+    void aRepeatedTaskGoesOnAfterAnUnexpectedError() {
+        Disposable ticks =
+                loop.every(
+                        100,
+                        () -> {
+                            runs++;
+                            throw new IllegalStateException("unexpected");
+                        });
+        scheduler.advanceTimeBy(350, TimeUnit.MILLISECONDS);
+        assertThat(runs).isEqualTo(3);
+        ticks.dispose();
+        scheduler.advanceTimeBy(350, TimeUnit.MILLISECONDS);
+        assertThat(runs).isEqualTo(3);
+    }
+}
