--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -445,6 +445,12 @@
         }
     }
 
+    /** Ends the request after an error of this router; it may have run. */
+    void failUnexpectedly() {
+        mayHaveRun = true;
+        giveUp("an unexpected error");
+    }
+
     private void endBroken(String reason) {
         if (end(RequestEnd.BROKEN_OFF, reason)) {
             exchange.abort();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.serving;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +13,7 @@
  * The entry of requests: finds route and workspace, refuses what cannot be served, runs the rest.
  */
 public final class ServingEngine {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final RunningRequest NOTHING = () -> {};
     private static final long NO_CATALOG_RETRY_MILLIS = 300;
     private static final long NO_EVIDENCE_RETRY_MILLIS = 400;
@@ -102,7 +104,12 @@
                         nowMillis,
                         running::remove);
         running.add(run);
-        run.start();
+        try {
+            run.start();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("request %s failed unexpectedly", request.id());
+            run.failUnexpectedly();
+        }
         return run;
     }
 
