--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -92,10 +92,21 @@
         step =
                 (snapshot ? source.snapshot() : source.changes(revision, WAIT_MILLIS))
                         .subscribe(
-                                batch -> loop.execute(() -> take(batch, snapshot, sentAt)),
+                                batch -> loop.execute(() -> takeSafely(batch, snapshot, sentAt)),
                                 error -> loop.execute(() -> failed(error)));
     }
 
+    /** An error of this router must not end the following; what was half taken is read again. */
+    private void takeSafely(PublishedBatch batch, boolean snapshot, Instants sentAt) {
+        try {
+            take(batch, snapshot, sentAt);
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("an answer of the platform was not taken");
+            needsSnapshot = true;
+            step = loop.after(pauseMillis, this::ask);
+        }
+    }
+
     private void take(PublishedBatch batch, boolean snapshot, Instants sentAt) {
         if (stopped) {
             return;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -144,4 +144,22 @@
         answer(waits, 6);
         assertThat(catalog.honoursKeys(loop.now())).isTrue();
     }
+
+    @Test
+    void anUnexpectedErrorWithAnAnswerDoesNotEndTheFollowing() {
+        answer(snapshots, 5, version(1));
+        boolean[] fails = {true};
+        upstreams.onChange(
+                () -> {
+                    if (fails[0]) {
+                        throw new IllegalStateException("unexpected");
+                    }
+                });
+        answer(waits, 6, upstream("a"));
+        fails[0] = false;
+        advance(2_000);
+        assertThat(snapshots).hasSize(2);
+        answer(snapshots, 6, version(1), upstream("a"));
+        assertThat(upstreams.serving("s")).hasSize(1);
+    }
 }
