--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -26,17 +26,18 @@
 
     private static final Map<String, LongFunction<ExperimentResult>> BY_NAME =
             new TreeMap<>(
-                    Map.of(
-                            "load", Experiments::load,
-                            "faults", Experiments::faults,
-                            "baselines", Experiments::baselines,
-                            "ablations", Experiments::ablations,
-                            "herd", HerdExperiment::run,
-                            "stages", StageExperiment::run,
-                            "bursts", StageBurstExperiment::run,
-                            "shortage", StageShortageExperiment::run,
-                            "limits", LimitExperiment::run,
-                            "decision-cost", DecisionCost::run));
+                    Map.ofEntries(
+                            Map.entry("load", Experiments::load),
+                            Map.entry("faults", Experiments::faults),
+                            Map.entry("baselines", Experiments::baselines),
+                            Map.entry("ablations", Experiments::ablations),
+                            Map.entry("herd", HerdExperiment::run),
+                            Map.entry("stages", StageExperiment::run),
+                            Map.entry("bursts", StageBurstExperiment::run),
+                            Map.entry("shortage", StageShortageExperiment::run),
+                            Map.entry("limits", LimitExperiment::run),
+                            Map.entry("limited-engines", LimitExperiment::runEngines),
+                            Map.entry("decision-cost", DecisionCost::run)));
 
     private Experiments() {}
 
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/LimitExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/LimitExperiment.java
@@ -8,7 +8,8 @@
 
 /**
  * An experiment on limits that upstreams name: what reaches an upstream from fleets of several
- * sizes, calm and with routers that die, and what it costs.
+ * sizes, calm and with routers that die, what it costs, and what callers get where all engines name
+ * limits.
  */
 final class LimitExperiment {
     private static final String NAME = "limits";
@@ -24,6 +25,11 @@
     static final double LEAST_USE = 0.8;
 
     private static final double MILLIS_PER_SECOND = 1_000;
+    private static final String ENGINES_NAME = "limited-engines";
+    private static final List<Double> ENGINE_PARTS = List.of(2.0, 0.9, 0.5, 0.3);
+
+    /** The share of requests that may be refused later than at once. */
+    static final double MOST_HELD = 0.05;
 
     private LimitExperiment() {}
 
@@ -45,6 +51,35 @@
         return new ExperimentResult(NAME, seed, rows, targets);
     }
 
+    /** Runs whole requests with stages where the engines take a part of the usual load. */
+    static ExperimentResult runEngines(long seed) {
+        List<Row> rows = new ArrayList<>();
+        List<Target> targets = new ArrayList<>();
+        for (StageProfile profile : List.of(StageProfile.tokachi(), StageProfile.ikaze())) {
+            for (double part : ENGINE_PARTS) {
+                Row row = StageExperiment.limitedRow(profile, part, seed);
+                rows.add(row);
+                addEngineTargets(row, profile, targets);
+            }
+        }
+        return new ExperimentResult(ENGINES_NAME, seed, rows, targets);
+    }
+
+    private static void addEngineTargets(Row row, StageProfile profile, List<Target> targets) {
+        String name = profile.name() + ", " + row.fault();
+        targets.add(
+                Target.atMost(
+                        name + ", refusals that came late", row.figures().get("held"), MOST_HELD));
+        for (int rank = 0; rank < profile.routes().size(); rank++) {
+            targets.add(
+                    Target.atLeast(
+                            name + ", answered of rank " + rank,
+                            row.figures().get("answered " + rank),
+                            StageShortageExperiment.LEAST_PART_OF_ALL
+                                    * row.figures().get("answered")));
+        }
+    }
+
     private static void add(Row row, double limit, List<Row> rows, List<Target> targets) {
         rows.add(row);
         String name = "%s routers, limit %s, %s".formatted(row.profile(), limit, row.fault());
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/LimitFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/LimitFleet.java
@@ -15,11 +15,13 @@
 import org.bronzewheel.peering.SeedMembership;
 import org.bronzewheel.permits.PeerPermits;
 import org.bronzewheel.permits.PermitDecision;
+import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.standin.VirtualPeers;
 import org.bronzewheel.transport.Channel;
 import org.bronzewheel.transport.PeerTransport;
 import org.bronzewheel.upstreams.NamedLimit;
 import org.bronzewheel.upstreams.NamedLimits;
+import org.bronzewheel.upstreams.UpstreamTable;
 
 /**
  * A fleet of routers before one upstream that names a limit, in virtual time.
@@ -224,7 +226,8 @@
     /** One router, without its callers' side. */
     private final class Router {
         private final String vmId;
-        private final NamedLimits limits = new NamedLimits();
+        private final UpstreamTable table = new UpstreamTable(0);
+        private final NamedLimits limits = table.limits();
         private final SeedMembership membership;
         private final PeerNetwork network;
         private final PeerPermits permits;
@@ -251,7 +254,7 @@
                             Set::of,
                             (service, backlog) -> {},
                             limits);
-            permits = new PeerPermits(transport, membership, limits, loop);
+            permits = new PeerPermits(transport, membership, table, loop);
             network.start();
             permits.start();
         }
@@ -264,17 +267,18 @@
         }
 
         void demand() {
-            if (!permits.isNeeded(UPSTREAM)) {
+            if (!permits.isNeeded(PermitKind.SEND, UPSTREAM)) {
                 send();
                 return;
             }
-            if (permits.opensAfterMillis(UPSTREAM) > 0) {
+            if (permits.opensAfterMillis(PermitKind.SEND, UPSTREAM) > 0) {
                 return;
             }
             long askedMillis = loop.nowMillis();
             long patience = random.nextDouble() < PATIENT_PART ? PATIENCE_MILLIS : 0;
             Disposable unused =
                     permits.take(
+                            PermitKind.SEND,
                             UPSTREAM,
                             random.nextInt(RANKS),
                             patience,
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
@@ -70,6 +70,23 @@
             List<StageLoss> losses) {
         StageFleet fleet = new StageFleet(profile, variant, seed);
         fleet.run(load, MILLIS, bursts, losses);
+        return row(profile, variant, load, fault, fleet);
+    }
+
+    /** Returns the figures where the engines take a part of the usual load, and say so. */
+    static Row limitedRow(StageProfile profile, double part, long seed) {
+        StageFleet fleet = new StageFleet(profile, StageVariant.OWNER, seed);
+        fleet.limitEngines(part);
+        fleet.run(1, MILLIS, List.of(), List.of());
+        return row(profile, StageVariant.OWNER, 1, "engines take %.1f".formatted(part), fleet);
+    }
+
+    private static Row row(
+            StageProfile profile,
+            StageVariant variant,
+            double load,
+            String fault,
+            StageFleet fleet) {
         StageTally tally = fleet.tally();
         StageUpstreams upstreams = fleet.upstreams();
         double answers = Math.max(1, tally.answers());
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -21,7 +21,7 @@
 import org.bronzewheel.measure.StageProfile.StageRoute;
 import org.bronzewheel.peering.PeerNetwork;
 import org.bronzewheel.peering.SeedMembership;
-import org.bronzewheel.permits.Permits;
+import org.bronzewheel.permits.PeerPermits;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.serving.CallerExchange;
 import org.bronzewheel.serving.CallerRequest;
@@ -70,6 +70,7 @@
     private final List<Router> routers = new ArrayList<>();
     private final StageTally tally = new StageTally();
     private Optional<Router> dead = Optional.empty();
+    private NamedLimit engineLimit = NamedLimit.NONE;
 
     StageFleet(StageProfile profile, StageVariant variant, long seed) {
         this.profile = profile;
@@ -93,6 +94,12 @@
         }
     }
 
+    /** Lets each engine name a limit, so that all take a part of the usual load together. */
+    void limitEngines(double part) {
+        double usual = profile.routes().stream().mapToDouble(StageRoute::requestsPerSecond).sum();
+        engineLimit = NamedLimit.of(part * usual / ENGINES);
+    }
+
     private String failureDomain(int index) {
         return profile.failureDomains().get(index % profile.failureDomains().size());
     }
@@ -219,6 +226,7 @@
         private final List<UpstreamEntry> entries;
         private final SeedMembership membership;
         private final PeerNetwork network;
+        private final PeerPermits permits;
         private final SharedStages shared;
         private final CompositeDisposable ticks = new CompositeDisposable();
         private final ServingEngine engine;
@@ -236,11 +244,12 @@
             catalog.offer(catalog());
             catalog.confirm(1, loop.now());
             table.replaceAll(entries, 0);
+            permits = new PeerPermits(transport, membership, table, loop);
             shared =
                     new StageParts(
                                     catalog,
                                     table,
-                                    Permits.UNLIMITED,
+                                    permits,
                                     upstreams,
                                     transport,
                                     membership,
@@ -262,7 +271,7 @@
                                     catalog,
                                     table,
                                     this::send,
-                                    Permits.UNLIMITED,
+                                    permits,
                                     shared,
                                     budget,
                                     new EngineChoice(),
@@ -275,6 +284,7 @@
         void start() {
             if (variant == StageVariant.OWNER || variant == StageVariant.OWNER_DIES) {
                 network.start();
+                permits.start();
             }
             if (variant == StageVariant.TURNS) {
                 takeTurn();
@@ -325,7 +335,7 @@
                     () -> {
                         listener.onHead(
                                 new UpstreamHead(
-                                        OK, List.of(), true, false, false, false, NamedLimit.NONE));
+                                        OK, List.of(), true, false, false, false, engineLimit));
                         listener.onEnd();
                     });
         }
--- a/bronzewheel-measure/src/test/java/org/bronzewheel/measure/LimitExperimentTest.java
+++ b/bronzewheel-measure/src/test/java/org/bronzewheel/measure/LimitExperimentTest.java
@@ -30,6 +30,22 @@
         }
     }
 
+    // Guards against stages whose work is lost for want of a permit, and against ranks that starve.
+    @ParameterizedTest
+    @CsvSource({"tokachi,0.5", "ikaze,0.3"})
+    void whereAllEnginesNameLimitsCallersAreRefusedAtOnceAndNoRankStarves(
+            String profile, double part) {
+        StageProfile deployment =
+                profile.equals("tokachi") ? StageProfile.tokachi() : StageProfile.ikaze();
+        Map<String, Double> figures = StageExperiment.limitedRow(deployment, part, 2).figures();
+        assertThat(figures.get("held")).isAtMost(LimitExperiment.MOST_HELD);
+        for (int rank = 0; rank < 3; rank++) {
+            assertWithMessage("answered of rank %s", rank)
+                    .that(figures.get("answered " + rank))
+                    .isAtLeast(StageShortageExperiment.LEAST_PART_OF_ALL * figures.get("answered"));
+        }
+    }
+
     @Test
     void bothSidesOfAFleetThatIsCutKeepTheLimitTogether() {
         LimitFleet fleet = new LimitFleet(9, 20, 100, 1);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
@@ -4,10 +4,14 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.core.SingleEmitter;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.bronzewheel.catalog.Instants;
@@ -17,6 +21,7 @@
 import org.bronzewheel.transport.Channel;
 import org.bronzewheel.transport.PeerTransport;
 import org.bronzewheel.upstreams.NamedLimits;
+import org.bronzewheel.upstreams.UpstreamTable;
 import org.bronzewheel.wire.PermitQuestion;
 import org.bronzewheel.wire.PermitReply;
 import org.bronzewheel.wire.UpstreamLimit;
@@ -31,7 +36,12 @@
  */
 public final class PeerPermits implements Permits, Service {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final String KEY = "permit/";
+
+    /** The part of the limits for which stages begin, so that few requests wait behind them. */
+    private static final double ENTRY_PART = 0.9;
+
+    private static final String SEND_KEY = "permit/";
+    private static final String ENTRY_KEY = "entry/";
 
     /** The longest time for a question and its reply, in milliseconds. */
     private static final long REPLY_MILLIS = 150;
@@ -51,33 +61,40 @@
     /** The part that a keeper grants while the one before it may still live. */
     private static final double PROVISIONAL_PART = 0.25;
 
-    private static final String NO_UPSTREAM = "";
-
     private final PeerTransport transport;
     private final SeedMembership membership;
+    private final UpstreamTable upstreams;
     private final NamedLimits limits;
     private final Loop loop;
-    private final PermitKeeper keeper;
-    private final Map<String, Long> closedUntilMillis = new HashMap<>();
+    private final Map<PermitKind, PermitKeeper> keepers = new EnumMap<>(PermitKind.class);
+    private final Map<Key, Long> closedUntilMillis = new HashMap<>();
     private final Map<String, Long> lostUntilMillis = new HashMap<>();
     private final Set<String> checked = new HashSet<>();
-    private Disposable reports = Disposable.disposed();
+    private final CompositeDisposable reports = new CompositeDisposable();
+
+    private record Key(PermitKind kind, String name) {}
 
     /**
      * Creates permits that are not started.
      *
      * @param transport the way to the other routers
      * @param membership the other routers
-     * @param limits what upstreams said
+     * @param upstreams the upstreams and what they said
      * @param loop the thread that owns it all
      */
     public PeerPermits(
-            PeerTransport transport, SeedMembership membership, NamedLimits limits, Loop loop) {
+            PeerTransport transport,
+            SeedMembership membership,
+            UpstreamTable upstreams,
+            Loop loop) {
         this.transport = transport;
         this.membership = membership;
-        this.limits = limits;
+        this.upstreams = upstreams;
+        this.limits = upstreams.limits();
         this.loop = loop;
-        this.keeper = new PermitKeeper(limits, loop);
+        for (PermitKind kind : PermitKind.values()) {
+            keepers.put(kind, new PermitKeeper(kind, name -> limit(kind, name), loop));
+        }
         transport.serve(
                 Channel.LOAD,
                 (from, bytes) ->
@@ -86,28 +103,33 @@
 
     @Override
     public void start() {
-        reports = keeper.start();
+        keepers.values().forEach(keeper -> reports.add(keeper.start()));
     }
 
     @Override
     public void stop() {
-        reports.dispose();
+        reports.clear();
     }
 
     @Override
-    public boolean isNeeded(String upstreamId) {
-        return limits.perSecond(upstreamId).isPresent();
+    public boolean isNeeded(PermitKind kind, String name) {
+        return limit(kind, name).isPresent();
+    }
+
+    private OptionalDouble limit(PermitKind kind, String name) {
+        return kind == PermitKind.SEND ? limits.perSecond(name) : upstreams.limitOf(name);
     }
 
     @Override
-    public long opensAfterMillis(String upstreamId) {
-        Long untilMillis = closedUntilMillis.get(upstreamId);
+    public long opensAfterMillis(PermitKind kind, String name) {
+        Key key = new Key(kind, name);
+        Long untilMillis = closedUntilMillis.get(key);
         if (untilMillis == null) {
             return 0;
         }
         long leftMillis = untilMillis - loop.nowMillis();
-        if (leftMillis <= 0 || !isNeeded(upstreamId)) {
-            closedUntilMillis.remove(upstreamId);
+        if (leftMillis <= 0 || !isNeeded(kind, name)) {
+            closedUntilMillis.remove(key);
             return 0;
         }
         return leftMillis;
@@ -115,46 +137,49 @@
 
     @Override
     public Disposable take(
-            String upstreamId, int rank, long patienceMillis, Consumer<PermitDecision> listener) {
-        Taking taking = new Taking(upstreamId, patienceMillis, listener);
-        if (opensAfterMillis(upstreamId) > 0) {
-            long closedMillis = opensAfterMillis(upstreamId);
+            PermitKind kind,
+            String name,
+            int rank,
+            long patienceMillis,
+            Consumer<PermitDecision> listener) {
+        Taking taking = new Taking(new Key(kind, name), patienceMillis, listener);
+        long closedMillis = opensAfterMillis(kind, name);
+        if (closedMillis > patienceMillis) {
             loop.execute(() -> taking.end(PermitDecision.closedFor(closedMillis)));
             return taking;
         }
-        String asked = keeperOf(upstreamId);
+        String asked = keeperOf(taking.key);
         if (isSelf(asked)) {
-            loop.execute(() -> askHere(upstreamId, rank, patienceMillis, taking));
+            loop.execute(() -> askHere(rank, taking));
         } else {
-            taking.call = ask(asked, upstreamId, rank, patienceMillis, taking);
+            taking.call = ask(asked, rank, taking);
         }
         return taking;
     }
 
-    private void askHere(String upstreamId, int rank, long patienceMillis, Taking taking) {
+    private void askHere(int rank, Taking taking) {
         if (!taking.isDisposed()) {
-            keeper.ask(upstreamId, rank, patienceMillis, part(upstreamId), taking::decided);
+            Key key = taking.key;
+            keepers.get(key.kind())
+                    .ask(key.name(), rank, taking.patienceMillis, part(key), taking::decided);
         }
     }
 
-    private Disposable ask(
-            String asked, String upstreamId, int rank, long patienceMillis, Taking taking) {
+    private Disposable ask(String asked, int rank, Taking taking) {
+        String name = taking.key.name();
         PermitQuestion.Builder question =
                 PermitQuestion.newBuilder()
-                        .setUpstreamId(upstreamId)
+                        .setName(name)
                         .setRank(rank)
-                        .setPatienceMillis(patienceMillis);
-        limits.statement(upstreamId)
-                .ifPresent(
-                        known ->
-                                question.setLimit(
-                                        PermitCodec.encode(upstreamId, known, loop.nowMillis())));
+                        .setPatienceMillis(taking.patienceMillis)
+                        .setEntry(taking.key.kind() == PermitKind.ENTRY);
+        statement(taking.key).ifPresent(question::setLimit);
         return transport
                 .call(
                         asked,
                         Channel.LOAD,
                         question.build().toByteArray(),
-                        patienceMillis + REPLY_MILLIS)
+                        taking.patienceMillis + REPLY_MILLIS)
                 .subscribe(
                         bytes -> loop.execute(() -> replied(asked, bytes, taking)),
                         error -> loop.execute(() -> failed(asked, error, taking)));
@@ -186,15 +211,26 @@
         }
     }
 
+    private Optional<UpstreamLimit> statement(Key key) {
+        return key.kind() == PermitKind.ENTRY
+                ? Optional.empty()
+                : limits.statement(key.name())
+                        .map(known -> PermitCodec.encode(key.name(), known, loop.nowMillis()));
+    }
+
     private void learn(UpstreamLimit message) {
         if (!message.getUpstreamId().isEmpty()) {
             limits.learned(message.getUpstreamId(), PermitCodec.decode(message, loop.nowMillis()));
         }
     }
 
-    private String keeperOf(String upstreamId) {
+    private static String keeperKey(Key key) {
+        return (key.kind() == PermitKind.ENTRY ? ENTRY_KEY : SEND_KEY) + key.name();
+    }
+
+    private String keeperOf(Key key) {
         lostUntilMillis.values().removeIf(untilMillis -> loop.nowMillis() >= untilMillis);
-        return membership.ownerOf(KEY + upstreamId, lostUntilMillis.keySet(), loop.nowMillis());
+        return membership.ownerOf(keeperKey(key), lostUntilMillis.keySet(), loop.nowMillis());
     }
 
     private boolean isSelf(String vmId) {
@@ -202,12 +238,13 @@
     }
 
     /** Returns the part of a limit that this router may grant as its keeper. */
-    private double part(String upstreamId) {
+    private double part(Key key) {
         long nowMillis = loop.nowMillis();
         double seen = Math.max(1, membership.able(nowMillis) - lostUntilMillis.size());
         double part = Math.min(1, seen / membership.routers(nowMillis));
-        boolean settled = isSelf(membership.ownerOf(KEY + upstreamId, Set.of(), nowMillis));
-        return settled ? part : PROVISIONAL_PART * part;
+        boolean settled = isSelf(membership.ownerOf(keeperKey(key), Set.of(), nowMillis));
+        double granted = key.kind() == PermitKind.ENTRY ? ENTRY_PART * part : part;
+        return settled ? granted : PROVISIONAL_PART * granted;
     }
 
     private void serve(byte[] bytes, SingleEmitter<byte[]> emitter) {
@@ -218,35 +255,32 @@
             emitter.tryOnError(e);
             return;
         }
-        String upstreamId = question.getUpstreamId();
-        if (upstreamId.equals(NO_UPSTREAM)) {
+        if (question.getName().isEmpty()) {
             emitter.onSuccess(PermitReply.getDefaultInstance().toByteArray());
             return;
         }
         learn(question.getLimit());
-        Consumer<PermitDecision> reply = decision -> reply(upstreamId, decision, emitter);
-        String owner = keeperOf(upstreamId);
+        PermitKind kind = question.getEntry() ? PermitKind.ENTRY : PermitKind.SEND;
+        Key key = new Key(kind, question.getName());
+        Consumer<PermitDecision> reply = decision -> reply(key, decision, emitter);
+        String owner = keeperOf(key);
         if (isSelf(owner)) {
             long patienceMillis = Math.max(0, question.getPatienceMillis());
-            keeper.ask(upstreamId, question.getRank(), patienceMillis, part(upstreamId), reply);
+            keepers.get(kind).ask(key.name(), question.getRank(), patienceMillis, part(key), reply);
         } else {
-            keeper.giveUp(upstreamId);
+            keepers.get(kind).giveUp(key.name());
             reply.accept(PermitDecision.closedFor(NO_KEEPER_PAUSE_MILLIS));
             check(owner);
         }
     }
 
-    private void reply(String upstreamId, PermitDecision decision, SingleEmitter<byte[]> emitter) {
+    private void reply(Key key, PermitDecision decision, SingleEmitter<byte[]> emitter) {
         PermitReply.Builder reply =
                 PermitReply.newBuilder()
                         .setGranted(decision.granted())
                         .setRetryAfterMillis(decision.retryAfterMillis())
                         .setNextMillis(decision.nextMillis());
-        limits.statement(upstreamId)
-                .ifPresent(
-                        known ->
-                                reply.setLimit(
-                                        PermitCodec.encode(upstreamId, known, loop.nowMillis())));
+        statement(key).ifPresent(reply::setLimit);
         emitter.onSuccess(reply.build().toByteArray());
     }
 
@@ -274,15 +308,15 @@
 
     /** The taking of one permit. */
     private final class Taking implements Disposable {
-        private final String upstreamId;
+        private final Key key;
         private final long patienceMillis;
         private final Consumer<PermitDecision> listener;
         private final Instants asked = loop.now();
         private Disposable call = Disposable.disposed();
         private boolean ended;
 
-        Taking(String upstreamId, long patienceMillis, Consumer<PermitDecision> listener) {
-            this.upstreamId = upstreamId;
+        Taking(Key key, long patienceMillis, Consumer<PermitDecision> listener) {
+            this.key = key;
             this.patienceMillis = patienceMillis;
             this.listener = listener;
         }
@@ -293,7 +327,7 @@
                         Math.max(
                                 LEAST_PAUSE_MILLIS,
                                 Math.min(MOST_PAUSE_MILLIS, decision.nextMillis()));
-                closedUntilMillis.put(upstreamId, loop.nowMillis() + pauseMillis);
+                closedUntilMillis.put(key, loop.nowMillis() + pauseMillis);
             }
             boolean fresh = loop.now().millisSince(asked) <= patienceMillis + GRANT_LIFE_MILLIS;
             end(fresh ? decision : PermitDecision.closedFor(LEAST_PAUSE_MILLIS));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PermitBook.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PermitBook.java
@@ -30,12 +30,17 @@
     private final RankShares shares = new RankShares();
     private final List<Waiting> waiting = new ArrayList<>();
     private double ratePerSecond;
+    private long nextNumber;
     private int granted;
     private int refused;
 
     /** A request that waits for a permit. */
     private record Waiting(
-            int rank, long askedMillis, long untilMillis, Consumer<PermitDecision> reply) {}
+            long number,
+            int rank,
+            long askedMillis,
+            long untilMillis,
+            Consumer<PermitDecision> reply) {}
 
     PermitBook(double limitPerSecond, double part, long nowMillis) {
         ratePerSecond = rate(limitPerSecond, part);
@@ -73,7 +78,8 @@
      */
     void ask(int rank, long patienceMillis, long nowMillis, Consumer<PermitDecision> reply) {
         shares.ask(rank, 1, nowMillis);
-        Waiting asked = new Waiting(rank, nowMillis, nowMillis + patienceMillis, reply);
+        Waiting asked =
+                new Waiting(nextNumber++, rank, nowMillis, nowMillis + patienceMillis, reply);
         waiting.add(asked);
         serve(nowMillis);
         long expectedMillis = expectedMillis(asked, nowMillis);
@@ -84,12 +90,9 @@
 
     /** Returns the time until a request that waits will have a permit, where no other comes. */
     private long expectedMillis(Waiting asked, long nowMillis) {
-        long ahead =
-                waiting.stream().filter(w -> !w.equals(asked) && w.rank() <= asked.rank()).count();
-        return nextMillis(nowMillis)
-                + Math.min(
-                        TimeUnit.DAYS.toMillis(1),
-                        Math.round(ahead * MILLIS_PER_SECOND / ratePerSecond));
+        long ahead = waiting.stream().filter(w -> order().compare(w, asked) < 0).count();
+        double aheadMillis = ahead * MILLIS_PER_SECOND / ratePerSecond;
+        return nextMillis(nowMillis) + Math.min(TimeUnit.DAYS.toMillis(1), Math.round(aheadMillis));
     }
 
     /** Returns the time until a wait ends, by a permit or without one, in milliseconds. */
@@ -135,13 +138,15 @@
         left.forEach(over -> refuse(over, nextMillis(nowMillis), nowMillis));
     }
 
-    /** Ranks with credit go first, the one with most of it before others; then the urgent ones. */
     private Optional<Waiting> next() {
-        return waiting.stream()
-                .min(
-                        Comparator.comparingDouble((Waiting w) -> -assuredCredit(w.rank()))
-                                .thenComparingInt(Waiting::rank)
-                                .thenComparingLong(Waiting::askedMillis));
+        return waiting.stream().min(order());
+    }
+
+    /** Ranks with credit go first, the one with most of it before others; then the urgent ones. */
+    private Comparator<Waiting> order() {
+        return Comparator.comparingDouble((Waiting w) -> -assuredCredit(w.rank()))
+                .thenComparingInt(Waiting::rank)
+                .thenComparingLong(Waiting::number);
     }
 
     private double assuredCredit(int rank) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PermitKeeper.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PermitKeeper.java
@@ -7,8 +7,8 @@
 import java.util.OptionalDouble;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.bronzewheel.loop.Loop;
-import org.bronzewheel.upstreams.NamedLimits;
 
 /** The books of the limits that this router keeps. Owned by the serving loop. */
 final class PermitKeeper {
@@ -16,7 +16,8 @@
     private static final long REPORT_MILLIS = 1_000;
     private static final long IDLE_MILLIS = 60_000;
 
-    private final NamedLimits limits;
+    private final PermitKind kind;
+    private final Function<String, OptionalDouble> limits;
     private final Loop loop;
     private final Map<String, Kept> kept = new TreeMap<>();
 
@@ -31,7 +32,13 @@
         }
     }
 
-    PermitKeeper(NamedLimits limits, Loop loop) {
+    /**
+     * Creates a keeper without books.
+     *
+     * @param limits the requests a second that are taken from all routers, by name
+     */
+    PermitKeeper(PermitKind kind, Function<String, OptionalDouble> limits, Loop loop) {
+        this.kind = kind;
         this.limits = limits;
         this.loop = loop;
     }
@@ -43,22 +50,21 @@
      * @param reply takes the decision, possibly before this method returns
      */
     void ask(
-            String upstreamId,
+            String name,
             int rank,
             long patienceMillis,
             double part,
             Consumer<PermitDecision> reply) {
-        OptionalDouble limit = limits.perSecond(upstreamId);
+        OptionalDouble limit = limits.apply(name);
         if (limit.isEmpty()) {
-            giveUp(upstreamId);
+            giveUp(name);
             reply.accept(PermitDecision.GRANTED);
             return;
         }
         long nowMillis = loop.nowMillis();
         Kept found =
                 kept.computeIfAbsent(
-                        upstreamId,
-                        id -> new Kept(new PermitBook(limit.getAsDouble(), part, nowMillis)));
+                        name, id -> new Kept(new PermitBook(limit.getAsDouble(), part, nowMillis)));
         found.askedMillis = nowMillis;
         found.book.setLimit(limit.getAsDouble(), part, nowMillis);
         found.book.ask(rank, patienceMillis, nowMillis, reply);
@@ -78,9 +84,9 @@
         schedule(found);
     }
 
-    /** Closes the book of an upstream whose limit this router does not keep any more. */
-    void giveUp(String upstreamId) {
-        Kept closed = kept.remove(upstreamId);
+    /** Closes a book whose limit this router does not keep any more. */
+    void giveUp(String name) {
+        Kept closed = kept.remove(name);
         if (closed != null) {
             closed.timer.dispose();
             closed.book.close(loop.nowMillis());
@@ -98,7 +104,8 @@
             Map.Entry<String, Kept> entry = it.next();
             PermitBook book = entry.getValue().book;
             if (book.hasNews()) {
-                logger.atInfo().log("permits: upstream=%s %s", entry.getKey(), book.takeReport());
+                logger.atInfo().log(
+                        "permits: kind=%s name=%s %s", kind, entry.getKey(), book.takeReport());
             }
             if (!book.hasWaiting() && nowMillis - entry.getValue().askedMillis > IDLE_MILLIS) {
                 it.remove();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/Permits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/Permits.java
@@ -9,50 +9,58 @@
     Permits UNLIMITED =
             new Permits() {
                 @Override
-                public boolean isNeeded(String upstreamId) {
+                public boolean isNeeded(PermitKind kind, String name) {
                     return false;
                 }
 
                 @Override
-                public long opensAfterMillis(String upstreamId) {
+                public long opensAfterMillis(PermitKind kind, String name) {
                     return 0;
                 }
 
                 @Override
                 public Disposable take(
-                        String upstreamId,
+                        PermitKind kind,
+                        String name,
                         int rank,
                         long patienceMillis,
                         Consumer<PermitDecision> listener) {
-                    throw new IllegalStateException("no permit is needed for " + upstreamId);
+                    throw new IllegalStateException("no permit is needed for " + name);
                 }
             };
 
     /**
-     * Tells whether a send to an upstream needs a permit.
+     * Tells whether a request needs a permit.
      *
-     * @param upstreamId the upstream
-     * @return whether it limits what it takes
+     * @param kind what it is for
+     * @param name the upstream or the service
+     * @return whether what it takes is limited
      */
-    boolean isNeeded(String upstreamId);
+    boolean isNeeded(PermitKind kind, String name);
 
     /**
-     * Returns how long no permit of an upstream is to be had, as far as this router knows.
+     * Returns how long no permit is to be had, as far as this router knows.
      *
-     * @param upstreamId the upstream
+     * @param kind what it is for
+     * @param name the upstream or the service
      * @return the time in milliseconds; 0 where it is worth asking
      */
-    long opensAfterMillis(String upstreamId);
+    long opensAfterMillis(PermitKind kind, String name);
 
     /**
-     * Takes a permit for one send, which is to follow at once.
+     * Takes a permit for one request, which is to be used at once.
      *
-     * @param upstreamId the upstream
+     * @param kind what it is for
+     * @param name the upstream or the service
      * @param rank the rank of the request, 0 first
      * @param patienceMillis how long the request may wait for it, in milliseconds
      * @param listener takes the decision, never before this method returns
      * @return gives the wait up; the listener is not called any more
      */
     Disposable take(
-            String upstreamId, int rank, long patienceMillis, Consumer<PermitDecision> listener);
+            PermitKind kind,
+            String name,
+            int rank,
+            long patienceMillis,
+            Consumer<PermitDecision> listener);
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -1,12 +1,14 @@
 package org.bronzewheel.serving;
 
 import io.reactivex.rxjava3.disposables.Disposable;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.RepeatRule;
 import org.bronzewheel.catalog.ServiceEntry;
@@ -14,6 +16,7 @@
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.permits.PermitDecision;
+import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.upstreams.NamedLimits;
 import org.bronzewheel.upstreams.Upstream;
@@ -26,6 +29,9 @@
     private static final long LEAST_SEND_MILLIS = 5;
     private static final double LONGEST_WAIT_SHARE = 0.6;
     private static final double LONGEST_PERMIT_WAIT_SHARE = 0.5;
+    private static final double LONGEST_LATE_WAIT_SHARE = 0.3;
+    private static final double LONGEST_ENTRY_WAIT_SHARE = 0.12;
+    private static final int MOST_PERMIT_WAITS = 3;
     private static final int MOST_REJECTIONS = 4;
     private static final long REJECTION_PAUSE_MILLIS = 40;
     private static final int LEAST_CONNECTIONS = 1;
@@ -61,6 +67,7 @@
     private Disposable pause = Disposable.disposed();
     private Disposable permit = Disposable.disposed();
     private long permitRetryMillis;
+    private int permitWaits;
 
     RequestRun(
             ServingParts parts,
@@ -126,10 +133,44 @@
                             firstAnswerAtMillis - arrivedMillis - REFUSAL_MILLIS,
                             this::firstAnswerTimedOut);
         }
-        stages.begin(
-                choose(service(), arrivedMillis)
-                        .map(engine -> engine.entry().failureDomain())
-                        .orElse(parts.failureDomain()));
+        enter();
+    }
+
+    /**
+     * Begins the stages. Where all upstreams that are to follow limit what they take, that needs a
+     * permit, or most of the stages' work would be for requests that end without one.
+     */
+    private void enter() {
+        if (route.stages().isEmpty() || !parts.permits().isNeeded(PermitKind.ENTRY, service())) {
+            beginStages();
+            return;
+        }
+        permit =
+                parts.permits()
+                        .take(
+                                PermitKind.ENTRY,
+                                service(),
+                                rank(),
+                                Math.round(LONGEST_ENTRY_WAIT_SHARE * route.objectiveMillis()),
+                                this::entryDecided);
+    }
+
+    private void entryDecided(PermitDecision decision) {
+        permitRetryMillis = decision.retryAfterMillis();
+        if (decision.granted()) {
+            beginStages();
+        } else {
+            refuse("the upstreams take no more requests");
+        }
+    }
+
+    private void beginStages() {
+        if (!ended) {
+            stages.begin(
+                    choose(service(), loop.nowMillis())
+                            .map(engine -> engine.entry().failureDomain())
+                            .orElse(parts.failureDomain()));
+        }
     }
 
     CallerRequest request() {
@@ -178,10 +219,11 @@
             return;
         }
         String service = service();
-        Optional<Upstream> upstream = choose(service, nowMillis);
+        Optional<Upstream> upstream =
+                choose(service, nowMillis).or(() -> opensInTime(service, nowMillis));
         if (upstream.isEmpty()) {
             giveUp("no upstream of " + service + " can take the request");
-        } else if (parts.permits().isNeeded(upstream.get().entry().id())) {
+        } else if (parts.permits().isNeeded(PermitKind.SEND, upstream.get().entry().id())) {
             takePermit(service, upstream.get(), nowMillis);
         } else {
             send(service, upstream.get(), nowMillis);
@@ -205,22 +247,44 @@
     }
 
     private void takePermit(String service, Upstream upstream, long nowMillis) {
+        long patienceMillis = permitPatienceMillis(service, nowMillis);
+        permitWaits += patienceMillis > 0 ? 1 : 0;
         permit =
                 parts.permits()
                         .take(
+                                PermitKind.SEND,
                                 upstream.entry().id(),
                                 rank(),
-                                permitPatienceMillis(service, nowMillis),
+                                patienceMillis,
                                 decision -> permitDecided(service, upstream, decision));
     }
 
-    /** A request waits for a permit only where no other upstream can take it. */
+    /** Returns the upstream that has a permit first, where the request may wait for that. */
+    private Optional<Upstream> opensInTime(String service, long nowMillis) {
+        long patienceMillis = permitPatienceMillis(service, nowMillis);
+        if (permitWaits >= MOST_PERMIT_WAITS) {
+            return Optional.empty();
+        }
+        return reachable(service)
+                .filter(upstream -> opensAfterMillis(upstream) <= patienceMillis)
+                .min(Comparator.comparingLong(this::opensAfterMillis));
+    }
+
+    /**
+     * Returns how long the request may wait for a permit: not at all where another upstream can
+     * take it, longer once its stages are done, as their work would be lost.
+     */
     private long permitPatienceMillis(String service, long nowMillis) {
         if (open(service).size() > 1) {
             return 0;
         }
-        long leftMillis = arrivedMillis + route.objectiveMillis() - nowMillis;
-        return Math.max(0, Math.round(LONGEST_PERMIT_WAIT_SHARE * leftMillis));
+        long objectiveLeftMillis = arrivedMillis + route.objectiveMillis() - nowMillis;
+        long callerLeftMillis = route.stages().isEmpty() ? 0 : firstAnswerAtMillis - nowMillis;
+        double millis =
+                Math.max(
+                        LONGEST_PERMIT_WAIT_SHARE * objectiveLeftMillis,
+                        LONGEST_LATE_WAIT_SHARE * callerLeftMillis);
+        return Math.max(0, Math.round(millis));
     }
 
     private void permitDecided(String service, Upstream upstream, PermitDecision decision) {
@@ -254,22 +318,29 @@
 
     /** Returns the upstreams that have a connection and, as far as is known, a permit left. */
     private List<Upstream> open(String service) {
+        return reachable(service).filter(upstream -> opensAfterMillis(upstream) == 0).toList();
+    }
+
+    /** Returns the upstreams that have a connection left and did not have the request before. */
+    private Stream<Upstream> reachable(String service) {
         int share = connectionShare(service);
         return parts.upstreams().serving(service).stream()
                 .filter(upstream -> upstream.openCalls() < share)
-                .filter(upstream -> !tried.contains(upstream.entry().id()))
-                .filter(u -> parts.permits().opensAfterMillis(u.entry().id()) == 0)
-                .toList();
+                .filter(upstream -> !tried.contains(upstream.entry().id()));
     }
 
     /** Returns the time until the first upstream of the service may take a request again. */
     private long opensAfterMillis() {
         return parts.upstreams().serving(service()).stream()
-                .mapToLong(upstream -> parts.permits().opensAfterMillis(upstream.entry().id()))
+                .mapToLong(upstream -> opensAfterMillis(upstream))
                 .min()
                 .orElse(0);
     }
 
+    private long opensAfterMillis(Upstream upstream) {
+        return parts.permits().opensAfterMillis(PermitKind.SEND, upstream.entry().id());
+    }
+
     /** Returns the connections to one upstream that this router may have, as all share its cap. */
     private int connectionShare(String service) {
         return parts.catalog()
@@ -349,7 +420,10 @@
                 && runs < route.maxAttempts()
                 && parts.budget().mayRepeat(service(), loop.nowMillis())
                 && open(service()).stream()
-                        .anyMatch(upstream -> !parts.permits().isNeeded(upstream.entry().id()));
+                        .anyMatch(
+                                upstream ->
+                                        !parts.permits()
+                                                .isNeeded(PermitKind.SEND, upstream.entry().id()));
     }
 
     /** The send failed, and the request may have run; tells whether it goes on elsewhere. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.permits.Permits;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.shares.RankShares;
@@ -218,7 +219,7 @@
 
     /** Frees results at their maker; one that limits what it takes is called with a permit. */
     private void free(String makerId, List<String> handles) {
-        if (!permits.isNeeded(makerId)) {
+        if (!permits.isNeeded(PermitKind.SEND, makerId)) {
             freeNow(makerId, handles);
             return;
         }
@@ -464,7 +465,7 @@
      */
     private boolean hasPermit(StageWorker worker) {
         String id = worker.upstream().entry().id();
-        if (!permits.isNeeded(id) || worker.permit().isHeld(loop.now())) {
+        if (!permits.isNeeded(PermitKind.SEND, id) || worker.permit().isHeld(loop.now())) {
             return true;
         }
         if (waitingPieces() > 0) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StagePermit.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StagePermit.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.bronzewheel.catalog.Instants;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.permits.Permits;
 
 /** The permit for the next call of a stage upstream that limits what it takes. */
@@ -21,12 +22,13 @@
 
     /** Asks for a permit unless that is in progress or known to be useless. */
     void ask(Permits permits, String upstreamId, Loop loop, Runnable onGranted) {
-        if (asked || permits.opensAfterMillis(upstreamId) > 0) {
+        if (asked || permits.opensAfterMillis(PermitKind.SEND, upstreamId) > 0) {
             return;
         }
         asked = true;
         // A call that needs no permit any more leaves this question to run out.
         permits.take(
+                        PermitKind.SEND,
                         upstreamId,
                         MOST_URGENT_RANK,
                         0,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /**
@@ -59,6 +60,24 @@
         return limits;
     }
 
+    /**
+     * Returns what the upstreams of a service that may get work take together.
+     *
+     * @param service the name of the service
+     * @return the requests a second from all routers; empty where one of them names no limit
+     */
+    public OptionalDouble limitOf(String service) {
+        double sum = 0;
+        for (Upstream upstream : serving(service)) {
+            OptionalDouble limit = limits.perSecond(upstream.entry().id());
+            if (limit.isEmpty()) {
+                return limit;
+            }
+            sum += limit.getAsDouble();
+        }
+        return serving(service).isEmpty() ? OptionalDouble.empty() : OptionalDouble.of(sum);
+    }
+
     /** Books that the platform does not answer. */
     public void platformLost() {
         outage = true;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/permits/FakePermits.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/FakePermits.java
@@ -14,7 +14,11 @@
 
     /** A question for a permit. */
     public record Asked(
-            String upstreamId, int rank, long patienceMillis, Consumer<PermitDecision> listener) {}
+            PermitKind kind,
+            String name,
+            int rank,
+            long patienceMillis,
+            Consumer<PermitDecision> listener) {}
 
     /** Lets an upstream need permits. */
     public void limit(String upstreamId) {
@@ -37,19 +41,23 @@
     }
 
     @Override
-    public boolean isNeeded(String upstreamId) {
-        return closedForMillis.containsKey(upstreamId);
+    public boolean isNeeded(PermitKind kind, String name) {
+        return closedForMillis.containsKey(name);
     }
 
     @Override
-    public long opensAfterMillis(String upstreamId) {
-        return closedForMillis.getOrDefault(upstreamId, 0L);
+    public long opensAfterMillis(PermitKind kind, String name) {
+        return closedForMillis.getOrDefault(name, 0L);
     }
 
     @Override
     public Disposable take(
-            String upstreamId, int rank, long patienceMillis, Consumer<PermitDecision> listener) {
-        questions.add(new Asked(upstreamId, rank, patienceMillis, listener));
+            PermitKind kind,
+            String name,
+            int rank,
+            long patienceMillis,
+            Consumer<PermitDecision> listener) {
+        questions.add(new Asked(kind, name, rank, patienceMillis, listener));
         return Disposable.empty();
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -8,6 +8,7 @@
 import org.bronzewheel.catalog.RepeatRule;
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.permits.PermitDecision;
+import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.stages.StageFailure;
 import org.bronzewheel.upstreams.NamedLimit;
@@ -511,4 +512,38 @@
         assertThat(world.sends.get(0).cancelled).isTrue();
         assertThat(world.sends.get(1).call.resumeAfter()).hasValue(1L);
     }
+
+    @Test
+    void stagesBeginWithAPermitWhereAllUpstreamsThatFollowLimitWhatTheyTake() {
+        List<StageStep> steps = List.of(new StageStep("e", List.of(), 10));
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2, steps));
+        world.permits.limit("s");
+        world.request("key", List.of(1));
+        assertThat(world.jobs).isEmpty();
+        assertThat(world.permits.questions().get(0).kind()).isEqualTo(PermitKind.ENTRY);
+        world.permits.decide(PermitDecision.GRANTED);
+        assertThat(world.jobs).hasSize(1);
+
+        world.request("key", List.of(1));
+        world.permits.decide(new PermitDecision(false, 450, 80));
+        assertThat(world.jobs).hasSize(1);
+        assertThat(world.refusedWith()).isEqualTo(503);
+        assertThat(world.refusals.get(0).retryAfterMillis().getAsLong()).isAtLeast(450);
+    }
+
+    @Test
+    void aRequestWhoseStagesAreDoneWaitsForTheFirstUpstreamThatHasAPermit() {
+        List<StageStep> steps = List.of(new StageStep("e", List.of(), 10));
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2, steps));
+        world.permits.close("u1", 300);
+        world.permits.close("u2", 100);
+        world.permits.close("u3", 200);
+        world.request("key", List.of(1));
+        world.jobs.get(0).done();
+        world.advance(0);
+        assertThat(world.permits.questions().get(0).name()).isEqualTo("u2");
+        assertThat(world.permits.questions().get(0).patienceMillis()).isAtLeast(100);
+        world.permits.decide(PermitDecision.GRANTED);
+        assertThat(world.lastSend().call.target().id()).isEqualTo("u2");
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
@@ -67,4 +67,24 @@
         assertThat(peers.stream().filter(u -> u.isEjected(100)).count()).isEqualTo(1);
         assertThat(peers.stream().filter(u -> u.isEjected(3_000)).count()).isEqualTo(0);
     }
+
+    @Test
+    void aServiceIsLimitedWhereAllItsUpstreamsAre() {
+        assertThat(table.limitOf("s").isPresent()).isFalse();
+        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
+        table.put(new UpstreamEntry("b", "s", "10.0.0.2:80", "d", 1, 0, false));
+        table.limits().answered("a", NamedLimit.of(2), 0, 0);
+        assertThat(table.limitOf("s").isPresent()).isFalse();
+        table.limits().answered("b", NamedLimit.of(0.5), 0, 0);
+        assertThat(table.limitOf("s").getAsDouble()).isEqualTo(2.5);
+    }
+
+    @Test
+    void aLimitOutlastsTheEntryOfItsUpstream() {
+        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
+        table.limits().answered("a", NamedLimit.of(2), 0, 0);
+        table.remove("a", 100);
+        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
+        assertThat(table.limits().perSecond("a").getAsDouble()).isEqualTo(2);
+    }
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestion.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestion.java
@@ -7,8 +7,8 @@
 
 /**
  * <pre>
- * Asks the keeper of an upstream's limit for the sending of one request; the reply is a PermitReply.
- * Without an upstream it only asks whether the keeper answers.
+ * Asks the keeper of a limit for one request; the reply is a PermitReply. Without a name it only
+ * asks whether the keeper answers.
  * </pre>
  *
  * Protobuf type {@code bronzewheel.wire.PermitQuestion}
@@ -33,7 +33,7 @@
     super(builder);
   }
   private PermitQuestion() {
-    upstreamId_ = "";
+    name_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -55,39 +55,47 @@
   }
 
   private int bitField0_;
-  public static final int UPSTREAM_ID_FIELD_NUMBER = 1;
+  public static final int NAME_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
-  private volatile java.lang.Object upstreamId_ = "";
+  private volatile java.lang.Object name_ = "";
   /**
-   * <code>string upstream_id = 1;</code>
-   * @return The upstreamId.
+   * <pre>
+   * An upstream, or a service where the request is to begin its stages.
+   * </pre>
+   *
+   * <code>string name = 1;</code>
+   * @return The name.
    */
   @java.lang.Override
-  public java.lang.String getUpstreamId() {
-    java.lang.Object ref = upstreamId_;
+  public java.lang.String getName() {
+    java.lang.Object ref = name_;
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
       com.google.protobuf.ByteString bs = 
           (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
-      upstreamId_ = s;
+      name_ = s;
       return s;
     }
   }
   /**
-   * <code>string upstream_id = 1;</code>
-   * @return The bytes for upstreamId.
+   * <pre>
+   * An upstream, or a service where the request is to begin its stages.
+   * </pre>
+   *
+   * <code>string name = 1;</code>
+   * @return The bytes for name.
    */
   @java.lang.Override
   public com.google.protobuf.ByteString
-      getUpstreamIdBytes() {
-    java.lang.Object ref = upstreamId_;
+      getNameBytes() {
+    java.lang.Object ref = name_;
     if (ref instanceof java.lang.String) {
       com.google.protobuf.ByteString b = 
           com.google.protobuf.ByteString.copyFromUtf8(
               (java.lang.String) ref);
-      upstreamId_ = b;
+      name_ = b;
       return b;
     } else {
       return (com.google.protobuf.ByteString) ref;
@@ -158,6 +166,21 @@
     return limit_ == null ? org.bronzewheel.wire.UpstreamLimit.getDefaultInstance() : limit_;
   }
 
+  public static final int ENTRY_FIELD_NUMBER = 5;
+  private boolean entry_ = false;
+  /**
+   * <pre>
+   * Whether the request is to begin its stages, and is not sent yet.
+   * </pre>
+   *
+   * <code>bool entry = 5;</code>
+   * @return The entry.
+   */
+  @java.lang.Override
+  public boolean getEntry() {
+    return entry_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -172,8 +195,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstreamId_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, upstreamId_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
     }
     if (rank_ != 0) {
       output.writeInt32(2, rank_);
@@ -184,12 +207,15 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(4, getLimit());
     }
+    if (entry_ != false) {
+      output.writeBool(5, entry_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
     int size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(upstreamId_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, upstreamId_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
     }
     if (rank_ != 0) {
       size += com.google.protobuf.CodedOutputStream
@@ -203,6 +229,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, getLimit());
     }
+    if (entry_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, entry_);
+    }
     return size;
   }
   @java.lang.Override
@@ -227,8 +257,8 @@
     }
     org.bronzewheel.wire.PermitQuestion other = (org.bronzewheel.wire.PermitQuestion) obj;
 
-    if (!getUpstreamId()
-        .equals(other.getUpstreamId())) return false;
+    if (!getName()
+        .equals(other.getName())) return false;
     if (getRank()
         != other.getRank()) return false;
     if (getPatienceMillis()
@@ -238,6 +268,8 @@
       if (!getLimit()
           .equals(other.getLimit())) return false;
     }
+    if (getEntry()
+        != other.getEntry()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -249,8 +281,8 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + UPSTREAM_ID_FIELD_NUMBER;
-    hash = (53 * hash) + getUpstreamId().hashCode();
+    hash = (37 * hash) + NAME_FIELD_NUMBER;
+    hash = (53 * hash) + getName().hashCode();
     hash = (37 * hash) + RANK_FIELD_NUMBER;
     hash = (53 * hash) + getRank();
     hash = (37 * hash) + PATIENCE_MILLIS_FIELD_NUMBER;
@@ -260,6 +292,9 @@
       hash = (37 * hash) + LIMIT_FIELD_NUMBER;
       hash = (53 * hash) + getLimit().hashCode();
     }
+    hash = (37 * hash) + ENTRY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getEntry());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -359,8 +394,8 @@
   }
   /**
    * <pre>
-   * Asks the keeper of an upstream's limit for the sending of one request; the reply is a PermitReply.
-   * Without an upstream it only asks whether the keeper answers.
+   * Asks the keeper of a limit for one request; the reply is a PermitReply. Without a name it only
+   * asks whether the keeper answers.
    * </pre>
    *
    * Protobuf type {@code bronzewheel.wire.PermitQuestion}
@@ -402,7 +437,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      upstreamId_ = "";
+      name_ = "";
       rank_ = 0;
       patienceMillis_ = 0L;
       limit_ = null;
@@ -410,6 +445,7 @@
         limitBuilder_.dispose();
         limitBuilder_ = null;
       }
+      entry_ = false;
       return this;
     }
 
@@ -444,7 +480,7 @@
     private void buildPartial0(org.bronzewheel.wire.PermitQuestion result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.upstreamId_ = upstreamId_;
+        result.name_ = name_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.rank_ = rank_;
@@ -459,6 +495,9 @@
             : limitBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.entry_ = entry_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -474,8 +513,8 @@
 
     public Builder mergeFrom(org.bronzewheel.wire.PermitQuestion other) {
       if (other == org.bronzewheel.wire.PermitQuestion.getDefaultInstance()) return this;
-      if (!other.getUpstreamId().isEmpty()) {
-        upstreamId_ = other.upstreamId_;
+      if (!other.getName().isEmpty()) {
+        name_ = other.name_;
         bitField0_ |= 0x00000001;
         onChanged();
       }
@@ -488,6 +527,9 @@
       if (other.hasLimit()) {
         mergeLimit(other.getLimit());
       }
+      if (other.getEntry() != false) {
+        setEntry(other.getEntry());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -513,7 +555,7 @@
               done = true;
               break;
             case 10: {
-              upstreamId_ = input.readStringRequireUtf8();
+              name_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000001;
               break;
             } // case 10
@@ -534,6 +576,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              entry_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -551,73 +598,93 @@
     }
     private int bitField0_;
 
-    private java.lang.Object upstreamId_ = "";
+    private java.lang.Object name_ = "";
     /**
-     * <code>string upstream_id = 1;</code>
-     * @return The upstreamId.
+     * <pre>
+     * An upstream, or a service where the request is to begin its stages.
+     * </pre>
+     *
+     * <code>string name = 1;</code>
+     * @return The name.
      */
-    public java.lang.String getUpstreamId() {
-      java.lang.Object ref = upstreamId_;
+    public java.lang.String getName() {
+      java.lang.Object ref = name_;
       if (!(ref instanceof java.lang.String)) {
         com.google.protobuf.ByteString bs =
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        upstreamId_ = s;
+        name_ = s;
         return s;
       } else {
         return (java.lang.String) ref;
       }
     }
     /**
-     * <code>string upstream_id = 1;</code>
-     * @return The bytes for upstreamId.
+     * <pre>
+     * An upstream, or a service where the request is to begin its stages.
+     * </pre>
+     *
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
      */
     public com.google.protobuf.ByteString
-        getUpstreamIdBytes() {
-      java.lang.Object ref = upstreamId_;
+        getNameBytes() {
+      java.lang.Object ref = name_;
       if (ref instanceof String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        upstreamId_ = b;
+        name_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
     /**
-     * <code>string upstream_id = 1;</code>
-     * @param value The upstreamId to set.
+     * <pre>
+     * An upstream, or a service where the request is to begin its stages.
+     * </pre>
+     *
+     * <code>string name = 1;</code>
+     * @param value The name to set.
      * @return This builder for chaining.
      */
-    public Builder setUpstreamId(
+    public Builder setName(
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
-      upstreamId_ = value;
+      name_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>string upstream_id = 1;</code>
+     * <pre>
+     * An upstream, or a service where the request is to begin its stages.
+     * </pre>
+     *
+     * <code>string name = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearUpstreamId() {
-      upstreamId_ = getDefaultInstance().getUpstreamId();
+    public Builder clearName() {
+      name_ = getDefaultInstance().getName();
       bitField0_ = (bitField0_ & ~0x00000001);
       onChanged();
       return this;
     }
     /**
-     * <code>string upstream_id = 1;</code>
-     * @param value The bytes for upstreamId to set.
+     * <pre>
+     * An upstream, or a service where the request is to begin its stages.
+     * </pre>
+     *
+     * <code>string name = 1;</code>
+     * @param value The bytes for name to set.
      * @return This builder for chaining.
      */
-    public Builder setUpstreamIdBytes(
+    public Builder setNameBytes(
         com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
-      upstreamId_ = value;
+      name_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
@@ -854,6 +921,50 @@
       return limitBuilder_;
     }
 
+    private boolean entry_ ;
+    /**
+     * <pre>
+     * Whether the request is to begin its stages, and is not sent yet.
+     * </pre>
+     *
+     * <code>bool entry = 5;</code>
+     * @return The entry.
+     */
+    @java.lang.Override
+    public boolean getEntry() {
+      return entry_;
+    }
+    /**
+     * <pre>
+     * Whether the request is to begin its stages, and is not sent yet.
+     * </pre>
+     *
+     * <code>bool entry = 5;</code>
+     * @param value The entry to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntry(boolean value) {
+
+      entry_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the request is to begin its stages, and is not sent yet.
+     * </pre>
+     *
+     * <code>bool entry = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntry() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      entry_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PermitQuestion)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestionOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestionOrBuilder.java
@@ -11,16 +11,24 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string upstream_id = 1;</code>
-   * @return The upstreamId.
+   * <pre>
+   * An upstream, or a service where the request is to begin its stages.
+   * </pre>
+   *
+   * <code>string name = 1;</code>
+   * @return The name.
    */
-  java.lang.String getUpstreamId();
+  java.lang.String getName();
   /**
-   * <code>string upstream_id = 1;</code>
-   * @return The bytes for upstreamId.
+   * <pre>
+   * An upstream, or a service where the request is to begin its stages.
+   * </pre>
+   *
+   * <code>string name = 1;</code>
+   * @return The bytes for name.
    */
   com.google.protobuf.ByteString
-      getUpstreamIdBytes();
+      getNameBytes();
 
   /**
    * <code>int32 rank = 2;</code>
@@ -64,4 +72,14 @@
    * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
    */
   org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitOrBuilder();
+
+  /**
+   * <pre>
+   * Whether the request is to begin its stages, and is not sent yet.
+   * </pre>
+   *
+   * <code>bool entry = 5;</code>
+   * @return The entry.
+   */
+  boolean getEntry();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -179,93 +179,93 @@
       "ire.UpstreamLimitJ\004\010\004\020\005\"`\n\rUpstreamLimit" +
       "\022\023\n\013upstream_id\030\001 \001(\t\022\027\n\nper_second\030\002 \001(" +
       "\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003B\r\n\013_per_secon" +
-      "d\"|\n\016PermitQuestion\022\023\n\013upstream_id\030\001 \001(\t" +
-      "\022\014\n\004rank\030\002 \001(\005\022\027\n\017patience_millis\030\003 \001(\003\022" +
-      ".\n\005limit\030\004 \001(\0132\037.bronzewheel.wire.Upstre" +
-      "amLimit\"\177\n\013PermitReply\022\017\n\007granted\030\001 \001(\010\022" +
-      "\032\n\022retry_after_millis\030\002 \001(\003\022.\n\005limit\030\003 \001" +
-      "(\0132\037.bronzewheel.wire.UpstreamLimit\022\023\n\013n" +
-      "ext_millis\030\004 \001(\003\"M\n\010PeerBeat\022\r\n\005vm_id\030\001 " +
-      "\001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\017" +
-      "\n\007leaving\030\004 \001(\010\"@\n\021PublishedQuestion\022\026\n\016" +
-      "after_revision\030\001 \001(\003\022\023\n\013wait_millis\030\002 \001(" +
-      "\003\"\336\001\n\017PublishedAnswer\022:\n\007outcome\030\001 \001(\0162)" +
-      ".bronzewheel.wire.PublishedAnswer.Outcom" +
-      "e\022\020\n\010revision\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\022" +
-      "0\n\007changes\030\004 \003(\0132\037.bronzewheel.wire.Publ" +
-      "ishedItem\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HIS" +
-      "TORY_LOST\020\001\022\r\n\tNO_READER\020\002\"\340\001\n\rPublished" +
-      "Item\0225\n\007catalog\030\001 \001(\0132\".bronzewheel.wire" +
-      ".PublishedCatalogH\000\0227\n\010upstream\030\002 \001(\0132#." +
-      "bronzewheel.wire.PublishedUpstreamH\000\022\032\n\020" +
-      "removed_upstream\030\003 \001(\tH\000\022;\n\nunreadable\030\004" +
-      " \001(\0132%.bronzewheel.wire.PublishedUnreada" +
-      "bleH\000B\006\n\004kind\"3\n\023PublishedUnreadable\022\014\n\004" +
-      "name\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\221\001\n\021Published" +
-      "Upstream\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n" +
-      "\007address\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r" +
-      "\n\005slots\030\005 \001(\005\022\026\n\016started_millis\030\006 \001(\003\022\017\n" +
-      "\007leaving\030\007 \001(\010\"\370\001\n\020PublishedCatalog\022\017\n\007v" +
-      "ersion\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132 .bronzewhe" +
-      "el.wire.PublishedRoute\0224\n\010services\030\003 \003(\013" +
-      "2\".bronzewheel.wire.PublishedService\0228\n\n" +
-      "workspaces\030\004 \003(\0132$.bronzewheel.wire.Publ" +
-      "ishedWorkspace\0221\n\006limits\030\005 \001(\0132!.bronzew" +
-      "heel.wire.PublishedLimits\"\355\002\n\016PublishedR" +
-      "oute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006pref" +
-      "ix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023\n\013repeat_ru" +
-      "le\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(\003\022\030\n\020obje" +
-      "ctive_millis\030\007 \001(\003\022\034\n\024gap_objective_mill" +
-      "is\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014max_attemp" +
-      "ts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .bronzewheel.w" +
-      "ire.PublishedShare\0220\n\006stages\030\014 \003(\0132 .bro" +
-      "nzewheel.wire.PublishedStage\022\014\n\004open\030\r \001" +
-      "(\010\022\035\n\025caller_silence_millis\030\016 \001(\003\"1\n\016Pub" +
-      "lishedShare\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002" +
-      " \001(\001\"F\n\016PublishedStage\022\017\n\007service\030\001 \001(\t\022" +
-      "\r\n\005after\030\002 \003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n" +
-      "\020PublishedService\022\014\n\004name\030\001 \001(\t\022\027\n\017max_c" +
-      "onnections\030\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.b" +
-      "ronzewheel.wire.PublishedStagePool\022:\n\013en" +
-      "gine_pool\030\004 \001(\0132%.bronzewheel.wire.Publi" +
-      "shedEnginePool\"\227\001\n\022PublishedStagePool\022\r\n" +
-      "\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001" +
-      "(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piece_millis\030" +
-      "\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rresult_mill" +
-      "is\030\007 \001(\003\":\n\023PublishedEnginePool\022\r\n\005slots" +
-      "\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n\022Publishe" +
-      "dWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025" +
-      "\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017Pu" +
-      "blishedLimits\022\030\n\020max_header_bytes\030\001 \001(\005\022" +
-      "\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025header_timeou" +
-      "t_millis\030\003 \001(\003\022\033\n\023idle_timeout_millis\030\004 " +
-      "\001(\003\"I\n\014StageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n\013" +
-      "wait_millis\030\002 \003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247" +
-      "\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036.bronzewheel" +
-      ".wire.StageJobCallH\000\0221\n\007release\030\002 \001(\0132\036." +
-      "bronzewheel.wire.StageReleaseH\000\022/\n\006cance" +
-      "l\030\003 \001(\0132\035.bronzewheel.wire.StageCancelH\000" +
-      "B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\nrequest_id\030" +
-      "\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n" +
-      "\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003" +
-      "(\0132\035.bronzewheel.wire.StageHandle\022\024\n\014res" +
-      "ult_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objecti" +
-      "ve_left_millis\030\t \001(\003\022\034\n\024deadline_left_mi" +
-      "llis\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016fail" +
-      "ure_domain\030\014 \001(\t\022\032\n\022least_later_millis\030\r" +
-      " \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.bronzewheel" +
-      ".wire.StageJobCall.UnmetPiecesEntry\022\r\n\005f" +
-      "irst\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001 " +
-      "\001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStageJobReply\022" +
-      "\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bron" +
-      "zewheel.wire.StageHandle\"e\n\013StageHandle\022" +
-      "\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failu" +
-      "re_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007servic" +
-      "e\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007service\030\001 \001(\t" +
-      "\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Sta" +
-      "geHandle\"2\n\013StageCancel\022\022\n\nrequest_id\030\001 " +
-      "\001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.bronzewheel." +
-      "wireP\001b\006proto3"
+      "d\"\204\001\n\016PermitQuestion\022\014\n\004name\030\001 \001(\t\022\014\n\004ra" +
+      "nk\030\002 \001(\005\022\027\n\017patience_millis\030\003 \001(\003\022.\n\005lim" +
+      "it\030\004 \001(\0132\037.bronzewheel.wire.UpstreamLimi" +
+      "t\022\r\n\005entry\030\005 \001(\010\"\177\n\013PermitReply\022\017\n\007grant" +
+      "ed\030\001 \001(\010\022\032\n\022retry_after_millis\030\002 \001(\003\022.\n\005" +
+      "limit\030\003 \001(\0132\037.bronzewheel.wire.UpstreamL" +
+      "imit\022\023\n\013next_millis\030\004 \001(\003\"M\n\010PeerBeat\022\r\n" +
+      "\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004bea" +
+      "t\030\003 \001(\003\022\017\n\007leaving\030\004 \001(\010\"@\n\021PublishedQue" +
+      "stion\022\026\n\016after_revision\030\001 \001(\003\022\023\n\013wait_mi" +
+      "llis\030\002 \001(\003\"\336\001\n\017PublishedAnswer\022:\n\007outcom" +
+      "e\030\001 \001(\0162).bronzewheel.wire.PublishedAnsw" +
+      "er.Outcome\022\020\n\010revision\030\002 \001(\003\022\022\n\nage_mill" +
+      "is\030\003 \001(\003\0220\n\007changes\030\004 \003(\0132\037.bronzewheel." +
+      "wire.PublishedItem\"7\n\007Outcome\022\013\n\007CHANGES" +
+      "\020\000\022\020\n\014HISTORY_LOST\020\001\022\r\n\tNO_READER\020\002\"\340\001\n\r" +
+      "PublishedItem\0225\n\007catalog\030\001 \001(\0132\".bronzew" +
+      "heel.wire.PublishedCatalogH\000\0227\n\010upstream" +
+      "\030\002 \001(\0132#.bronzewheel.wire.PublishedUpstr" +
+      "eamH\000\022\032\n\020removed_upstream\030\003 \001(\tH\000\022;\n\nunr" +
+      "eadable\030\004 \001(\0132%.bronzewheel.wire.Publish" +
+      "edUnreadableH\000B\006\n\004kind\"3\n\023PublishedUnrea" +
+      "dable\022\014\n\004name\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\221\001\n\021" +
+      "PublishedUpstream\022\n\n\002id\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_domai" +
+      "n\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\026\n\016started_millis" +
+      "\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010\"\370\001\n\020PublishedCat" +
+      "alog\022\017\n\007version\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132 ." +
+      "bronzewheel.wire.PublishedRoute\0224\n\010servi" +
+      "ces\030\003 \003(\0132\".bronzewheel.wire.PublishedSe" +
+      "rvice\0228\n\nworkspaces\030\004 \003(\0132$.bronzewheel." +
+      "wire.PublishedWorkspace\0221\n\006limits\030\005 \001(\0132" +
+      "!.bronzewheel.wire.PublishedLimits\"\355\002\n\016P" +
+      "ublishedRoute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(" +
+      "\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023\n\013" +
+      "repeat_rule\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(" +
+      "\003\022\030\n\020objective_millis\030\007 \001(\003\022\034\n\024gap_objec" +
+      "tive_millis\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014m" +
+      "ax_attempts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .bron" +
+      "zewheel.wire.PublishedShare\0220\n\006stages\030\014 " +
+      "\003(\0132 .bronzewheel.wire.PublishedStage\022\014\n" +
+      "\004open\030\r \001(\010\022\035\n\025caller_silence_millis\030\016 \001" +
+      "(\003\"1\n\016PublishedShare\022\017\n\007service\030\001 \001(\t\022\016\n" +
+      "\006weight\030\002 \001(\001\"F\n\016PublishedStage\022\017\n\007servi" +
+      "ce\030\001 \001(\t\022\r\n\005after\030\002 \003(\005\022\024\n\014result_bytes\030" +
+      "\003 \001(\003\"\257\001\n\020PublishedService\022\014\n\004name\030\001 \001(\t" +
+      "\022\027\n\017max_connections\030\002 \001(\005\0228\n\nstage_pool\030" +
+      "\003 \001(\0132$.bronzewheel.wire.PublishedStageP" +
+      "ool\022:\n\013engine_pool\030\004 \001(\0132%.bronzewheel.w" +
+      "ire.PublishedEnginePool\"\227\001\n\022PublishedSta" +
+      "gePool\022\r\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005" +
+      "batch\030\003 \001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piec" +
+      "e_millis\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rre" +
+      "sult_millis\030\007 \001(\003\":\n\023PublishedEnginePool" +
+      "\022\r\n\005slots\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n" +
+      "\022PublishedWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004key" +
+      "s\030\002 \003(\t\022\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_prior" +
+      "ity\"\177\n\017PublishedLimits\022\030\n\020max_header_byt" +
+      "es\030\001 \001(\005\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025head" +
+      "er_timeout_millis\030\003 \001(\003\022\033\n\023idle_timeout_" +
+      "millis\030\004 \001(\003\"I\n\014StageBacklog\022\017\n\007service\030" +
+      "\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\022\023\n\013call_milli" +
+      "s\030\003 \001(\003\"\247\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036.br" +
+      "onzewheel.wire.StageJobCallH\000\0221\n\007release" +
+      "\030\002 \001(\0132\036.bronzewheel.wire.StageReleaseH\000" +
+      "\022/\n\006cancel\030\003 \001(\0132\035.bronzewheel.wire.Stag" +
+      "eCancelH\000B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\nre" +
+      "quest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service" +
+      "\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006i" +
+      "nputs\030\006 \003(\0132\035.bronzewheel.wire.StageHand" +
+      "le\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035" +
+      "\n\025objective_left_millis\030\t \001(\003\022\034\n\024deadlin" +
+      "e_left_millis\030\n \001(\003\022\024\n\014later_millis\030\013 \001(" +
+      "\003\022\026\n\016failure_domain\030\014 \001(\t\022\032\n\022least_later" +
+      "_millis\030\r \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.br" +
+      "onzewheel.wire.StageJobCall.UnmetPiecesE" +
+      "ntry\022\r\n\005first\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022" +
+      "\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStage" +
+      "JobReply\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003" +
+      "(\0132\035.bronzewheel.wire.StageHandle\"e\n\013Sta" +
+      "geHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t" +
+      "\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022" +
+      "\017\n\007service\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel" +
+      ".wire.StageHandle\"2\n\013StageCancel\022\022\n\nrequ" +
+      "est_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.bro" +
+      "nzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -288,7 +288,7 @@
     internal_static_bronzewheel_wire_PermitQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PermitQuestion_descriptor,
-        new java.lang.String[] { "UpstreamId", "Rank", "PatienceMillis", "Limit", });
+        new java.lang.String[] { "Name", "Rank", "PatienceMillis", "Limit", "Entry", });
     internal_static_bronzewheel_wire_PermitReply_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_bronzewheel_wire_PermitReply_fieldAccessorTable = new
