Count what engines owe before a request begins

The door counted the queues of the stages alone. It now adds the wait for a first event, by service and rank: the requests of this router that wait over those that were begun lately, so that a queue that stands still shows before its requests end. Callers are refused at once with a time to come back.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -44,6 +44,7 @@
     static final int NOT_SENT = 0;
 
     private final ServingParts parts;
+    private final FirstEventWaits engineWaits;
     private final Loop loop;
     private final CallerRequest request;
     private final ServiceRoute route;
@@ -71,6 +72,7 @@
 
     RequestRun(
             ServingParts parts,
+            FirstEventWaits engineWaits,
             CallerRequest request,
             ServiceRoute route,
             Optional<WorkspaceEntry> workspace,
@@ -78,6 +80,7 @@
             long arrivedMillis,
             Consumer<RequestRun> onEnd) {
         this.parts = parts;
+        this.engineWaits = engineWaits;
         this.loop = parts.loop();
         this.request = request;
         this.route = route;
@@ -105,7 +108,7 @@
     }
 
     void start() {
-        long expectedMillis = stages.expectedMillis();
+        long expectedMillis = expectedMillis();
         parts.observer()
                 .decided(
                         request.id(),
@@ -173,6 +176,18 @@
         }
     }
 
+    /**
+     * Returns the expected time until an engine begins with the request, or its stages are done.
+     */
+    private long expectedMillis() {
+        return stages.expectedMillis()
+                + engineWaits.expectedMillis(service(), rank(), loop.nowMillis());
+    }
+
+    FirstEventWaits engineWaits() {
+        return engineWaits;
+    }
+
     CallerRequest request() {
         return request;
     }
@@ -502,7 +517,7 @@
         long excessMillis =
                 Math.max(
                         Math.max(permitRetryMillis, opensAfterMillis()),
-                        stages.expectedMillis()
+                        expectedMillis()
                                 - Math.round(
                                         LONGEST_WAIT_SHARE * route.firstAnswerMillis(leftMillis)));
         long after =
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
@@ -47,6 +47,9 @@
 
     void start(UpstreamCall request) {
         upstream.begin(promptTokens);
+        if (engine) {
+            run.engineWaits().sent(service, run.route().priority(), sentMillis);
+        }
         call = parts.port().send(request, this);
         if (run.route().repeatRule() != RepeatRule.AT_MOST_ONCE) {
             check = loop.every(CHECK_MILLIS, this::checkSilence);
@@ -67,6 +70,9 @@
         ended = true;
         check.dispose();
         upstream.end(promptRead ? 0 : promptTokens);
+        if (engine && !promptRead) {
+            run.engineWaits().ended(service, run.route().priority(), false, loop.nowMillis());
+        }
         run.sendEnded();
         return true;
     }
@@ -159,8 +165,7 @@
             heardMillis = loop.nowMillis();
         }
         if (!promptRead && engine && (first || run.relay().hasBegun())) {
-            promptRead = true;
-            upstream.promptRead(promptTokens);
+            promptBegun();
             run.inputsRead();
         }
         if (run.relay().isTooLarge()) {
@@ -168,6 +173,13 @@
         }
     }
 
+    /** The engine has read the prompt and begun its answer. */
+    private void promptBegun() {
+        promptRead = true;
+        upstream.promptRead(promptTokens);
+        run.engineWaits().ended(service, run.route().priority(), true, loop.nowMillis());
+    }
+
     @Override
     public void onEnd() {
         if (ended) {
@@ -184,6 +196,9 @@
             upstream.succeeded((double) (heardMillis - sentMillis));
         }
         run.relay().finish();
+        if (engine && !promptRead) {
+            promptBegun();
+        }
         end();
         run.answered(head.status());
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -20,6 +20,7 @@
     private static final long STOPPING_RETRY_MILLIS = 50;
 
     private final ServingParts parts;
+    private final FirstEventWaits engineWaits = new FirstEventWaits();
     private final Set<RequestRun> running = new HashSet<>();
     private boolean stopping;
 
@@ -97,6 +98,7 @@
         RequestRun run =
                 new RequestRun(
                         parts,
+                        engineWaits,
                         request,
                         route.get(),
                         workspace,
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -546,4 +546,17 @@
         world.permits.decide(PermitDecision.GRANTED);
         assertThat(world.lastSend().call.target().id()).isEqualTo("u2");
     }
+
+    @Test
+    void requestsAreRefusedAtTheDoorWhileTheEnginesBeginWithNone() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, true, 1));
+        for (int i = 0; i < 6; i++) {
+            world.request();
+        }
+        assertThat(world.sends).hasSize(6);
+        world.advance(1_500).request();
+        assertThat(world.sends).hasSize(6);
+        assertThat(world.refusedWith()).isEqualTo(503);
+        assertThat(world.refusals.get(0).retryAfterMillis()).isPresent();
+    }
 }
