Take the choice of a request's upstreams out of its run

RequestTargets holds which upstreams a request may still go to, and their permits and connections; upstreams at whose address another one answers no longer count as open, which only lengthens the wait for a permit where they were the last ones.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
@@ -69,7 +69,7 @@
     private final Map<PermitKind, PermitKeeper> keepers = new EnumMap<>(PermitKind.class);
     private final Map<Key, Long> closedUntilMillis = new HashMap<>();
     private final Map<String, Long> lostUntilMillis = new HashMap<>();
-    private final Set<String> checked = new HashSet<>();
+    private final Set<String> beingChecked = new HashSet<>();
     private final CompositeDisposable reports = new CompositeDisposable();
 
     private record Key(PermitKind kind, String name) {}
@@ -287,7 +287,7 @@
     /** Finds out whether the router that others passed over still answers. */
     @SuppressWarnings("CheckReturnValue")
     private void check(String vmId) {
-        if (!checked.add(vmId)) {
+        if (!beingChecked.add(vmId)) {
             return;
         }
         transport
@@ -297,11 +297,11 @@
                         PermitQuestion.getDefaultInstance().toByteArray(),
                         REPLY_MILLIS)
                 .subscribe(
-                        bytes -> loop.execute(() -> checked.remove(vmId)),
+                        bytes -> loop.execute(() -> beingChecked.remove(vmId)),
                         error ->
                                 loop.execute(
                                         () -> {
-                                            checked.remove(vmId);
+                                            beingChecked.remove(vmId);
                                             lose(vmId, error);
                                         }));
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -1,17 +1,11 @@
 package org.bronzewheel.serving;
 
 import io.reactivex.rxjava3.disposables.Disposable;
-import java.util.Comparator;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.RepeatRule;
-import org.bronzewheel.catalog.ServiceEntry;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
@@ -20,7 +14,6 @@
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.upstreams.NamedLimits;
 import org.bronzewheel.upstreams.Upstream;
-import org.bronzewheel.upstreams.UpstreamChoice;
 import org.bronzewheel.upstreams.UpstreamHealth;
 
 /** One request on its way: its stages first, then its sends, one at a time, until one answer. */
@@ -34,7 +27,6 @@
     private static final int MOST_PERMIT_WAITS = 3;
     private static final int MOST_REJECTIONS = 4;
     private static final long REJECTION_PAUSE_MILLIS = 40;
-    private static final int LEAST_CONNECTIONS = 1;
     private static final int CONFLICT = 409;
 
     /** The time that a refusal takes to reach its caller. */
@@ -57,7 +49,7 @@
     private final double servicePoint;
     private final RequestRelay relay;
     private final RequestStages stages;
-    private final Set<String> tried = new HashSet<>();
+    private final RequestTargets targets;
     private int runs;
     private int rejections;
     private boolean mayHaveRun;
@@ -104,6 +96,7 @@
                         firstAnswerAtMillis,
                         this::dispatch,
                         this::giveUp);
+        this.targets = new RequestTargets(parts);
         this.relay = new RequestRelay(request, route, exchange);
     }
 
@@ -238,7 +231,7 @@
                 choose(service, nowMillis).or(() -> opensInTime(service, nowMillis));
         if (upstream.isEmpty()) {
             giveUp("no upstream of " + service + " can take the request");
-        } else if (parts.permits().isNeeded(PermitKind.SEND, upstream.get().entry().id())) {
+        } else if (targets.needsPermit(upstream.get())) {
             takePermit(service, upstream.get(), nowMillis);
         } else {
             send(service, upstream.get(), nowMillis);
@@ -274,15 +267,10 @@
                                 decision -> permitDecided(service, upstream, decision));
     }
 
-    /** Returns the upstream that has a permit first, where the request may wait for that. */
     private Optional<Upstream> opensInTime(String service, long nowMillis) {
-        long patienceMillis = permitPatienceMillis(service, nowMillis);
-        if (permitWaits >= MOST_PERMIT_WAITS) {
-            return Optional.empty();
-        }
-        return reachable(service)
-                .filter(upstream -> opensAfterMillis(upstream) <= patienceMillis)
-                .min(Comparator.comparingLong(this::opensAfterMillis));
+        return permitWaits < MOST_PERMIT_WAITS
+                ? targets.firstToOpen(service, permitPatienceMillis(service, nowMillis))
+                : Optional.empty();
     }
 
     /**
@@ -290,7 +278,7 @@
      * take it, longer once its stages are done, as their work would be lost.
      */
     private long permitPatienceMillis(String service, long nowMillis) {
-        if (open(service).size() > 1) {
+        if (targets.open(service).size() > 1) {
             return 0;
         }
         long objectiveLeftMillis = arrivedMillis + route.objectiveMillis() - nowMillis;
@@ -323,60 +311,11 @@
     }
 
     private Optional<Upstream> choose(String service, long nowMillis) {
-        List<Upstream> candidates = open(service);
-        if (!isEngine(service)) {
-            return UpstreamChoice.plain(candidates, tried, parts.failureDomain(), nowMillis);
-        }
-        return parts.engines()
-                .choose(candidates, tried, stages.prompt(), parts.failureDomain(), nowMillis);
-    }
-
-    /** Returns the upstreams that have a connection and, as far as is known, a permit left. */
-    private List<Upstream> open(String service) {
-        return reachable(service).filter(upstream -> opensAfterMillis(upstream) == 0).toList();
-    }
-
-    /** Returns the upstreams that have a connection left and did not have the request before. */
-    private Stream<Upstream> reachable(String service) {
-        int share = connectionShare(service);
-        return parts.upstreams().serving(service).stream()
-                .filter(upstream -> upstream.openCalls() < share)
-                .filter(upstream -> !tried.contains(upstream.entry().id()));
-    }
-
-    /** Returns the time until the first upstream of the service may take a request again. */
-    private long opensAfterMillis() {
-        return parts.upstreams().serving(service()).stream()
-                .mapToLong(upstream -> opensAfterMillis(upstream))
-                .min()
-                .orElse(0);
-    }
-
-    private long opensAfterMillis(Upstream upstream) {
-        return parts.permits().opensAfterMillis(PermitKind.SEND, upstream.entry().id());
-    }
-
-    /** Returns the connections to one upstream that this router may have, as all share its cap. */
-    private int connectionShare(String service) {
-        return parts.catalog()
-                .current()
-                .flatMap(catalog -> catalog.service(service))
-                .filter(entry -> entry.maxConnections() > 0)
-                .map(entry -> entry.maxConnections() / parts.budget().routers())
-                .map(share -> Math.max(LEAST_CONNECTIONS, share))
-                .orElse(Integer.MAX_VALUE);
-    }
-
-    private boolean isEngine(String service) {
-        return parts.catalog()
-                .current()
-                .flatMap(catalog -> catalog.service(service))
-                .flatMap(ServiceEntry::enginePool)
-                .isPresent();
+        return targets.choose(service, stages.prompt(), nowMillis);
     }
 
     private void send(String service, Upstream upstream, long nowMillis) {
-        boolean engine = isEngine(service);
+        boolean engine = targets.isEngine(service);
         UpstreamCall call =
                 new UpstreamCall(
                         upstream.entry(),
@@ -387,7 +326,7 @@
                         stages.handles(),
                         relay.resumePoint(),
                         route.repeatRule() == RepeatRule.IDEMPOTENT,
-                        connectionShare(service));
+                        targets.connectionShare(service));
         parts.observer()
                 .decided(
                         request.id(),
@@ -400,7 +339,7 @@
                                                 parts.upstreams()
                                                         .limits()
                                                         .perSecond(upstream.entry().id()))));
-        tried.add(upstream.entry().id());
+        targets.tried(upstream);
         runs++;
         send = new RequestSend(this, service, upstream, engine);
         send.start(call);
@@ -416,7 +355,7 @@
         runs--;
         rejections++;
         if (status == CONFLICT && !route.stages().isEmpty() && !relay.hasBegun()) {
-            tried.clear();
+            targets.forgetTried();
             stages.resultGone();
             return;
         }
@@ -434,11 +373,7 @@
         return route.repeatRule() != RepeatRule.AT_MOST_ONCE
                 && runs < route.maxAttempts()
                 && parts.budget().mayRepeat(service(), loop.nowMillis())
-                && open(service()).stream()
-                        .anyMatch(
-                                upstream ->
-                                        !parts.permits()
-                                                .isNeeded(PermitKind.SEND, upstream.entry().id()));
+                && targets.isOneFree(service());
     }
 
     /** The send failed, and the request may have run; tells whether it goes on elsewhere. */
@@ -516,7 +451,7 @@
         long leftMillis = deadlineAtMillis - loop.nowMillis();
         long excessMillis =
                 Math.max(
-                        Math.max(permitRetryMillis, opensAfterMillis()),
+                        Math.max(permitRetryMillis, targets.opensAfterMillis(service())),
                         expectedMillis()
                                 - Math.round(
                                         LONGEST_WAIT_SHARE * route.firstAnswerMillis(leftMillis)));
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
@@ -0,0 +1,102 @@
+package org.bronzewheel.serving;
+
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.bronzewheel.catalog.ServiceEntry;
+import org.bronzewheel.permits.PermitKind;
+import org.bronzewheel.upstreams.Prompt;
+import org.bronzewheel.upstreams.Upstream;
+import org.bronzewheel.upstreams.UpstreamChoice;
+
+/** The upstreams that one request may still be sent to, and the choice among them. */
+final class RequestTargets {
+    private static final int LEAST_CONNECTIONS = 1;
+
+    private final ServingParts parts;
+    private final Set<String> tried = new HashSet<>();
+
+    RequestTargets(ServingParts parts) {
+        this.parts = parts;
+    }
+
+    /** Books that an upstream has the request; it does not get it again. */
+    void tried(Upstream upstream) {
+        tried.add(upstream.entry().id());
+    }
+
+    /** Lets all upstreams have the request again, as it never ran anywhere. */
+    void forgetTried() {
+        tried.clear();
+    }
+
+    /** Chooses among the open upstreams of a service. */
+    Optional<Upstream> choose(String service, Prompt prompt, long nowMillis) {
+        List<Upstream> candidates = open(service);
+        if (!isEngine(service)) {
+            return UpstreamChoice.plain(candidates, tried, parts.failureDomain(), nowMillis);
+        }
+        return parts.engines().choose(candidates, tried, prompt, parts.failureDomain(), nowMillis);
+    }
+
+    /** Returns the upstreams that have a connection and, as far as is known, a permit left. */
+    List<Upstream> open(String service) {
+        return reachable(service).filter(upstream -> opensAfterMillis(upstream) == 0).toList();
+    }
+
+    /** Returns the upstream that has a permit first, where that is soon enough. */
+    Optional<Upstream> firstToOpen(String service, long longestMillis) {
+        return reachable(service)
+                .filter(upstream -> opensAfterMillis(upstream) <= longestMillis)
+                .min(Comparator.comparingLong(this::opensAfterMillis));
+    }
+
+    /** Tells whether an upstream can take the request at once, without a permit. */
+    boolean isOneFree(String service) {
+        return open(service).stream().anyMatch(upstream -> !needsPermit(upstream));
+    }
+
+    boolean needsPermit(Upstream upstream) {
+        return parts.permits().isNeeded(PermitKind.SEND, upstream.entry().id());
+    }
+
+    private Stream<Upstream> reachable(String service) {
+        int share = connectionShare(service);
+        return parts.upstreams().serving(service).stream()
+                .filter(upstream -> upstream.openCalls() < share)
+                .filter(upstream -> !upstream.isMisdirected())
+                .filter(upstream -> !tried.contains(upstream.entry().id()));
+    }
+
+    /** Returns the time until the first upstream of a service may have a permit again. */
+    long opensAfterMillis(String service) {
+        return parts.upstreams().serving(service).stream()
+                .mapToLong(this::opensAfterMillis)
+                .min()
+                .orElse(0);
+    }
+
+    private long opensAfterMillis(Upstream upstream) {
+        return parts.permits().opensAfterMillis(PermitKind.SEND, upstream.entry().id());
+    }
+
+    /** Returns the connections to one upstream that this router may have, as all share its cap. */
+    int connectionShare(String service) {
+        return entry(service)
+                .filter(entry -> entry.maxConnections() > 0)
+                .map(entry -> entry.maxConnections() / parts.budget().routers())
+                .map(share -> Math.max(LEAST_CONNECTIONS, share))
+                .orElse(Integer.MAX_VALUE);
+    }
+
+    boolean isEngine(String service) {
+        return entry(service).flatMap(ServiceEntry::enginePool).isPresent();
+    }
+
+    private Optional<ServiceEntry> entry(String service) {
+        return parts.catalog().current().flatMap(catalog -> catalog.service(service));
+    }
+}
