--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/LimitFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/LimitFleet.java
@@ -19,8 +19,10 @@
 import org.bronzewheel.standin.VirtualPeers;
 import org.bronzewheel.transport.Channel;
 import org.bronzewheel.transport.PeerTransport;
+import org.bronzewheel.upstreams.Announcement;
+import org.bronzewheel.upstreams.Announcements;
 import org.bronzewheel.upstreams.NamedLimit;
-import org.bronzewheel.upstreams.NamedLimits;
+import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
 
 /**
@@ -34,6 +36,8 @@
     static final long WINDOW_MILLIS = 4_000;
 
     private static final String UPSTREAM = "u";
+    private static final UpstreamEntry ENTRY =
+            new UpstreamEntry(UPSTREAM, "s", "10.0.0.1:80", "d", 8, 0, false);
     private static final long SETTLE_MILLIS = 20_000;
     private static final long ANSWER_MILLIS = 120;
     private static final long NOTICE_MILLIS = 3_000;
@@ -220,14 +224,16 @@
 
     /** Returns the number of routers that know of a limit. */
     long routersThatKnow() {
-        return routers.stream().filter(r -> r.limits.perSecond(UPSTREAM).isPresent()).count();
+        return routers.stream()
+                .filter(r -> r.announcements.perSecond(UPSTREAM).isPresent())
+                .count();
     }
 
     /** One router, without its callers' side. */
     private final class Router {
         private final String vmId;
         private final UpstreamTable table = new UpstreamTable(0);
-        private final NamedLimits limits = table.limits();
+        private final Announcements announcements = table.announcements();
         private final SeedMembership membership;
         private final PeerNetwork network;
         private final PeerPermits permits;
@@ -253,7 +259,7 @@
                             Map::of,
                             Set::of,
                             (service, backlog) -> {},
-                            limits);
+                            announcements);
             permits = new PeerPermits(transport, membership, table, loop);
             network.start();
             permits.start();
@@ -303,7 +309,7 @@
             if (said.perSecond().isPresent()) {
                 toldMillis = Math.min(toldMillis, loop.nowMillis());
             }
-            limits.answered(UPSTREAM, said, sentMillis, loop.nowMillis());
+            announcements.announced(ENTRY, Announcement.good(said), sentMillis, loop.nowMillis());
         }
     }
 }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -39,6 +39,7 @@
 import org.bronzewheel.stages.StageParts;
 import org.bronzewheel.standin.VirtualPeers;
 import org.bronzewheel.transport.PeerTransport;
+import org.bronzewheel.upstreams.Announcement;
 import org.bronzewheel.upstreams.EngineChoice;
 import org.bronzewheel.upstreams.NamedLimit;
 import org.bronzewheel.upstreams.UpstreamEntry;
@@ -264,7 +265,7 @@
                             shared::ownBacklogs,
                             shared::submitters,
                             shared::takeBacklog,
-                            table.limits());
+                            table.announcements());
             engine =
                     new ServingEngine(
                             new ServingParts(
@@ -330,12 +331,17 @@
         /** The engine answers after a fixed time. */
         private Disposable send(UpstreamCall call, UpstreamListener listener) {
             upstreams.readAt(call.target().failureDomain(), call.inputs());
+            long sentMillis = loop.nowMillis();
             return loop.after(
                     ENGINE_MILLIS,
                     () -> {
-                        listener.onHead(
-                                new UpstreamHead(
-                                        OK, List.of(), true, false, false, false, engineLimit));
+                        table.announcements()
+                                .announced(
+                                        call.target(),
+                                        Announcement.good(engineLimit),
+                                        sentMillis,
+                                        loop.nowMillis());
+                        listener.onHead(new UpstreamHead(OK, List.of(), true, false, false, false));
                         listener.onEnd();
                     });
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
@@ -9,15 +9,15 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.bronzewheel.loop.Loop;
-import org.bronzewheel.permits.PermitCodec;
 import org.bronzewheel.service.Service;
 import org.bronzewheel.transport.Channel;
 import org.bronzewheel.transport.Peer;
 import org.bronzewheel.transport.PeerTransport;
-import org.bronzewheel.upstreams.NamedLimits;
+import org.bronzewheel.upstreams.AnnouncementCodec;
+import org.bronzewheel.upstreams.Announcements;
 import org.bronzewheel.wire.SeedHello;
 import org.bronzewheel.wire.StageBacklog;
-import org.bronzewheel.wire.UpstreamLimit;
+import org.bronzewheel.wire.UpstreamStatement;
 
 /** The exchange of signs of life and of the backlogs of stage services between routers. */
 public final class PeerNetwork implements Service {
@@ -29,7 +29,7 @@
     private final Supplier<Map<String, Backlog>> ownBacklogs;
     private final Supplier<Set<String>> backlogReaders;
     private final BiConsumer<String, Backlog> onBacklog;
-    private final NamedLimits limits;
+    private final Announcements announcements;
     private List<String> lastLive = List.of();
     private Disposable ticks = Disposable.disposed();
 
@@ -42,7 +42,7 @@
      * @param ownBacklogs the work of the services that this router owns
      * @param backlogReaders the VMs that are to hear of them each time
      * @param onBacklog takes those that other owners tell
-     * @param limits what upstreams said of the requests that they take, told and heard
+     * @param announcements what upstreams said of themselves, told and heard
      */
     public PeerNetwork(
             PeerTransport transport,
@@ -51,14 +51,14 @@
             Supplier<Map<String, Backlog>> ownBacklogs,
             Supplier<Set<String>> backlogReaders,
             BiConsumer<String, Backlog> onBacklog,
-            NamedLimits limits) {
+            Announcements announcements) {
         this.transport = transport;
         this.membership = membership;
         this.loop = loop;
         this.ownBacklogs = ownBacklogs;
         this.backlogReaders = backlogReaders;
         this.onBacklog = onBacklog;
-        this.limits = limits;
+        this.announcements = announcements;
         transport.listen(
                 Channel.MEMBERSHIP, (from, bytes) -> loop.execute(() -> receive(from, bytes)));
     }
@@ -92,10 +92,12 @@
                                                 .setService(service)
                                                 .addAllWaitMillis(backlog.waitMillis())
                                                 .setCallMillis(backlog.callMillis())));
-        limits.recent(nowMillis)
+        announcements
+                .recent(nowMillis)
                 .forEach(
-                        (id, statement) ->
-                                message.addLimits(PermitCodec.encode(id, statement, nowMillis)));
+                        statement ->
+                                message.addStatements(
+                                        AnnouncementCodec.encode(statement, nowMillis)));
         byte[] bytes = message.build().toByteArray();
         Set<String> targets = membership.targets(nowMillis);
         targets.addAll(backlogReaders.get());
@@ -148,8 +150,9 @@
             SeedHello message = SeedHello.parseFrom(bytes);
             long nowMillis = loop.nowMillis();
             membership.receive(decode(message), nowMillis);
-            for (UpstreamLimit limit : message.getLimitsList()) {
-                limits.learned(limit.getUpstreamId(), PermitCodec.decode(limit, nowMillis));
+            for (UpstreamStatement statement : message.getStatementsList()) {
+                AnnouncementCodec.decode(statement, nowMillis)
+                        .ifPresent(known -> announcements.learned(known, nowMillis));
             }
             for (StageBacklog backlog : message.getBacklogsList()) {
                 onBacklog.accept(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
@@ -20,11 +20,12 @@
 import org.bronzewheel.service.Service;
 import org.bronzewheel.transport.Channel;
 import org.bronzewheel.transport.PeerTransport;
-import org.bronzewheel.upstreams.NamedLimits;
+import org.bronzewheel.upstreams.AnnouncementCodec;
+import org.bronzewheel.upstreams.Announcements;
 import org.bronzewheel.upstreams.UpstreamTable;
 import org.bronzewheel.wire.PermitQuestion;
 import org.bronzewheel.wire.PermitReply;
-import org.bronzewheel.wire.UpstreamLimit;
+import org.bronzewheel.wire.UpstreamStatement;
 
 /**
  * The permits of all routers: each limit has one keeper among them, which grants its requests.
@@ -64,7 +65,7 @@
     private final PeerTransport transport;
     private final SeedMembership membership;
     private final UpstreamTable upstreams;
-    private final NamedLimits limits;
+    private final Announcements announcements;
     private final Loop loop;
     private final Map<PermitKind, PermitKeeper> keepers = new EnumMap<>(PermitKind.class);
     private final Map<Key, Long> closedUntilMillis = new HashMap<>();
@@ -90,7 +91,7 @@
         this.transport = transport;
         this.membership = membership;
         this.upstreams = upstreams;
-        this.limits = upstreams.limits();
+        this.announcements = upstreams.announcements();
         this.loop = loop;
         for (PermitKind kind : PermitKind.values()) {
             keepers.put(kind, new PermitKeeper(kind, name -> limit(kind, name), loop));
@@ -117,7 +118,9 @@
     }
 
     private OptionalDouble limit(PermitKind kind, String name) {
-        return kind == PermitKind.SEND ? limits.perSecond(name) : upstreams.limitOf(name);
+        return kind == PermitKind.SEND
+                ? announcements.perSecond(name)
+                : upstreams.limitOf(name, loop.nowMillis());
     }
 
     @Override
@@ -173,7 +176,7 @@
                         .setRank(rank)
                         .setPatienceMillis(taking.patienceMillis)
                         .setEntry(taking.key.kind() == PermitKind.ENTRY);
-        statement(taking.key).ifPresent(question::setLimit);
+        statement(taking.key).ifPresent(question::setStatement);
         return transport
                 .call(
                         asked,
@@ -188,12 +191,12 @@
     private void replied(String asked, byte[] bytes, Taking taking) {
         try {
             PermitReply reply = PermitReply.parseFrom(bytes);
-            learn(reply.getLimit());
+            learn(reply.getStatement());
             taking.decided(
                     new PermitDecision(
                             reply.getGranted(),
-                            reply.getRetryAfterMillis(),
-                            reply.getNextMillis()));
+                            Math.max(0, reply.getRetryAfterMillis()),
+                            Math.max(0, reply.getNextMillis())));
         } catch (InvalidProtocolBufferException e) {
             failed(asked, e, taking);
         }
@@ -211,17 +214,18 @@
         }
     }
 
-    private Optional<UpstreamLimit> statement(Key key) {
+    private Optional<UpstreamStatement> statement(Key key) {
         return key.kind() == PermitKind.ENTRY
                 ? Optional.empty()
-                : limits.statement(key.name())
-                        .map(known -> PermitCodec.encode(key.name(), known, loop.nowMillis()));
+                : announcements
+                        .statement(key.name())
+                        .map(known -> AnnouncementCodec.encode(known, loop.nowMillis()));
     }
 
-    private void learn(UpstreamLimit message) {
-        if (!message.getUpstreamId().isEmpty()) {
-            limits.learned(message.getUpstreamId(), PermitCodec.decode(message, loop.nowMillis()));
-        }
+    private void learn(UpstreamStatement message) {
+        long nowMillis = loop.nowMillis();
+        AnnouncementCodec.decode(message, nowMillis)
+                .ifPresent(statement -> announcements.learned(statement, nowMillis));
     }
 
     private static String keeperKey(Key key) {
@@ -259,7 +263,7 @@
             emitter.onSuccess(PermitReply.getDefaultInstance().toByteArray());
             return;
         }
-        learn(question.getLimit());
+        learn(question.getStatement());
         PermitKind kind = question.getEntry() ? PermitKind.ENTRY : PermitKind.SEND;
         Key key = new Key(kind, question.getName());
         Consumer<PermitDecision> reply = decision -> reply(key, decision, emitter);
@@ -280,7 +284,7 @@
                         .setGranted(decision.granted())
                         .setRetryAfterMillis(decision.retryAfterMillis())
                         .setNextMillis(decision.nextMillis());
-        statement(key).ifPresent(reply::setLimit);
+        statement(key).ifPresent(reply::setStatement);
         emitter.onSuccess(reply.build().toByteArray());
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -12,7 +12,6 @@
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.serving.RequestObserver.Decision;
-import org.bronzewheel.upstreams.NamedLimits;
 import org.bronzewheel.upstreams.Upstream;
 import org.bronzewheel.upstreams.UpstreamHealth;
 
@@ -122,6 +121,10 @@
             refuse("the queues are too long for the deadline");
             return;
         }
+        if (!targets.opensWithin(service(), stages.expectedMillis())) {
+            refuse("no upstream takes requests in time");
+            return;
+        }
         timeout = loop.after(deadlineAtMillis - arrivedMillis, this::timedOut);
         if (firstAnswerAtMillis < deadlineAtMillis) {
             firstAnswerTimeout =
@@ -293,8 +296,10 @@
     private void permitDecided(String service, Upstream upstream, PermitDecision decision) {
         permitRetryMillis = decision.retryAfterMillis();
         long nowMillis = loop.nowMillis();
-        boolean serving = parts.upstreams().serving(service).contains(upstream);
-        if (!decision.granted() || !serving || !service.equals(service())) {
+        boolean open =
+                parts.upstreams().serving(service).contains(upstream)
+                        && upstream.closedMillis(nowMillis) == 0;
+        if (!decision.granted() || !open || !service.equals(service())) {
             dispatch();
         } else if (maySend(nowMillis)) {
             send(service, upstream, nowMillis);
@@ -331,14 +336,13 @@
                 .decided(
                         request.id(),
                         Decision.SENT,
-                        "service=%s upstream=%s limitPerSecond=%s"
+                        "service=%s upstream=%s %s"
                                 .formatted(
                                         service,
                                         upstream.entry().id(),
-                                        NamedLimits.describe(
-                                                parts.upstreams()
-                                                        .limits()
-                                                        .perSecond(upstream.entry().id()))));
+                                        parts.upstreams()
+                                                .announcements()
+                                                .describe(upstream.entry().id(), nowMillis)));
         targets.tried(upstream);
         runs++;
         send = new RequestSend(this, service, upstream, engine);
@@ -449,15 +453,20 @@
 
     private void refuse(String reason) {
         long leftMillis = deadlineAtMillis - loop.nowMillis();
+        RequestTargets.Opening opening = targets.opening(service());
         long excessMillis =
                 Math.max(
-                        Math.max(permitRetryMillis, targets.opensAfterMillis(service())),
+                        Math.max(permitRetryMillis, opening.firstMillis()),
                         expectedMillis()
                                 - Math.round(
                                         LONGEST_WAIT_SHARE * route.firstAnswerMillis(leftMillis)));
         long after =
                 ReturnTime.afterMillis(
-                        excessMillis, leftMillis, rank(), parts.random().nextDouble());
+                        excessMillis,
+                        opening.lastMillis() - opening.firstMillis(),
+                        leftMillis,
+                        rank(),
+                        parts.random().nextDouble());
         if (end(RequestEnd.REFUSED, reason)) {
             exchange.refuse(Refusal.notRun(reason, after));
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestSend.java
@@ -47,6 +47,7 @@
 
     void start(UpstreamCall request) {
         upstream.begin(promptTokens);
+        upstream.sent(sentMillis);
         if (engine) {
             run.engineWaits().sent(service, run.route().priority(), sentMillis);
         }
@@ -91,10 +92,6 @@
         head = next;
         if (next.misdirected()) {
             upstream.markMisdirected();
-        } else if (saysLimit(next)) {
-            parts.upstreams()
-                    .limits()
-                    .answered(upstream.entry().id(), next.limit(), sentMillis, heardMillis);
         }
         if (next.neverRan()) {
             cancel();
@@ -110,13 +107,6 @@
         }
     }
 
-    /** Tells whether the answer says what its upstream takes; only a good one ends a limit. */
-    private static boolean saysLimit(UpstreamHead head) {
-        return head.limit().isNamed()
-                ? head.signed() || head.neverRan()
-                : head.signed() && head.isSuccess();
-    }
-
     /** Tells whether a failure would say more to the caller than the upstream promised. */
     private static boolean mustNotPass(UpstreamHead head) {
         return !head.signed()
@@ -209,11 +199,13 @@
             return;
         }
         end();
-        if (failure == CallFailure.NOT_SENT) {
-            run.health(upstream, service, true);
-            run.rejected(RequestRun.NOT_SENT);
-        } else {
-            broken(reason);
+        switch (failure) {
+            case NOT_SENT -> {
+                run.health(upstream, service, true);
+                run.rejected(RequestRun.NOT_SENT);
+            }
+            case WITHHELD -> run.rejected(RequestRun.NOT_SENT);
+            case BROKEN -> broken(reason);
         }
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
@@ -42,6 +43,14 @@
         return parts.engines().choose(candidates, tried, prompt, parts.failureDomain(), nowMillis);
     }
 
+    /**
+     * When the upstreams of a service take requests again.
+     *
+     * @param firstMillis the time until the first one does, in milliseconds
+     * @param lastMillis the time until all do, in milliseconds
+     */
+    record Opening(long firstMillis, long lastMillis) {}
+
     /** Returns the upstreams that have a connection and, as far as is known, a permit left. */
     List<Upstream> open(String service) {
         return reachable(service).filter(upstream -> opensAfterMillis(upstream) == 0).toList();
@@ -65,18 +74,35 @@
 
     private Stream<Upstream> reachable(String service) {
         int share = connectionShare(service);
+        long nowMillis = parts.loop().nowMillis();
         return parts.upstreams().serving(service).stream()
                 .filter(upstream -> upstream.openCalls() < share)
                 .filter(upstream -> !upstream.isMisdirected())
+                .filter(upstream -> upstream.closedMillis(nowMillis) == 0)
                 .filter(upstream -> !tried.contains(upstream.entry().id()));
     }
 
-    /** Returns the time until the first upstream of a service may have a permit again. */
-    long opensAfterMillis(String service) {
+    /** Tells whether an upstream of a service has no pause, or one that is over soon enough. */
+    boolean opensWithin(String service, long millis) {
+        long nowMillis = parts.loop().nowMillis();
         return parts.upstreams().serving(service).stream()
-                .mapToLong(this::opensAfterMillis)
-                .min()
-                .orElse(0);
+                .anyMatch(upstream -> upstream.closedMillis(nowMillis) <= millis);
+    }
+
+    /** Returns when the upstreams of a service may have permits again and end their pauses. */
+    Opening opening(String service) {
+        long nowMillis = parts.loop().nowMillis();
+        LongSummaryStatistics opening =
+                parts.upstreams().serving(service).stream()
+                        .mapToLong(
+                                upstream ->
+                                        Math.max(
+                                                opensAfterMillis(upstream),
+                                                upstream.closedMillis(nowMillis)))
+                        .summaryStatistics();
+        return opening.getCount() == 0
+                ? new Opening(0, 0)
+                : new Opening(opening.getMin(), opening.getMax());
     }
 
     private long opensAfterMillis(Upstream upstream) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamHead.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamHead.java
@@ -1,7 +1,6 @@
 package org.bronzewheel.serving;
 
 import java.util.List;
-import org.bronzewheel.upstreams.NamedLimit;
 
 /**
  * The head of an upstream's answer.
@@ -12,7 +11,6 @@
  * @param neverRan whether the upstream states that the request did not run
  * @param misdirected whether another upstream answers at the address
  * @param encoded whether the body is not the plain body of the upstream
- * @param limit what the answer says of the requests that the upstream takes
  */
 public record UpstreamHead(
         int status,
@@ -20,8 +18,7 @@
         boolean signed,
         boolean neverRan,
         boolean misdirected,
-        boolean encoded,
-        NamedLimit limit) {
+        boolean encoded) {
     boolean isSuccess() {
         return status >= 200 && status < 300;
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -7,8 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import org.bronzewheel.loop.Loop;
-import org.bronzewheel.upstreams.NamedLimit;
-import org.bronzewheel.upstreams.NamedLimits;
 
 /** One call in progress at a stage upstream: hands its outcomes to the owner of the queue. */
 final class StageCall implements StageCallListener {
@@ -23,7 +21,6 @@
     private final long resultMillis;
     private final InputHold inputHold;
     private final StageTally tally;
-    private final NamedLimits limits;
     private final Loop loop;
     private final long beganMillis;
     private Disposable call = Disposable.disposed();
@@ -39,7 +36,6 @@
             long resultMillis,
             InputHold inputHold,
             StageTally tally,
-            NamedLimits limits,
             Loop loop) {
         this.owner = owner;
         this.service = service;
@@ -48,7 +44,6 @@
         this.resultMillis = resultMillis;
         this.inputHold = inputHold;
         this.tally = tally;
-        this.limits = limits;
         this.loop = loop;
         this.beganMillis = loop.nowMillis();
     }
@@ -69,11 +64,6 @@
         return true;
     }
 
-    @Override
-    public void onLimit(NamedLimit limit) {
-        limits.answered(worker.upstream().entry().id(), limit, beganMillis, loop.nowMillis());
-    }
-
     @Override
     public void onOutcomes(List<StageItemOutcome> outcomes) {
         if (!end()) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCallListener.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCallListener.java
@@ -1,17 +1,9 @@
 package org.bronzewheel.stages;
 
 import java.util.List;
-import org.bronzewheel.upstreams.NamedLimit;
 
 /** The receiver of the outcome of a call. */
 public interface StageCallListener {
-    /**
-     * Takes what the answer says of the requests that the upstream takes, before its outcomes.
-     *
-     * @param limit what it says
-     */
-    void onLimit(NamedLimit limit);
-
     /**
      * Takes the outcomes; nothing follows.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -118,13 +118,18 @@
             return false;
         }
         refreshWorkers();
+        if (workers.isEmpty()) {
+            return true;
+        }
         StageForecast.Queue queue = queue(limits);
         double onTimeMillis =
-                forecast.onTimeWaitMillis(job.rank(), queue)
+                closedMillis(queue.nowMillis())
+                        + forecast.onTimeWaitMillis(job.rank(), queue)
                         + limits.callMillis()
                         + job.laterMillis();
         double lateMillis =
-                forecast.lateWaitMillis(job.rank(), queue)
+                closedMillis(queue.nowMillis())
+                        + forecast.lateWaitMillis(job.rank(), queue)
                         + limits.callMillis()
                         + job.leastLaterMillis();
         return queue.nowMillis() + onTimeMillis > job.objectiveAtMillis()
@@ -217,8 +222,15 @@
         due.forEach(this::free);
     }
 
-    /** Frees results at their maker; one that limits what it takes is called with a permit. */
+    /**
+     * Frees results at their maker; one that limits what it takes is called with a permit, and one
+     * that pauses later.
+     */
     private void free(String makerId, List<String> handles) {
+        if (upstreams.known(makerId).filter(this::isClosed).isPresent()) {
+            freeLater(makerId, handles);
+            return;
+        }
         if (!permits.isNeeded(PermitKind.SEND, makerId)) {
             freeNow(makerId, handles);
             return;
@@ -234,6 +246,18 @@
         }
     }
 
+    private boolean isClosed(Upstream upstream) {
+        return upstream.closedMillis(loop.nowMillis()) > 0;
+    }
+
+    /** Returns the time until an upstream takes calls, where all of them pause. */
+    private long closedMillis(long nowMillis) {
+        return workers.values().stream()
+                .mapToLong(worker -> worker.upstream().closedMillis(nowMillis))
+                .min()
+                .orElse(0);
+    }
+
     /** Keeps results that have not lapsed for another try. */
     private void freeLater(String makerId, List<String> handles) {
         StageWorker worker = workers.get(makerId);
@@ -250,7 +274,14 @@
 
     /** The room of freed results counts as taken until their maker had time for it. */
     private void freeNow(String makerId, List<String> handles) {
-        upstreams.known(makerId).ifPresent(maker -> port.free(maker.entry(), handles));
+        upstreams
+                .known(makerId)
+                .filter(maker -> !maker.isLeaving())
+                .ifPresent(
+                        maker -> {
+                            maker.sent(loop.nowMillis());
+                            port.free(maker.entry(), handles);
+                        });
         loop.after(
                 FREE_SETTLE_MILLIS,
                 () -> {
@@ -315,6 +346,7 @@
     /** Returns the time until a new piece of a rank would be in a call. */
     long expectedWaitMillis(int rank) {
         return pool().map(limits -> Math.round(forecast.onTimeWaitMillis(rank, queue(limits))))
+                .map(millis -> millis + closedMillis(loop.nowMillis()))
                 .orElse(0L);
     }
 
@@ -325,7 +357,13 @@
 
     /** Returns the time that one piece takes when all upstreams run full calls, or as observed. */
     private double millisPerPiece(StagePool limits) {
-        double speed = workers.values().stream().mapToDouble(w -> 1 / w.slowness()).sum();
+        // Where all pause, the pause is added to the waits and they count as open.
+        boolean allClosed = closedMillis(loop.nowMillis()) > 0;
+        double speed =
+                workers.values().stream()
+                        .filter(worker -> allClosed || !isClosed(worker.upstream()))
+                        .mapToDouble(worker -> 1 / worker.slowness())
+                        .sum();
         double full = fullCallMillis(limits) / limits.batch() / Math.max(MIN_SPEED, speed);
         return Math.max(full, drain.millisPerPiece(loop.nowMillis()));
     }
@@ -375,6 +413,7 @@
     /** Ends the tasks that will not be done in time, behind all that is served before them. */
     private void failLate(StagePool limits, long nowMillis) {
         double pieceMillis = millisPerPiece(limits);
+        long closedMillis = closedMillis(nowMillis);
         int ahead = 0;
         Map<Integer, Integer> aheadOfRank = new HashMap<>();
         for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
@@ -388,6 +427,7 @@
             int ownAhead = aheadOfRank.getOrDefault(rank, 0);
             double doneMillis =
                     nowMillis
+                            + closedMillis
                             + forecast.leastWaitMillis(
                                     rank, ahead, ownAhead, pieceMillis, nowMillis)
                             + limits.callMillis();
@@ -456,7 +496,11 @@
                 .filter(worker -> worker.isIdle(nowMillis, limits.slots()))
                 .filter(worker -> !isTooSlow(worker, nowMillis))
                 .filter(this::hasPermit)
-                .sorted(Comparator.comparingDouble(StageWorker::slowness))
+                .sorted(
+                        Comparator.comparing(
+                                        (StageWorker worker) ->
+                                                worker.upstream().isShunned(nowMillis))
+                                .thenComparingDouble(StageWorker::slowness))
                 .toList();
     }
 
@@ -530,16 +574,7 @@
         worker.permit().use();
         double factor = worker.slowness() >= SLOW ? TIMEOUT_FACTOR_WHEN_SLOW : TIMEOUT_FACTOR;
         long timeoutMillis = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
-        new StageCall(
-                        this,
-                        service,
-                        worker,
-                        batch,
-                        limits.resultMillis(),
-                        inputHold,
-                        tally,
-                        upstreams.limits(),
-                        loop)
+        new StageCall(this, service, worker, batch, limits.resultMillis(), inputHold, tally, loop)
                 .start(port, items, timeoutMillis);
         drain.took(items.size(), nowMillis);
         Map<Integer, Integer> taken = batch.piecesOfRank();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -57,7 +57,10 @@
     }
 
     boolean isIdle(long nowMillis, int slots) {
-        return running < slots && nowMillis >= pausedUntilMillis && !upstream.isMisdirected();
+        return running < slots
+                && nowMillis >= pausedUntilMillis
+                && upstream.closedMillis(nowMillis) == 0
+                && !upstream.isMisdirected();
     }
 
     long pausedUntilMillis() {
@@ -65,6 +68,7 @@
     }
 
     void begin(long bytes, long nowMillis) {
+        upstream.sent(nowMillis);
         running++;
         reservedBytes += bytes;
         lastCallMillis = nowMillis;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineChoice.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineChoice.java
@@ -65,7 +65,7 @@
     }
 
     private static boolean isUsable(Upstream upstream, Set<String> tried, long nowMillis) {
-        return !upstream.isEjected(nowMillis)
+        return !upstream.isShunned(nowMillis)
                 && !upstream.isMisdirected()
                 && !tried.contains(upstream.entry().id());
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
@@ -5,6 +5,7 @@
     private static final double SMOOTHING = 0.2;
     private static final long NEVER = Long.MIN_VALUE / 2;
 
+    private final UpstreamAccount account;
     private UpstreamEntry entry;
     private int openCalls;
     private int openTokens;
@@ -16,8 +17,9 @@
     private boolean misdirected;
     private int consecutiveFailures;
 
-    Upstream(UpstreamEntry entry) {
+    Upstream(UpstreamEntry entry, UpstreamAccount account) {
         this.entry = entry;
+        this.account = account;
     }
 
     /**
@@ -124,6 +126,44 @@
         return nowMillis < ejectedUntilMillis;
     }
 
+    /**
+     * Tells whether others are better, as it fails or another router heard that it leaves.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return whether it is chosen only where there is no other
+     */
+    public boolean isShunned(long nowMillis) {
+        return isEjected(nowMillis) || account.isHintedToLeave(nowMillis);
+    }
+
+    /**
+     * Tells whether the upstream gets nothing new, by the platform's word or by its own.
+     *
+     * @return whether it leaves
+     */
+    public boolean isLeaving() {
+        return entry.leaving() || account.isLeaving();
+    }
+
+    /**
+     * Books that something is sent to the upstream.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    public void sent(long nowMillis) {
+        account.sent(nowMillis);
+    }
+
+    /**
+     * Returns for how long the upstream gets nothing from this router, as it asked for a pause.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the time in milliseconds; 0 without a pause
+     */
+    public long closedMillis(long nowMillis) {
+        return account.closedMillis(nowMillis);
+    }
+
     /**
      * Tells whether another upstream answers at the address.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamChoice.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamChoice.java
@@ -27,7 +27,7 @@
     }
 
     /**
-     * Chooses the upstream with the least cost: healthy before ejected, untried before tried.
+     * Chooses the upstream with the least cost: healthy before ejected or leaving ones.
      *
      * @param candidates the upstreams that may get work
      * @param tried the ids of upstreams that had the request before
@@ -43,7 +43,7 @@
         return candidates.stream()
                 .filter(u -> !u.isMisdirected() && !tried.contains(u.entry().id()))
                 .min(
-                        Comparator.<Upstream, Boolean>comparing(u -> u.isEjected(nowMillis))
+                        Comparator.<Upstream, Boolean>comparing(u -> u.isShunned(nowMillis))
                                 .thenComparingDouble(cost));
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
@@ -27,7 +27,7 @@
     private final Map<String, List<Upstream>> byService = new HashMap<>();
     private final Map<String, Long> lapsedUntilMillis = new HashMap<>();
     private final Set<Runnable> listeners = new HashSet<>();
-    private final NamedLimits limits = new NamedLimits();
+    private final Announcements announcements = new Announcements();
     private boolean loaded;
     private long outageEndMillis = Long.MIN_VALUE / 2;
     private boolean outage;
@@ -40,6 +40,7 @@
      */
     public UpstreamTable(long returnGraceMillis) {
         this.returnGraceMillis = returnGraceMillis;
+        announcements.onLeaving(this::changed);
     }
 
     /**
@@ -52,30 +53,33 @@
     }
 
     /**
-     * Returns what upstreams said of the requests that they take.
+     * Returns what upstreams said of themselves in their answers.
      *
-     * @return the limits, also of upstreams that are not known any more
+     * @return the statements, for a while also of upstreams that are not known any more
      */
-    public NamedLimits limits() {
-        return limits;
+    public Announcements announcements() {
+        return announcements;
     }
 
     /**
-     * Returns what the upstreams of a service that may get work take together.
+     * Returns what the upstreams of a service that take requests now take together.
      *
      * @param service the name of the service
+     * @param nowMillis the time, in milliseconds of the steady clock
      * @return the requests a second from all routers; empty where one of them names no limit
      */
-    public OptionalDouble limitOf(String service) {
+    public OptionalDouble limitOf(String service, long nowMillis) {
+        List<Upstream> open =
+                serving(service).stream().filter(u -> u.closedMillis(nowMillis) == 0).toList();
         double sum = 0;
-        for (Upstream upstream : serving(service)) {
-            OptionalDouble limit = limits.perSecond(upstream.entry().id());
+        for (Upstream upstream : open) {
+            OptionalDouble limit = announcements.perSecond(upstream.entry().id());
             if (limit.isEmpty()) {
                 return limit;
             }
             sum += limit.getAsDouble();
         }
-        return serving(service).isEmpty() ? OptionalDouble.empty() : OptionalDouble.of(sum);
+        return open.isEmpty() ? OptionalDouble.empty() : OptionalDouble.of(sum);
     }
 
     /** Books that the platform does not answer. */
@@ -138,7 +142,8 @@
     }
 
     /**
-     * Drops the entries that lapsed and did not come back in time.
+     * Drops the entries that lapsed and did not come back in time, and the statements that are
+     * over.
      *
      * @param nowMillis the time, in milliseconds of the steady clock
      */
@@ -156,6 +161,7 @@
         if (dropped) {
             changed();
         }
+        announcements.expire(byId.keySet(), nowMillis);
     }
 
     /**
@@ -203,7 +209,7 @@
      * @return the upstream, or empty where it is unknown or leaving
      */
     public Optional<Upstream> find(String id) {
-        return Optional.ofNullable(byId.get(id)).filter(u -> !u.entry().leaving());
+        return Optional.ofNullable(byId.get(id)).filter(u -> !u.isLeaving());
     }
 
     private void putQuietly(UpstreamEntry entry) {
@@ -211,7 +217,7 @@
         Upstream known = byId.get(entry.id());
         // An upstream that started again under its id knows nothing of what it did before.
         if (known == null || known.entry().startedMillis() != entry.startedMillis()) {
-            byId.put(entry.id(), new Upstream(entry));
+            byId.put(entry.id(), new Upstream(entry, announcements.accountOf(entry)));
             logger.atInfo().log(
                     "upstream in: id=%s service=%s address=%s leaving=%s",
                     entry.id(), entry.service(), entry.address(), entry.leaving());
@@ -243,7 +249,7 @@
     private void changed() {
         byService.clear();
         for (Upstream upstream : byId.values()) {
-            if (!upstream.entry().leaving()) {
+            if (!upstream.isLeaving()) {
                 byService
                         .computeIfAbsent(upstream.entry().service(), s -> new ArrayList<>())
                         .add(upstream);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.bronzewheel.catalog.RepeatRule;
 import org.bronzewheel.catalog.StageStep;
@@ -11,8 +12,8 @@
 import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.repeats.RepeatBudget;
 import org.bronzewheel.stages.StageFailure;
+import org.bronzewheel.upstreams.Announcement;
 import org.bronzewheel.upstreams.NamedLimit;
-import org.bronzewheel.upstreams.NamedLimits;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -27,10 +28,7 @@
     private enum Fault {
         REJECTED(s -> s.listener.onHead(head(503, false, true)), true, 0),
         MISDIRECTED(
-                s ->
-                        s.listener.onHead(
-                                new UpstreamHead(
-                                        421, List.of(), false, true, true, false, NamedLimit.NONE)),
+                s -> s.listener.onHead(new UpstreamHead(421, List.of(), false, true, true, false)),
                 true,
                 0),
         NOT_CONNECTED(s -> s.listener.onFailure(CallFailure.NOT_SENT, "refused"), true, 0),
@@ -45,10 +43,7 @@
                 502),
         UNSIGNED_SUCCESS(s -> s.listener.onHead(head(200, false, false)), false, 502),
         ENCODED_SUCCESS(
-                s ->
-                        s.listener.onHead(
-                                new UpstreamHead(
-                                        200, List.of(), true, false, false, true, NamedLimit.NONE)),
+                s -> s.listener.onHead(new UpstreamHead(200, List.of(), true, false, false, true)),
                 false,
                 502),
         // A 503 without the statement that the request did not run promises nothing.
@@ -66,8 +61,7 @@
         }
 
         private static UpstreamHead head(int status, boolean signed, boolean neverRan) {
-            return new UpstreamHead(
-                    status, List.of(), signed, neverRan, false, false, NamedLimit.NONE);
+            return new UpstreamHead(status, List.of(), signed, neverRan, false, false);
         }
     }
 
@@ -284,9 +278,7 @@
         world.jobs.get(0).done();
         world.lastSend()
                 .listener
-                .onHead(
-                        new UpstreamHead(
-                                409, List.of(), false, true, false, false, NamedLimit.NONE));
+                .onHead(new UpstreamHead(409, List.of(), false, true, false, false));
         assertThat(world.jobs).hasSize(2);
 
         world.jobs.get(1).fail(StageFailure.LATE);
@@ -436,35 +428,133 @@
         assertThat(world.lastSend().call.target().id()).isNotEqualTo("u1");
     }
 
+    /** Lets the first upstreams ask for pauses, in milliseconds. */
+    private static World paused(World world, long... millis) {
+        for (int i = 0; i < millis.length; i++) {
+            world.say(
+                    "u" + (i + 1),
+                    new Announcement(
+                            Announcement.Origin.NEVER_RAN,
+                            NamedLimit.NONE,
+                            false,
+                            OptionalLong.of(millis[i])));
+        }
+        return world;
+    }
+
+    private static World leaving(World world, String... ids) {
+        for (String id : ids) {
+            world.say(
+                    id,
+                    new Announcement(
+                            Announcement.Origin.GOOD, NamedLimit.NONE, true, OptionalLong.empty()));
+        }
+        return world;
+    }
+
+    // Guards against requests into a pause.
+    @Test
+    void aRequestGoesToAnUpstreamThatDoesNotPause() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        paused(world, 900, 900).request();
+        assertThat(world.lastSend().call.target().id()).isEqualTo("u3");
+    }
+
+    // Guards against work for an upstream that leaves, whatever the store says.
+    @Test
+    void aRequestGoesToAnUpstreamThatStays() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        leaving(world, "u1", "u3").request();
+        assertThat(world.lastSend().call.target().id()).isEqualTo("u2");
+    }
+
+    // Guards against requests that wait for their deadline while all upstreams pause.
+    @Test
+    void whereAllUpstreamsPauseARequestIsRefusedAtOnceUntilTheFirstPauseEnds() {
+        World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+        paused(world, 600, 700, 900).request();
+        assertThat(world.sends).isEmpty();
+        assertThat(world.refusedWith()).isEqualTo(503);
+        assertThat(world.refusals.get(0).retryAfterMillis().getAsLong()).isAtLeast(600);
+    }
+
+    @Test
+    void whereAllUpstreamsLeaveARequestIsRefusedAtOnce() {
+        World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2));
+        leaving(world, "u1", "u2", "u3").request();
+        assertThat(world.sends).isEmpty();
+        assertThat(world.refusedWith()).isEqualTo(503);
+    }
+
+    // Guards against stage work for a request that no engine will take.
+    @Test
+    void noStageBeginsWhileAllUpstreamsThatFollowPauseForLonger() {
+        World world =
+                new World()
+                        .with(
+                                World.route(
+                                        RepeatRule.RESUMABLE,
+                                        true,
+                                        2,
+                                        List.of(new StageStep("t", List.of(), 10))));
+        paused(world, 2_000, 2_000, 2_000).request("key", List.of(1));
+        assertThat(world.jobs).isEmpty();
+        assertThat(world.refusedWith()).isEqualTo(503);
+    }
+
+    // Guards against a send by a permit that was asked for before its upstream paused or left.
     @Test
-    void anAnswerThatNamesALimitIsTakenAlsoWhereTheUpstreamRejectsTheRequest() {
+    void aPermitIsNotUsedForAnUpstreamThatPausesOrLeavesMeanwhile() {
+        for (boolean pauses : List.of(true, false)) {
+            World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1));
+            leaving(world, "u2", "u3");
+            world.permits.limit("u1");
+            world.request();
+            if (pauses) {
+                paused(world, 900);
+            } else {
+                leaving(world, "u1");
+            }
+            world.permits.decide(PermitDecision.GRANTED);
+            assertThat(world.sends).isEmpty();
+            assertThat(world.refusedWith()).isEqualTo(503);
+        }
+    }
+
+    @Test
+    void whatIsWithheldFromAnUpstreamGoesElsewhereAndItsHealthIsNotBlamed() {
         World world = new World().with(World.route(RepeatRule.AT_MOST_ONCE, false, 1)).request();
-        String id = world.lastSend().call.target().id();
-        world.lastSend()
-                .listener
-                .onHead(
-                        new UpstreamHead(
-                                503, List.of(), false, true, false, false, NamedLimit.of(2)));
-        assertThat(world.upstreams.limits().perSecond(id).getAsDouble()).isEqualTo(2);
+        World.Sent first = world.lastSend();
+        first.listener.onFailure(CallFailure.WITHHELD, "it pauses");
+        World.Sent second = world.lastSend();
+        assertThat(second.call.target().id()).isNotEqualTo(first.call.target().id());
+        second.answer(200);
+        assertThat(world.body.toString()).isEqualTo("body");
     }
 
     @Test
-    void onlyAGoodAnswerEndsALimit() {
-        World world = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2)).request();
-        String id = world.lastSend().call.target().id();
-        NamedLimits limits = world.upstreams.limits();
-        limits.answered(id, NamedLimit.of(2), 0, 0);
-        world.lastSend()
-                .listener
-                .onHead(
-                        new UpstreamHead(
-                                503, List.of(), false, true, false, false, NamedLimit.NONE));
-        assertThat(limits.perSecond(id).isPresent()).isTrue();
-
-        World other = new World().with(World.route(RepeatRule.IDEMPOTENT, false, 2)).request();
-        other.upstreams.limits().answered(id, NamedLimit.of(2), 0, 0);
-        other.lastSend().answer(200);
-        assertThat(other.upstreams.limits().perSecond(id).isPresent()).isFalse();
+    void aStreamAtAnUpstreamThatLeavesGoesOn() {
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2)).request();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        leaving(world, world.lastSend().call.target().id());
+        world.lastSend().data(EVENT_2);
+        world.lastSend().listener.onEnd();
+        assertThat(world.body.toString()).isEqualTo(EVENT_1 + EVENT_2);
+        assertThat(world.sends).hasSize(1);
+    }
+
+    @Test
+    void aStreamIsNotResumedAtAnUpstreamThatLeavesOrPauses() {
+        World world = new World().with(World.route(RepeatRule.RESUMABLE, true, 2)).request();
+        world.lastSend().head(200);
+        world.lastSend().data(EVENT_1);
+        String first = world.lastSend().call.target().id();
+        List<String> others =
+                List.of("u1", "u2", "u3").stream().filter(id -> !id.equals(first)).toList();
+        leaving(world, others.get(0));
+        world.lastSend().listener.onFailure(CallFailure.BROKEN, "crash");
+        assertThat(world.lastSend().call.target().id()).isEqualTo(others.get(1));
     }
 
     @Test
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ReturnTimeTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ReturnTimeTest.java
@@ -20,14 +20,14 @@
     })
     void aCallerReturnsWhenTheQueuesHaveDrainedButWithinAThirdOfItsTime(
             long excess, long left, int rank, double point, long wanted) {
-        assertThat(ReturnTime.afterMillis(excess, left, rank, point)).isEqualTo(wanted);
+        assertThat(ReturnTime.afterMillis(excess, 0, left, rank, point)).isEqualTo(wanted);
     }
 
     @Test
     void urgentCallersReturnFirstAndThoseOfARankNotTogether() {
-        assertThat(ReturnTime.afterMillis(500, 15_000, 0, 0.3))
-                .isLessThan(ReturnTime.afterMillis(500, 15_000, 1, 0.3));
-        assertThat(ReturnTime.afterMillis(500, 15_000, 1, 0.3))
-                .isNotEqualTo(ReturnTime.afterMillis(500, 15_000, 1, 0.4));
+        assertThat(ReturnTime.afterMillis(500, 0, 15_000, 0, 0.3))
+                .isLessThan(ReturnTime.afterMillis(500, 0, 15_000, 1, 0.3));
+        assertThat(ReturnTime.afterMillis(500, 0, 15_000, 1, 0.3))
+                .isNotEqualTo(ReturnTime.afterMillis(500, 0, 15_000, 1, 0.4));
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/World.java
@@ -30,8 +30,8 @@
 import org.bronzewheel.stages.StageResult;
 import org.bronzewheel.stages.StageService;
 import org.bronzewheel.stages.StageWait;
+import org.bronzewheel.upstreams.Announcement;
 import org.bronzewheel.upstreams.EngineChoice;
-import org.bronzewheel.upstreams.NamedLimit;
 import org.bronzewheel.upstreams.PromptPart;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
@@ -73,9 +73,7 @@
         }
 
         void head(int status) {
-            listener.onHead(
-                    new UpstreamHead(
-                            status, List.of(), true, false, false, false, NamedLimit.NONE));
+            listener.onHead(new UpstreamHead(status, List.of(), true, false, false, false));
         }
 
         void data(String text) {
@@ -222,6 +220,14 @@
         return sends.get(sends.size() - 1);
     }
 
+    /** Lets an upstream say something of itself in an answer. */
+    void say(String upstreamId, Announcement announcement) {
+        long nowMillis = loop.nowMillis();
+        upstreams
+                .announcements()
+                .announced(upstream(upstreamId), announcement, nowMillis, nowMillis);
+    }
+
     World advance(long millis) {
         scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
         return this;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
@@ -91,7 +91,7 @@
                             stages::ownBacklogs,
                             stages::submitters,
                             stages::takeBacklog,
-                            upstreams.limits());
+                            upstreams.announcements());
             network.start();
         }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -7,12 +7,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.permits.FakePermits;
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.repeats.RepeatBudget;
+import org.bronzewheel.upstreams.Announcement;
+import org.bronzewheel.upstreams.NamedLimit;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
 import org.junit.jupiter.api.Test;
@@ -512,4 +515,79 @@
         scheduler.advanceTimeBy(100, TimeUnit.MILLISECONDS);
         assertThat(freed).hasSize(2);
     }
+
+    private void say(String id, boolean leaving, long pauseMillis) {
+        upstreams
+                .announcements()
+                .announced(
+                        new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, 0, false),
+                        new Announcement(
+                                Announcement.Origin.NEVER_RAN,
+                                NamedLimit.NONE,
+                                leaving,
+                                pauseMillis > 0
+                                        ? OptionalLong.of(pauseMillis)
+                                        : OptionalLong.empty()),
+                        loop.nowMillis(),
+                        loop.nowMillis());
+    }
+
+    // Guards against stage calls into a pause, and to an upstream that says it leaves.
+    @Test
+    void aCallGoesToAnUpstreamThatNeitherPausesNorLeaves() {
+        upstreams("u1", "u2", "u3");
+        say("u1", false, 1_000);
+        say("u2", true, 0);
+        submit("a", 4, 0, 10, 9_000);
+        submit("b", 4, 0, 10, 9_000);
+        advance(1);
+        assertThat(calls).hasSize(1);
+        assertThat(calls.get(0).target().id()).isEqualTo("u3");
+        advance(1_100);
+        assertThat(calls).hasSize(2);
+        assertThat(calls.get(1).target().id()).isEqualTo("u1");
+    }
+
+    // Guards against new requests that wait for upstreams which all pause for longer.
+    @Test
+    void aNewRequestIsRefusedAtOnceWhereAllUpstreamsPauseForLonger() {
+        upstreams("u1", "u2");
+        say("u1", false, 5_000);
+        say("u2", false, 6_000);
+        first = true;
+        Outcome refused = submit("a", 1, 0, 10, 2_000, 4_000, List.of());
+        Outcome taken = submit("b", 1, 0, 10, 6_000, 9_000, List.of());
+        advance(1);
+        assertThat(refused.failure).isEqualTo(StageFailure.LATE);
+        assertThat(taken.failure).isNull();
+        assertThat(dispatcher.expectedWaitMillis(0)).isAtLeast(4_900);
+    }
+
+    @Test
+    void aNewRequestIsRefusedAtOnceWhereNoUpstreamIsLeft() {
+        upstreams("u1");
+        say("u1", true, 0);
+        first = true;
+        Outcome refused = submit("a", 1, 0, 10, 9_000);
+        advance(1);
+        assertThat(refused.failure).isEqualTo(StageFailure.LATE);
+    }
+
+    @Test
+    void resultsAreFreedAfterThePauseOfTheirMakerAndNotWhereItLeaves() {
+        upstreams("u1");
+        submit("a", 1, 0, 10, 9_000);
+        advance(1);
+        calls.get(0).done();
+        say("u1", false, 500);
+        dispatcher.release(List.of(new StageResult("s", "a0", "u1", "d", 10)));
+        advance(400);
+        assertThat(freed).isEmpty();
+        advance(200);
+        assertThat(freed).containsExactly("a0");
+        say("u1", true, 0);
+        dispatcher.release(List.of(new StageResult("s", "b0", "u1", "d", 10)));
+        advance(400);
+        assertThat(freed).containsExactly("a0");
+    }
 }
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/AnnouncementsTest.java
@@ -0,0 +1,168 @@
+package org.bronzewheel.upstreams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class AnnouncementsTest {
+    private static final UpstreamEntry UPSTREAM =
+            new UpstreamEntry("u", "s", "10.0.0.1:80", "d", 1, 7, false);
+
+    private final Announcements announcements = new Announcements();
+
+    private void answered(NamedLimit limit, long sentMillis, long nowMillis) {
+        answered(Announcement.good(limit), sentMillis, nowMillis);
+    }
+
+    private void answered(Announcement announcement, long sentMillis, long nowMillis) {
+        announcements.announced(UPSTREAM, announcement, sentMillis, nowMillis);
+    }
+
+    private void learned(double perSecond, long heardMillis) {
+        LimitStatement limit = new LimitStatement(OptionalDouble.of(perSecond), heardMillis);
+        announcements.learned(
+                new PeerStatement("u", 7, Optional.of(limit), OptionalLong.empty()), heardMillis);
+    }
+
+    private static Announcement said(
+            Announcement.Origin origin, boolean leaving, OptionalLong pauseMillis) {
+        return new Announcement(origin, NamedLimit.NONE, leaving, pauseMillis);
+    }
+
+    private void pause(long pauseMillis, long nowMillis) {
+        answered(
+                said(Announcement.Origin.NEVER_RAN, false, OptionalLong.of(pauseMillis)),
+                nowMillis,
+                nowMillis);
+    }
+
+    private OptionalDouble known() {
+        return announcements.perSecond("u");
+    }
+
+    @Test
+    void aLimitHoldsUntilALaterAnswerNamesNone() {
+        answered(NamedLimit.of(2), 0, 100);
+        assertThat(known()).isEqualTo(OptionalDouble.of(2));
+        answered(NamedLimit.NONE, 100, 200);
+        assertThat(known()).isEqualTo(OptionalDouble.empty());
+        assertThat(announcements.limited()).isEqualTo(0);
+    }
+
+    @Test
+    void anAnswerToARequestFromBeforeTheLimitNeitherEndsNorRaisesIt() {
+        answered(NamedLimit.of(2), 0, 100);
+        answered(NamedLimit.NONE, 99, 200);
+        answered(NamedLimit.of(5), 99, 200);
+        assertThat(known()).isEqualTo(OptionalDouble.of(2));
+        answered(NamedLimit.of(1), 99, 200);
+        assertThat(known()).isEqualTo(OptionalDouble.of(1));
+    }
+
+    @Test
+    void anUnreadableLimitChangesNothing() {
+        answered(NamedLimit.of(2), 0, 100);
+        answered(NamedLimit.UNREADABLE, 150, 200);
+        assertThat(known()).isEqualTo(OptionalDouble.of(2));
+    }
+
+    @Test
+    void whatAnotherRouterHeardCountsWhereItIsNewer() {
+        learned(3, 50);
+        assertThat(known()).isEqualTo(OptionalDouble.of(3));
+        answered(NamedLimit.NONE, 60, 100);
+        learned(3, 90);
+        assertThat(known()).isEqualTo(OptionalDouble.empty());
+        learned(3, 101);
+        assertThat(known()).isEqualTo(OptionalDouble.of(3));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Announcement.Origin.class)
+    void onlyAGoodAnswerEndsALimit(Announcement.Origin origin) {
+        answered(NamedLimit.of(2), 0, 100);
+        answered(said(origin, false, OptionalLong.empty()), 200, 300);
+        assertThat(known().isPresent()).isEqualTo(origin != Announcement.Origin.GOOD);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Announcement.Origin.class)
+    void aLimitIsTakenAlsoFromFailuresAndRejectionsOfTheUpstream(Announcement.Origin origin) {
+        answered(new Announcement(origin, NamedLimit.of(2), false, OptionalLong.empty()), 0, 100);
+        boolean ofTheUpstream =
+                origin != Announcement.Origin.MISDIRECTED && origin != Announcement.Origin.OTHER;
+        assertThat(known().isPresent()).isEqualTo(ofTheUpstream);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Announcement.Origin.class)
+    void anyAnswerOfTheUpstreamItselfSaysThatItLeaves(Announcement.Origin origin) {
+        answered(said(origin, true, OptionalLong.empty()), 0, 100);
+        assertThat(announcements.isLeaving("u"))
+                .isEqualTo(origin != Announcement.Origin.MISDIRECTED);
+        assertThat(announcements.takesNew(UPSTREAM, 100))
+                .isEqualTo(origin == Announcement.Origin.MISDIRECTED);
+    }
+
+    @Test
+    void theLongestEndOfSeveralPausesCounts() {
+        pause(3_000, 100);
+        pause(500, 200);
+        assertThat(announcements.takesNew(UPSTREAM, 3_099)).isFalse();
+        assertThat(announcements.takesNew(UPSTREAM, 3_100)).isTrue();
+    }
+
+    @Test
+    void aGoodAnswerEndsAPauseOnlyWhereItsRequestWasSentInThePause() {
+        pause(3_000, 100);
+        answered(NamedLimit.NONE, 100, 200);
+        assertThat(announcements.takesNew(UPSTREAM, 300)).isFalse();
+        answered(NamedLimit.NONE, 101, 300);
+        assertThat(announcements.takesNew(UPSTREAM, 300)).isTrue();
+    }
+
+    // Guards against a value that takes an upstream out for a year.
+    @Test
+    void aPauseOfAYearHoldsForAMinuteAndThenAllButOneRequestAMinute() {
+        pause(365L * 86_400_000, 0);
+        assertThat(announcements.takesNew(UPSTREAM, 59_999)).isFalse();
+        assertThat(announcements.takesNew(UPSTREAM, 60_000)).isTrue();
+        announcements.accountOf(UPSTREAM).sent(60_000);
+        assertThat(announcements.takesNew(UPSTREAM, 119_999)).isFalse();
+        assertThat(announcements.takesNew(UPSTREAM, 120_000)).isTrue();
+    }
+
+    @Test
+    void whatAnotherRouterHeardOfLeavingIsAHintThatAGoodAnswerDisproves() {
+        announcements.learned(
+                new PeerStatement("u", 7, Optional.empty(), OptionalLong.of(100)), 150);
+        assertThat(announcements.isLeaving("u")).isFalse();
+        assertThat(announcements.accountOf(UPSTREAM).isHintedToLeave(150)).isTrue();
+        answered(NamedLimit.NONE, 200, 250);
+        assertThat(announcements.accountOf(UPSTREAM).isHintedToLeave(250)).isFalse();
+        announcements.learned(
+                new PeerStatement("u", 7, Optional.empty(), OptionalLong.of(100)), 300);
+        assertThat(announcements.accountOf(UPSTREAM).isHintedToLeave(300)).isFalse();
+    }
+
+    @Test
+    void whatIsToldOfAnotherLifeCountsForNothing() {
+        announcements.accountOf(UPSTREAM);
+        announcements.learned(
+                new PeerStatement("u", 6, Optional.empty(), OptionalLong.of(100)), 150);
+        assertThat(announcements.accountOf(UPSTREAM).isHintedToLeave(150)).isFalse();
+    }
+
+    @Test
+    void statementsAreToldToOthersForAWhile() {
+        answered(said(Announcement.Origin.GOOD, true, OptionalLong.empty()), 0, 100);
+        pause(500, 9_000);
+        assertThat(announcements.recent(10_000)).hasSize(1);
+        assertThat(announcements.recent(10_101)).isEmpty();
+    }
+}
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
@@ -3,15 +3,24 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 class UpstreamTableTest {
+    private static final Announcement LEAVING =
+            new Announcement(
+                    Announcement.Origin.OTHER, NamedLimit.NONE, true, OptionalLong.empty());
+
     private final UpstreamTable table = new UpstreamTable(2_000);
 
     private static UpstreamEntry entry(String id, long startedMillis, boolean leaving) {
         return new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, startedMillis, leaving);
     }
 
+    private void say(String id, Announcement announcement) {
+        table.announcements().announced(entry(id, 0, false), announcement, 0, 0);
+    }
+
     private List<String> serving() {
         return table.serving("s").stream().map(u -> u.entry().id()).toList();
     }
@@ -70,21 +79,72 @@
 
     @Test
     void aServiceIsLimitedWhereAllItsUpstreamsAre() {
-        assertThat(table.limitOf("s").isPresent()).isFalse();
+        assertThat(table.limitOf("s", 0).isPresent()).isFalse();
         table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
         table.put(new UpstreamEntry("b", "s", "10.0.0.2:80", "d", 1, 0, false));
-        table.limits().answered("a", NamedLimit.of(2), 0, 0);
-        assertThat(table.limitOf("s").isPresent()).isFalse();
-        table.limits().answered("b", NamedLimit.of(0.5), 0, 0);
-        assertThat(table.limitOf("s").getAsDouble()).isEqualTo(2.5);
+        say("a", Announcement.good(NamedLimit.of(2)));
+        assertThat(table.limitOf("s", 0).isPresent()).isFalse();
+        say("b", Announcement.good(NamedLimit.of(0.5)));
+        assertThat(table.limitOf("s", 0).getAsDouble()).isEqualTo(2.5);
     }
 
     @Test
     void aLimitOutlastsTheEntryOfItsUpstream() {
         table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
-        table.limits().answered("a", NamedLimit.of(2), 0, 0);
+        say("a", Announcement.good(NamedLimit.of(2)));
         table.remove("a", 100);
         table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
-        assertThat(table.limits().perSecond("a").getAsDouble()).isEqualTo(2);
+        assertThat(table.announcements().perSecond("a").getAsDouble()).isEqualTo(2);
+    }
+
+    // Guards against an entry that undoes what its upstream says.
+    @Test
+    void anUpstreamThatSaysItLeavesGetsNoNewWorkWhateverItsEntrySays() {
+        table.replaceAll(List.of(entry("a", 7, false), entry("b", 0, false)), 0);
+        table.announcements().announced(entry("a", 7, false), LEAVING, 0, 0);
+        assertThat(serving()).containsExactly("b");
+        table.put(entry("a", 7, false));
+        table.remove("a", 10);
+        table.put(entry("a", 7, false));
+        assertThat(serving()).containsExactly("b");
+        assertThat(table.find("a")).isEmpty();
+    }
+
+    @Test
+    void aNewLifeKnowsNothingOfWhatTheOneBeforeSaid() {
+        table.replaceAll(List.of(entry("a", 7, false)), 0);
+        table.announcements().announced(entry("a", 7, false), LEAVING, 0, 0);
+        table.put(entry("a", 8, false));
+        assertThat(serving()).containsExactly("a");
+        table.announcements().announced(entry("a", 7, false), LEAVING, 0, 0);
+        assertThat(serving()).containsExactly("a");
+    }
+
+    @Test
+    void pausingUpstreamsAreNoPartOfTheLimitOfTheirService() {
+        table.replaceAll(List.of(entry("a", 0, false), entry("b", 0, false)), 0);
+        say("a", Announcement.good(NamedLimit.of(2)));
+        say("b", Announcement.good(NamedLimit.of(3)));
+        say(
+                "b",
+                new Announcement(
+                        Announcement.Origin.NEVER_RAN,
+                        NamedLimit.NONE,
+                        false,
+                        OptionalLong.of(500)));
+        assertThat(table.limitOf("s", 499).getAsDouble()).isEqualTo(2);
+        assertThat(table.limitOf("s", 500).getAsDouble()).isEqualTo(5);
+    }
+
+    // Guards against statements that are kept for ever.
+    @Test
+    void whatUpstreamsThatAreGoneSaidIsForgottenInTheEnd() {
+        table.put(entry("a", 0, false));
+        say("a", Announcement.good(NamedLimit.of(2)));
+        table.remove("a", 100);
+        table.expire(590_000);
+        assertThat(table.announcements().limited()).isEqualTo(1);
+        table.expire(700_000);
+        assertThat(table.announcements().limited()).isEqualTo(0);
     }
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestion.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestion.java
@@ -128,18 +128,18 @@
     return patienceMillis_;
   }
 
-  public static final int LIMIT_FIELD_NUMBER = 4;
-  private org.bronzewheel.wire.UpstreamLimit limit_;
+  public static final int STATEMENT_FIELD_NUMBER = 4;
+  private org.bronzewheel.wire.UpstreamStatement statement_;
   /**
    * <pre>
    * What the sender knows; absent where it knows nothing.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
-   * @return Whether the limit field is set.
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
+   * @return Whether the statement field is set.
    */
   @java.lang.Override
-  public boolean hasLimit() {
+  public boolean hasStatement() {
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
@@ -147,23 +147,23 @@
    * What the sender knows; absent where it knows nothing.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
-   * @return The limit.
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
+   * @return The statement.
    */
   @java.lang.Override
-  public org.bronzewheel.wire.UpstreamLimit getLimit() {
-    return limit_ == null ? org.bronzewheel.wire.UpstreamLimit.getDefaultInstance() : limit_;
+  public org.bronzewheel.wire.UpstreamStatement getStatement() {
+    return statement_ == null ? org.bronzewheel.wire.UpstreamStatement.getDefaultInstance() : statement_;
   }
   /**
    * <pre>
    * What the sender knows; absent where it knows nothing.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
    */
   @java.lang.Override
-  public org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitOrBuilder() {
-    return limit_ == null ? org.bronzewheel.wire.UpstreamLimit.getDefaultInstance() : limit_;
+  public org.bronzewheel.wire.UpstreamStatementOrBuilder getStatementOrBuilder() {
+    return statement_ == null ? org.bronzewheel.wire.UpstreamStatement.getDefaultInstance() : statement_;
   }
 
   public static final int ENTRY_FIELD_NUMBER = 5;
@@ -205,7 +205,7 @@
       output.writeInt64(3, patienceMillis_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeMessage(4, getLimit());
+      output.writeMessage(4, getStatement());
     }
     if (entry_ != false) {
       output.writeBool(5, entry_);
@@ -227,7 +227,7 @@
     }
     if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(4, getLimit());
+        .computeMessageSize(4, getStatement());
     }
     if (entry_ != false) {
       size += com.google.protobuf.CodedOutputStream
@@ -263,10 +263,10 @@
         != other.getRank()) return false;
     if (getPatienceMillis()
         != other.getPatienceMillis()) return false;
-    if (hasLimit() != other.hasLimit()) return false;
-    if (hasLimit()) {
-      if (!getLimit()
-          .equals(other.getLimit())) return false;
+    if (hasStatement() != other.hasStatement()) return false;
+    if (hasStatement()) {
+      if (!getStatement()
+          .equals(other.getStatement())) return false;
     }
     if (getEntry()
         != other.getEntry()) return false;
@@ -288,9 +288,9 @@
     hash = (37 * hash) + PATIENCE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getPatienceMillis());
-    if (hasLimit()) {
-      hash = (37 * hash) + LIMIT_FIELD_NUMBER;
-      hash = (53 * hash) + getLimit().hashCode();
+    if (hasStatement()) {
+      hash = (37 * hash) + STATEMENT_FIELD_NUMBER;
+      hash = (53 * hash) + getStatement().hashCode();
     }
     hash = (37 * hash) + ENTRY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
@@ -430,7 +430,7 @@
     private void maybeForceBuilderInitialization() {
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
-        internalGetLimitFieldBuilder();
+        internalGetStatementFieldBuilder();
       }
     }
     @java.lang.Override
@@ -440,10 +440,10 @@
       name_ = "";
       rank_ = 0;
       patienceMillis_ = 0L;
-      limit_ = null;
-      if (limitBuilder_ != null) {
-        limitBuilder_.dispose();
-        limitBuilder_ = null;
+      statement_ = null;
+      if (statementBuilder_ != null) {
+        statementBuilder_.dispose();
+        statementBuilder_ = null;
       }
       entry_ = false;
       return this;
@@ -490,9 +490,9 @@
       }
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.limit_ = limitBuilder_ == null
-            ? limit_
-            : limitBuilder_.build();
+        result.statement_ = statementBuilder_ == null
+            ? statement_
+            : statementBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
@@ -524,8 +524,8 @@
       if (other.getPatienceMillis() != 0L) {
         setPatienceMillis(other.getPatienceMillis());
       }
-      if (other.hasLimit()) {
-        mergeLimit(other.getLimit());
+      if (other.hasStatement()) {
+        mergeStatement(other.getStatement());
       }
       if (other.getEntry() != false) {
         setEntry(other.getEntry());
@@ -571,7 +571,7 @@
             } // case 24
             case 34: {
               input.readMessage(
-                  internalGetLimitFieldBuilder().getBuilder(),
+                  internalGetStatementFieldBuilder().getBuilder(),
                   extensionRegistry);
               bitField0_ |= 0x00000008;
               break;
@@ -766,18 +766,18 @@
       return this;
     }
 
-    private org.bronzewheel.wire.UpstreamLimit limit_;
+    private org.bronzewheel.wire.UpstreamStatement statement_;
     private com.google.protobuf.SingleFieldBuilder<
-        org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder> limitBuilder_;
+        org.bronzewheel.wire.UpstreamStatement, org.bronzewheel.wire.UpstreamStatement.Builder, org.bronzewheel.wire.UpstreamStatementOrBuilder> statementBuilder_;
     /**
      * <pre>
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
-     * @return Whether the limit field is set.
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
+     * @return Whether the statement field is set.
      */
-    public boolean hasLimit() {
+    public boolean hasStatement() {
       return ((bitField0_ & 0x00000008) != 0);
     }
     /**
@@ -785,14 +785,14 @@
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
-     * @return The limit.
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
+     * @return The statement.
      */
-    public org.bronzewheel.wire.UpstreamLimit getLimit() {
-      if (limitBuilder_ == null) {
-        return limit_ == null ? org.bronzewheel.wire.UpstreamLimit.getDefaultInstance() : limit_;
+    public org.bronzewheel.wire.UpstreamStatement getStatement() {
+      if (statementBuilder_ == null) {
+        return statement_ == null ? org.bronzewheel.wire.UpstreamStatement.getDefaultInstance() : statement_;
       } else {
-        return limitBuilder_.getMessage();
+        return statementBuilder_.getMessage();
       }
     }
     /**
@@ -800,14 +800,14 @@
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
      */
-    public Builder setLimit(org.bronzewheel.wire.UpstreamLimit value) {
-      if (limitBuilder_ == null) {
+    public Builder setStatement(org.bronzewheel.wire.UpstreamStatement value) {
+      if (statementBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        limit_ = value;
+        statement_ = value;
       } else {
-        limitBuilder_.setMessage(value);
+        statementBuilder_.setMessage(value);
       }
       bitField0_ |= 0x00000008;
       onChanged();
@@ -818,14 +818,14 @@
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
      */
-    public Builder setLimit(
-        org.bronzewheel.wire.UpstreamLimit.Builder builderForValue) {
-      if (limitBuilder_ == null) {
-        limit_ = builderForValue.build();
+    public Builder setStatement(
+        org.bronzewheel.wire.UpstreamStatement.Builder builderForValue) {
+      if (statementBuilder_ == null) {
+        statement_ = builderForValue.build();
       } else {
-        limitBuilder_.setMessage(builderForValue.build());
+        statementBuilder_.setMessage(builderForValue.build());
       }
       bitField0_ |= 0x00000008;
       onChanged();
@@ -836,21 +836,21 @@
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
      */
-    public Builder mergeLimit(org.bronzewheel.wire.UpstreamLimit value) {
-      if (limitBuilder_ == null) {
+    public Builder mergeStatement(org.bronzewheel.wire.UpstreamStatement value) {
+      if (statementBuilder_ == null) {
         if (((bitField0_ & 0x00000008) != 0) &&
-          limit_ != null &&
-          limit_ != org.bronzewheel.wire.UpstreamLimit.getDefaultInstance()) {
-          getLimitBuilder().mergeFrom(value);
+          statement_ != null &&
+          statement_ != org.bronzewheel.wire.UpstreamStatement.getDefaultInstance()) {
+          getStatementBuilder().mergeFrom(value);
         } else {
-          limit_ = value;
+          statement_ = value;
         }
       } else {
-        limitBuilder_.mergeFrom(value);
+        statementBuilder_.mergeFrom(value);
       }
-      if (limit_ != null) {
+      if (statement_ != null) {
         bitField0_ |= 0x00000008;
         onChanged();
       }
@@ -861,14 +861,14 @@
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
      */
-    public Builder clearLimit() {
+    public Builder clearStatement() {
       bitField0_ = (bitField0_ & ~0x00000008);
-      limit_ = null;
-      if (limitBuilder_ != null) {
-        limitBuilder_.dispose();
-        limitBuilder_ = null;
+      statement_ = null;
+      if (statementBuilder_ != null) {
+        statementBuilder_.dispose();
+        statementBuilder_ = null;
       }
       onChanged();
       return this;
@@ -878,26 +878,26 @@
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
      */
-    public org.bronzewheel.wire.UpstreamLimit.Builder getLimitBuilder() {
+    public org.bronzewheel.wire.UpstreamStatement.Builder getStatementBuilder() {
       bitField0_ |= 0x00000008;
       onChanged();
-      return internalGetLimitFieldBuilder().getBuilder();
+      return internalGetStatementFieldBuilder().getBuilder();
     }
     /**
      * <pre>
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
      */
-    public org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitOrBuilder() {
-      if (limitBuilder_ != null) {
-        return limitBuilder_.getMessageOrBuilder();
+    public org.bronzewheel.wire.UpstreamStatementOrBuilder getStatementOrBuilder() {
+      if (statementBuilder_ != null) {
+        return statementBuilder_.getMessageOrBuilder();
       } else {
-        return limit_ == null ?
-            org.bronzewheel.wire.UpstreamLimit.getDefaultInstance() : limit_;
+        return statement_ == null ?
+            org.bronzewheel.wire.UpstreamStatement.getDefaultInstance() : statement_;
       }
     }
     /**
@@ -905,20 +905,20 @@
      * What the sender knows; absent where it knows nothing.
      * </pre>
      *
-     * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+     * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder> 
-        internalGetLimitFieldBuilder() {
-      if (limitBuilder_ == null) {
-        limitBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder>(
-                getLimit(),
+        org.bronzewheel.wire.UpstreamStatement, org.bronzewheel.wire.UpstreamStatement.Builder, org.bronzewheel.wire.UpstreamStatementOrBuilder> 
+        internalGetStatementFieldBuilder() {
+      if (statementBuilder_ == null) {
+        statementBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bronzewheel.wire.UpstreamStatement, org.bronzewheel.wire.UpstreamStatement.Builder, org.bronzewheel.wire.UpstreamStatementOrBuilder>(
+                getStatement(),
                 getParentForChildren(),
                 isClean());
-        limit_ = null;
+        statement_ = null;
       }
-      return limitBuilder_;
+      return statementBuilder_;
     }
 
     private boolean entry_ ;
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestionOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestionOrBuilder.java
@@ -51,27 +51,27 @@
    * What the sender knows; absent where it knows nothing.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
-   * @return Whether the limit field is set.
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
+   * @return Whether the statement field is set.
    */
-  boolean hasLimit();
+  boolean hasStatement();
   /**
    * <pre>
    * What the sender knows; absent where it knows nothing.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
-   * @return The limit.
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
+   * @return The statement.
    */
-  org.bronzewheel.wire.UpstreamLimit getLimit();
+  org.bronzewheel.wire.UpstreamStatement getStatement();
   /**
    * <pre>
    * What the sender knows; absent where it knows nothing.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 4;</code>
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 4;</code>
    */
-  org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitOrBuilder();
+  org.bronzewheel.wire.UpstreamStatementOrBuilder getStatementOrBuilder();
 
   /**
    * <pre>
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitReplyOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitReplyOrBuilder.java
@@ -31,27 +31,27 @@
    * What the keeper knows.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 3;</code>
-   * @return Whether the limit field is set.
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 3;</code>
+   * @return Whether the statement field is set.
    */
-  boolean hasLimit();
+  boolean hasStatement();
   /**
    * <pre>
    * What the keeper knows.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 3;</code>
-   * @return The limit.
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 3;</code>
+   * @return The statement.
    */
-  org.bronzewheel.wire.UpstreamLimit getLimit();
+  org.bronzewheel.wire.UpstreamStatement getStatement();
   /**
    * <pre>
    * What the keeper knows.
    * </pre>
    *
-   * <code>.bronzewheel.wire.UpstreamLimit limit = 3;</code>
+   * <code>.bronzewheel.wire.UpstreamStatement statement = 3;</code>
    */
-  org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitOrBuilder();
+  org.bronzewheel.wire.UpstreamStatementOrBuilder getStatementOrBuilder();
 
   /**
    * <pre>
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
@@ -35,7 +35,7 @@
     vmId_ = "";
     backlogs_ = java.util.Collections.emptyList();
     others_ = java.util.Collections.emptyList();
-    limits_ = java.util.Collections.emptyList();
+    statements_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -234,65 +234,65 @@
     return others_.get(index);
   }
 
-  public static final int LIMITS_FIELD_NUMBER = 8;
+  public static final int STATEMENTS_FIELD_NUMBER = 8;
   @SuppressWarnings("serial")
-  private java.util.List<org.bronzewheel.wire.UpstreamLimit> limits_;
+  private java.util.List<org.bronzewheel.wire.UpstreamStatement> statements_;
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
   @java.lang.Override
-  public java.util.List<org.bronzewheel.wire.UpstreamLimit> getLimitsList() {
-    return limits_;
+  public java.util.List<org.bronzewheel.wire.UpstreamStatement> getStatementsList() {
+    return statements_;
   }
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends org.bronzewheel.wire.UpstreamLimitOrBuilder> 
-      getLimitsOrBuilderList() {
-    return limits_;
+  public java.util.List<? extends org.bronzewheel.wire.UpstreamStatementOrBuilder> 
+      getStatementsOrBuilderList() {
+    return statements_;
   }
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
   @java.lang.Override
-  public int getLimitsCount() {
-    return limits_.size();
+  public int getStatementsCount() {
+    return statements_.size();
   }
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
   @java.lang.Override
-  public org.bronzewheel.wire.UpstreamLimit getLimits(int index) {
-    return limits_.get(index);
+  public org.bronzewheel.wire.UpstreamStatement getStatements(int index) {
+    return statements_.get(index);
   }
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
   @java.lang.Override
-  public org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitsOrBuilder(
+  public org.bronzewheel.wire.UpstreamStatementOrBuilder getStatementsOrBuilder(
       int index) {
-    return limits_.get(index);
+    return statements_.get(index);
   }
 
   private byte memoizedIsInitialized = -1;
@@ -327,8 +327,8 @@
     for (int i = 0; i < others_.size(); i++) {
       output.writeMessage(7, others_.get(i));
     }
-    for (int i = 0; i < limits_.size(); i++) {
-      output.writeMessage(8, limits_.get(i));
+    for (int i = 0; i < statements_.size(); i++) {
+      output.writeMessage(8, statements_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -369,10 +369,10 @@
         }
 
         {
-          final int count = limits_.size();
+          final int count = statements_.size();
           for (int i = 0; i < count; i++) {
             size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(limits_.get(i));
+              .computeMessageSizeNoTag(statements_.get(i));
           }
           size += 1 * count;
         }
@@ -412,8 +412,8 @@
         != other.getBeat()) return false;
     if (!getOthersList()
         .equals(other.getOthersList())) return false;
-    if (!getLimitsList()
-        .equals(other.getLimitsList())) return false;
+    if (!getStatementsList()
+        .equals(other.getStatementsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -444,9 +444,9 @@
       hash = (37 * hash) + OTHERS_FIELD_NUMBER;
       hash = (53 * hash) + getOthersList().hashCode();
     }
-    if (getLimitsCount() > 0) {
-      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
-      hash = (53 * hash) + getLimitsList().hashCode();
+    if (getStatementsCount() > 0) {
+      hash = (37 * hash) + STATEMENTS_FIELD_NUMBER;
+      hash = (53 * hash) + getStatementsList().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
@@ -601,11 +601,11 @@
         othersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
-      if (limitsBuilder_ == null) {
-        limits_ = java.util.Collections.emptyList();
+      if (statementsBuilder_ == null) {
+        statements_ = java.util.Collections.emptyList();
       } else {
-        limits_ = null;
-        limitsBuilder_.clear();
+        statements_ = null;
+        statementsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       return this;
@@ -659,14 +659,14 @@
       } else {
         result.others_ = othersBuilder_.build();
       }
-      if (limitsBuilder_ == null) {
+      if (statementsBuilder_ == null) {
         if (((bitField0_ & 0x00000040) != 0)) {
-          limits_ = java.util.Collections.unmodifiableList(limits_);
+          statements_ = java.util.Collections.unmodifiableList(statements_);
           bitField0_ = (bitField0_ & ~0x00000040);
         }
-        result.limits_ = limits_;
+        result.statements_ = statements_;
       } else {
-        result.limits_ = limitsBuilder_.build();
+        result.statements_ = statementsBuilder_.build();
       }
     }
 
@@ -764,29 +764,29 @@
           }
         }
       }
-      if (limitsBuilder_ == null) {
-        if (!other.limits_.isEmpty()) {
-          if (limits_.isEmpty()) {
-            limits_ = other.limits_;
+      if (statementsBuilder_ == null) {
+        if (!other.statements_.isEmpty()) {
+          if (statements_.isEmpty()) {
+            statements_ = other.statements_;
             bitField0_ = (bitField0_ & ~0x00000040);
           } else {
-            ensureLimitsIsMutable();
-            limits_.addAll(other.limits_);
+            ensureStatementsIsMutable();
+            statements_.addAll(other.statements_);
           }
           onChanged();
         }
       } else {
-        if (!other.limits_.isEmpty()) {
-          if (limitsBuilder_.isEmpty()) {
-            limitsBuilder_.dispose();
-            limitsBuilder_ = null;
-            limits_ = other.limits_;
+        if (!other.statements_.isEmpty()) {
+          if (statementsBuilder_.isEmpty()) {
+            statementsBuilder_.dispose();
+            statementsBuilder_ = null;
+            statements_ = other.statements_;
             bitField0_ = (bitField0_ & ~0x00000040);
-            limitsBuilder_ = 
+            statementsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetLimitsFieldBuilder() : null;
+                 internalGetStatementsFieldBuilder() : null;
           } else {
-            limitsBuilder_.addAllMessages(other.limits_);
+            statementsBuilder_.addAllMessages(other.statements_);
           }
         }
       }
@@ -861,15 +861,15 @@
               break;
             } // case 58
             case 66: {
-              org.bronzewheel.wire.UpstreamLimit m =
+              org.bronzewheel.wire.UpstreamStatement m =
                   input.readMessage(
-                      org.bronzewheel.wire.UpstreamLimit.parser(),
+                      org.bronzewheel.wire.UpstreamStatement.parser(),
                       extensionRegistry);
-              if (limitsBuilder_ == null) {
-                ensureLimitsIsMutable();
-                limits_.add(m);
+              if (statementsBuilder_ == null) {
+                ensureStatementsIsMutable();
+                statements_.add(m);
               } else {
-                limitsBuilder_.addMessage(m);
+                statementsBuilder_.addMessage(m);
               }
               break;
             } // case 66
@@ -1610,310 +1610,310 @@
       return othersBuilder_;
     }
 
-    private java.util.List<org.bronzewheel.wire.UpstreamLimit> limits_ =
+    private java.util.List<org.bronzewheel.wire.UpstreamStatement> statements_ =
       java.util.Collections.emptyList();
-    private void ensureLimitsIsMutable() {
+    private void ensureStatementsIsMutable() {
       if (!((bitField0_ & 0x00000040) != 0)) {
-        limits_ = new java.util.ArrayList<org.bronzewheel.wire.UpstreamLimit>(limits_);
+        statements_ = new java.util.ArrayList<org.bronzewheel.wire.UpstreamStatement>(statements_);
         bitField0_ |= 0x00000040;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder> limitsBuilder_;
+        org.bronzewheel.wire.UpstreamStatement, org.bronzewheel.wire.UpstreamStatement.Builder, org.bronzewheel.wire.UpstreamStatementOrBuilder> statementsBuilder_;
 
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public java.util.List<org.bronzewheel.wire.UpstreamLimit> getLimitsList() {
-      if (limitsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(limits_);
+    public java.util.List<org.bronzewheel.wire.UpstreamStatement> getStatementsList() {
+      if (statementsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(statements_);
       } else {
-        return limitsBuilder_.getMessageList();
+        return statementsBuilder_.getMessageList();
       }
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public int getLimitsCount() {
-      if (limitsBuilder_ == null) {
-        return limits_.size();
+    public int getStatementsCount() {
+      if (statementsBuilder_ == null) {
+        return statements_.size();
       } else {
-        return limitsBuilder_.getCount();
+        return statementsBuilder_.getCount();
       }
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public org.bronzewheel.wire.UpstreamLimit getLimits(int index) {
-      if (limitsBuilder_ == null) {
-        return limits_.get(index);
+    public org.bronzewheel.wire.UpstreamStatement getStatements(int index) {
+      if (statementsBuilder_ == null) {
+        return statements_.get(index);
       } else {
-        return limitsBuilder_.getMessage(index);
+        return statementsBuilder_.getMessage(index);
       }
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder setLimits(
-        int index, org.bronzewheel.wire.UpstreamLimit value) {
-      if (limitsBuilder_ == null) {
+    public Builder setStatements(
+        int index, org.bronzewheel.wire.UpstreamStatement value) {
+      if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.set(index, value);
+        ensureStatementsIsMutable();
+        statements_.set(index, value);
         onChanged();
       } else {
-        limitsBuilder_.setMessage(index, value);
+        statementsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder setLimits(
-        int index, org.bronzewheel.wire.UpstreamLimit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.set(index, builderForValue.build());
+    public Builder setStatements(
+        int index, org.bronzewheel.wire.UpstreamStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.set(index, builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.setMessage(index, builderForValue.build());
+        statementsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder addLimits(org.bronzewheel.wire.UpstreamLimit value) {
-      if (limitsBuilder_ == null) {
+    public Builder addStatements(org.bronzewheel.wire.UpstreamStatement value) {
+      if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.add(value);
+        ensureStatementsIsMutable();
+        statements_.add(value);
         onChanged();
       } else {
-        limitsBuilder_.addMessage(value);
+        statementsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder addLimits(
-        int index, org.bronzewheel.wire.UpstreamLimit value) {
-      if (limitsBuilder_ == null) {
+    public Builder addStatements(
+        int index, org.bronzewheel.wire.UpstreamStatement value) {
+      if (statementsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
-        ensureLimitsIsMutable();
-        limits_.add(index, value);
+        ensureStatementsIsMutable();
+        statements_.add(index, value);
         onChanged();
       } else {
-        limitsBuilder_.addMessage(index, value);
+        statementsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder addLimits(
-        org.bronzewheel.wire.UpstreamLimit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.add(builderForValue.build());
+    public Builder addStatements(
+        org.bronzewheel.wire.UpstreamStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.add(builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.addMessage(builderForValue.build());
+        statementsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder addLimits(
-        int index, org.bronzewheel.wire.UpstreamLimit.Builder builderForValue) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.add(index, builderForValue.build());
+    public Builder addStatements(
+        int index, org.bronzewheel.wire.UpstreamStatement.Builder builderForValue) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.add(index, builderForValue.build());
         onChanged();
       } else {
-        limitsBuilder_.addMessage(index, builderForValue.build());
+        statementsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder addAllLimits(
-        java.lang.Iterable<? extends org.bronzewheel.wire.UpstreamLimit> values) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
+    public Builder addAllStatements(
+        java.lang.Iterable<? extends org.bronzewheel.wire.UpstreamStatement> values) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, limits_);
+            values, statements_);
         onChanged();
       } else {
-        limitsBuilder_.addAllMessages(values);
+        statementsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder clearLimits() {
-      if (limitsBuilder_ == null) {
-        limits_ = java.util.Collections.emptyList();
+    public Builder clearStatements() {
+      if (statementsBuilder_ == null) {
+        statements_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000040);
         onChanged();
       } else {
-        limitsBuilder_.clear();
+        statementsBuilder_.clear();
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public Builder removeLimits(int index) {
-      if (limitsBuilder_ == null) {
-        ensureLimitsIsMutable();
-        limits_.remove(index);
+    public Builder removeStatements(int index) {
+      if (statementsBuilder_ == null) {
+        ensureStatementsIsMutable();
+        statements_.remove(index);
         onChanged();
       } else {
-        limitsBuilder_.remove(index);
+        statementsBuilder_.remove(index);
       }
       return this;
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public org.bronzewheel.wire.UpstreamLimit.Builder getLimitsBuilder(
+    public org.bronzewheel.wire.UpstreamStatement.Builder getStatementsBuilder(
         int index) {
-      return internalGetLimitsFieldBuilder().getBuilder(index);
+      return internalGetStatementsFieldBuilder().getBuilder(index);
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitsOrBuilder(
+    public org.bronzewheel.wire.UpstreamStatementOrBuilder getStatementsOrBuilder(
         int index) {
-      if (limitsBuilder_ == null) {
-        return limits_.get(index);  } else {
-        return limitsBuilder_.getMessageOrBuilder(index);
+      if (statementsBuilder_ == null) {
+        return statements_.get(index);  } else {
+        return statementsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public java.util.List<? extends org.bronzewheel.wire.UpstreamLimitOrBuilder> 
-         getLimitsOrBuilderList() {
-      if (limitsBuilder_ != null) {
-        return limitsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends org.bronzewheel.wire.UpstreamStatementOrBuilder> 
+         getStatementsOrBuilderList() {
+      if (statementsBuilder_ != null) {
+        return statementsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(limits_);
+        return java.util.Collections.unmodifiableList(statements_);
       }
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public org.bronzewheel.wire.UpstreamLimit.Builder addLimitsBuilder() {
-      return internalGetLimitsFieldBuilder().addBuilder(
-          org.bronzewheel.wire.UpstreamLimit.getDefaultInstance());
+    public org.bronzewheel.wire.UpstreamStatement.Builder addStatementsBuilder() {
+      return internalGetStatementsFieldBuilder().addBuilder(
+          org.bronzewheel.wire.UpstreamStatement.getDefaultInstance());
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public org.bronzewheel.wire.UpstreamLimit.Builder addLimitsBuilder(
+    public org.bronzewheel.wire.UpstreamStatement.Builder addStatementsBuilder(
         int index) {
-      return internalGetLimitsFieldBuilder().addBuilder(
-          index, org.bronzewheel.wire.UpstreamLimit.getDefaultInstance());
+      return internalGetStatementsFieldBuilder().addBuilder(
+          index, org.bronzewheel.wire.UpstreamStatement.getDefaultInstance());
     }
     /**
      * <pre>
-     * The limits that upstreams named lately.
+     * What upstreams said lately of themselves.
      * </pre>
      *
-     * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+     * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
      */
-    public java.util.List<org.bronzewheel.wire.UpstreamLimit.Builder> 
-         getLimitsBuilderList() {
-      return internalGetLimitsFieldBuilder().getBuilderList();
+    public java.util.List<org.bronzewheel.wire.UpstreamStatement.Builder> 
+         getStatementsBuilderList() {
+      return internalGetStatementsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder> 
-        internalGetLimitsFieldBuilder() {
-      if (limitsBuilder_ == null) {
-        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            org.bronzewheel.wire.UpstreamLimit, org.bronzewheel.wire.UpstreamLimit.Builder, org.bronzewheel.wire.UpstreamLimitOrBuilder>(
-                limits_,
+        org.bronzewheel.wire.UpstreamStatement, org.bronzewheel.wire.UpstreamStatement.Builder, org.bronzewheel.wire.UpstreamStatementOrBuilder> 
+        internalGetStatementsFieldBuilder() {
+      if (statementsBuilder_ == null) {
+        statementsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.bronzewheel.wire.UpstreamStatement, org.bronzewheel.wire.UpstreamStatement.Builder, org.bronzewheel.wire.UpstreamStatementOrBuilder>(
+                statements_,
                 ((bitField0_ & 0x00000040) != 0),
                 getParentForChildren(),
                 isClean());
-        limits_ = null;
+        statements_ = null;
       }
-      return limitsBuilder_;
+      return statementsBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.SeedHello)
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
@@ -114,45 +114,45 @@
 
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
-  java.util.List<org.bronzewheel.wire.UpstreamLimit> 
-      getLimitsList();
+  java.util.List<org.bronzewheel.wire.UpstreamStatement> 
+      getStatementsList();
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
-  org.bronzewheel.wire.UpstreamLimit getLimits(int index);
+  org.bronzewheel.wire.UpstreamStatement getStatements(int index);
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
-  int getLimitsCount();
+  int getStatementsCount();
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
-  java.util.List<? extends org.bronzewheel.wire.UpstreamLimitOrBuilder> 
-      getLimitsOrBuilderList();
+  java.util.List<? extends org.bronzewheel.wire.UpstreamStatementOrBuilder> 
+      getStatementsOrBuilderList();
   /**
    * <pre>
-   * The limits that upstreams named lately.
+   * What upstreams said lately of themselves.
    * </pre>
    *
-   * <code>repeated .bronzewheel.wire.UpstreamLimit limits = 8;</code>
+   * <code>repeated .bronzewheel.wire.UpstreamStatement statements = 8;</code>
    */
-  org.bronzewheel.wire.UpstreamLimitOrBuilder getLimitsOrBuilder(
+  org.bronzewheel.wire.UpstreamStatementOrBuilder getStatementsOrBuilder(
       int index);
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -32,10 +32,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_bronzewheel_wire_UpstreamLimit_descriptor;
+    internal_static_bronzewheel_wire_UpstreamStatement_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_bronzewheel_wire_UpstreamLimit_fieldAccessorTable;
+      internal_static_bronzewheel_wire_UpstreamStatement_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bronzewheel_wire_PermitQuestion_descriptor;
   static final 
@@ -170,102 +170,106 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rserving.proto\022\020bronzewheel.wire\"\343\001\n\tSe" +
+      "\n\rserving.proto\022\020bronzewheel.wire\"\353\001\n\tSe" +
       "edHello\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
       "\001(\003\022\017\n\007leaving\030\003 \001(\010\0220\n\010backlogs\030\005 \003(\0132\036" +
       ".bronzewheel.wire.StageBacklog\022\014\n\004beat\030\006" +
       " \001(\003\022*\n\006others\030\007 \003(\0132\032.bronzewheel.wire." +
-      "PeerBeat\022/\n\006limits\030\010 \003(\0132\037.bronzewheel.w" +
-      "ire.UpstreamLimitJ\004\010\004\020\005\"`\n\rUpstreamLimit" +
-      "\022\023\n\013upstream_id\030\001 \001(\t\022\027\n\nper_second\030\002 \001(" +
-      "\001H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\003B\r\n\013_per_secon" +
-      "d\"\204\001\n\016PermitQuestion\022\014\n\004name\030\001 \001(\t\022\014\n\004ra" +
-      "nk\030\002 \001(\005\022\027\n\017patience_millis\030\003 \001(\003\022.\n\005lim" +
-      "it\030\004 \001(\0132\037.bronzewheel.wire.UpstreamLimi" +
-      "t\022\r\n\005entry\030\005 \001(\010\"\177\n\013PermitReply\022\017\n\007grant" +
-      "ed\030\001 \001(\010\022\032\n\022retry_after_millis\030\002 \001(\003\022.\n\005" +
-      "limit\030\003 \001(\0132\037.bronzewheel.wire.UpstreamL" +
-      "imit\022\023\n\013next_millis\030\004 \001(\003\"M\n\010PeerBeat\022\r\n" +
-      "\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004bea" +
-      "t\030\003 \001(\003\022\017\n\007leaving\030\004 \001(\010\"@\n\021PublishedQue" +
-      "stion\022\026\n\016after_revision\030\001 \001(\003\022\023\n\013wait_mi" +
-      "llis\030\002 \001(\003\"\336\001\n\017PublishedAnswer\022:\n\007outcom" +
-      "e\030\001 \001(\0162).bronzewheel.wire.PublishedAnsw" +
-      "er.Outcome\022\020\n\010revision\030\002 \001(\003\022\022\n\nage_mill" +
-      "is\030\003 \001(\003\0220\n\007changes\030\004 \003(\0132\037.bronzewheel." +
-      "wire.PublishedItem\"7\n\007Outcome\022\013\n\007CHANGES" +
-      "\020\000\022\020\n\014HISTORY_LOST\020\001\022\r\n\tNO_READER\020\002\"\340\001\n\r" +
-      "PublishedItem\0225\n\007catalog\030\001 \001(\0132\".bronzew" +
-      "heel.wire.PublishedCatalogH\000\0227\n\010upstream" +
-      "\030\002 \001(\0132#.bronzewheel.wire.PublishedUpstr" +
-      "eamH\000\022\032\n\020removed_upstream\030\003 \001(\tH\000\022;\n\nunr" +
-      "eadable\030\004 \001(\0132%.bronzewheel.wire.Publish" +
-      "edUnreadableH\000B\006\n\004kind\"3\n\023PublishedUnrea" +
-      "dable\022\014\n\004name\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\221\001\n\021" +
-      "PublishedUpstream\022\n\n\002id\030\001 \001(\t\022\017\n\007service" +
-      "\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_domai" +
-      "n\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\026\n\016started_millis" +
-      "\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010\"\370\001\n\020PublishedCat" +
-      "alog\022\017\n\007version\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132 ." +
-      "bronzewheel.wire.PublishedRoute\0224\n\010servi" +
-      "ces\030\003 \003(\0132\".bronzewheel.wire.PublishedSe" +
-      "rvice\0228\n\nworkspaces\030\004 \003(\0132$.bronzewheel." +
-      "wire.PublishedWorkspace\0221\n\006limits\030\005 \001(\0132" +
-      "!.bronzewheel.wire.PublishedLimits\"\355\002\n\016P" +
-      "ublishedRoute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(" +
-      "\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023\n\013" +
-      "repeat_rule\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(" +
-      "\003\022\030\n\020objective_millis\030\007 \001(\003\022\034\n\024gap_objec" +
-      "tive_millis\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014m" +
-      "ax_attempts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .bron" +
-      "zewheel.wire.PublishedShare\0220\n\006stages\030\014 " +
-      "\003(\0132 .bronzewheel.wire.PublishedStage\022\014\n" +
-      "\004open\030\r \001(\010\022\035\n\025caller_silence_millis\030\016 \001" +
-      "(\003\"1\n\016PublishedShare\022\017\n\007service\030\001 \001(\t\022\016\n" +
-      "\006weight\030\002 \001(\001\"F\n\016PublishedStage\022\017\n\007servi" +
-      "ce\030\001 \001(\t\022\r\n\005after\030\002 \003(\005\022\024\n\014result_bytes\030" +
-      "\003 \001(\003\"\257\001\n\020PublishedService\022\014\n\004name\030\001 \001(\t" +
-      "\022\027\n\017max_connections\030\002 \001(\005\0228\n\nstage_pool\030" +
-      "\003 \001(\0132$.bronzewheel.wire.PublishedStageP" +
-      "ool\022:\n\013engine_pool\030\004 \001(\0132%.bronzewheel.w" +
-      "ire.PublishedEnginePool\"\227\001\n\022PublishedSta" +
-      "gePool\022\r\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005" +
-      "batch\030\003 \001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piec" +
-      "e_millis\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rre" +
-      "sult_millis\030\007 \001(\003\":\n\023PublishedEnginePool" +
-      "\022\r\n\005slots\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n" +
-      "\022PublishedWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004key" +
-      "s\030\002 \003(\t\022\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_prior" +
-      "ity\"\177\n\017PublishedLimits\022\030\n\020max_header_byt" +
-      "es\030\001 \001(\005\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025head" +
-      "er_timeout_millis\030\003 \001(\003\022\033\n\023idle_timeout_" +
-      "millis\030\004 \001(\003\"I\n\014StageBacklog\022\017\n\007service\030" +
-      "\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\022\023\n\013call_milli" +
-      "s\030\003 \001(\003\"\247\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036.br" +
-      "onzewheel.wire.StageJobCallH\000\0221\n\007release" +
-      "\030\002 \001(\0132\036.bronzewheel.wire.StageReleaseH\000" +
-      "\022/\n\006cancel\030\003 \001(\0132\035.bronzewheel.wire.Stag" +
-      "eCancelH\000B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\nre" +
-      "quest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service" +
-      "\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006i" +
-      "nputs\030\006 \003(\0132\035.bronzewheel.wire.StageHand" +
-      "le\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035" +
-      "\n\025objective_left_millis\030\t \001(\003\022\034\n\024deadlin" +
-      "e_left_millis\030\n \001(\003\022\024\n\014later_millis\030\013 \001(" +
-      "\003\022\026\n\016failure_domain\030\014 \001(\t\022\032\n\022least_later" +
-      "_millis\030\r \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.br" +
-      "onzewheel.wire.StageJobCall.UnmetPiecesE" +
-      "ntry\022\r\n\005first\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022" +
-      "\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStage" +
-      "JobReply\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003" +
-      "(\0132\035.bronzewheel.wire.StageHandle\"e\n\013Sta" +
-      "geHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t" +
-      "\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022" +
-      "\017\n\007service\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007serv" +
-      "ice\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel" +
-      ".wire.StageHandle\"2\n\013StageCancel\022\022\n\nrequ" +
-      "est_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.bro" +
-      "nzewheel.wireP\001b\006proto3"
+      "PeerBeat\0227\n\nstatements\030\010 \003(\0132#.bronzewhe" +
+      "el.wire.UpstreamStatementJ\004\010\004\020\005\"\324\001\n\021Upst" +
+      "reamStatement\022\023\n\013upstream_id\030\001 \001(\t\022\027\n\npe" +
+      "r_second\030\002 \001(\001H\000\210\001\001\022\035\n\020limit_age_millis\030" +
+      "\003 \001(\003H\001\210\001\001\022\026\n\016started_millis\030\004 \001(\003\022\037\n\022le" +
+      "aving_age_millis\030\005 \001(\003H\002\210\001\001B\r\n\013_per_seco" +
+      "ndB\023\n\021_limit_age_millisB\025\n\023_leaving_age_" +
+      "millis\"\214\001\n\016PermitQuestion\022\014\n\004name\030\001 \001(\t\022" +
+      "\014\n\004rank\030\002 \001(\005\022\027\n\017patience_millis\030\003 \001(\003\0226" +
+      "\n\tstatement\030\004 \001(\0132#.bronzewheel.wire.Ups" +
+      "treamStatement\022\r\n\005entry\030\005 \001(\010\"\207\001\n\013Permit" +
+      "Reply\022\017\n\007granted\030\001 \001(\010\022\032\n\022retry_after_mi" +
+      "llis\030\002 \001(\003\0226\n\tstatement\030\003 \001(\0132#.bronzewh" +
+      "eel.wire.UpstreamStatement\022\023\n\013next_milli" +
+      "s\030\004 \001(\003\"M\n\010PeerBeat\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013in" +
+      "carnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\017\n\007leaving" +
+      "\030\004 \001(\010\"@\n\021PublishedQuestion\022\026\n\016after_rev" +
+      "ision\030\001 \001(\003\022\023\n\013wait_millis\030\002 \001(\003\"\336\001\n\017Pub" +
+      "lishedAnswer\022:\n\007outcome\030\001 \001(\0162).bronzewh" +
+      "eel.wire.PublishedAnswer.Outcome\022\020\n\010revi" +
+      "sion\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\0220\n\007change" +
+      "s\030\004 \003(\0132\037.bronzewheel.wire.PublishedItem" +
+      "\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HISTORY_LOST" +
+      "\020\001\022\r\n\tNO_READER\020\002\"\340\001\n\rPublishedItem\0225\n\007c" +
+      "atalog\030\001 \001(\0132\".bronzewheel.wire.Publishe" +
+      "dCatalogH\000\0227\n\010upstream\030\002 \001(\0132#.bronzewhe" +
+      "el.wire.PublishedUpstreamH\000\022\032\n\020removed_u" +
+      "pstream\030\003 \001(\tH\000\022;\n\nunreadable\030\004 \001(\0132%.br" +
+      "onzewheel.wire.PublishedUnreadableH\000B\006\n\004" +
+      "kind\"3\n\023PublishedUnreadable\022\014\n\004name\030\001 \001(" +
+      "\t\022\016\n\006reason\030\002 \001(\t\"\221\001\n\021PublishedUpstream\022" +
+      "\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030" +
+      "\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030\005" +
+      " \001(\005\022\026\n\016started_millis\030\006 \001(\003\022\017\n\007leaving\030" +
+      "\007 \001(\010\"\370\001\n\020PublishedCatalog\022\017\n\007version\030\001 " +
+      "\001(\003\0220\n\006routes\030\002 \003(\0132 .bronzewheel.wire.P" +
+      "ublishedRoute\0224\n\010services\030\003 \003(\0132\".bronze" +
+      "wheel.wire.PublishedService\0228\n\nworkspace" +
+      "s\030\004 \003(\0132$.bronzewheel.wire.PublishedWork" +
+      "space\0221\n\006limits\030\005 \001(\0132!.bronzewheel.wire" +
+      ".PublishedLimits\"\355\002\n\016PublishedRoute\022\014\n\004n" +
+      "ame\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022" +
+      "\021\n\tstreaming\030\004 \001(\010\022\023\n\013repeat_rule\030\005 \001(\t\022" +
+      "\026\n\016timeout_millis\030\006 \001(\003\022\030\n\020objective_mil" +
+      "lis\030\007 \001(\003\022\034\n\024gap_objective_millis\030\010 \001(\003\022" +
+      "\020\n\010priority\030\t \001(\005\022\024\n\014max_attempts\030\n \001(\005\022" +
+      "0\n\006shares\030\013 \003(\0132 .bronzewheel.wire.Publi" +
+      "shedShare\0220\n\006stages\030\014 \003(\0132 .bronzewheel." +
+      "wire.PublishedStage\022\014\n\004open\030\r \001(\010\022\035\n\025cal" +
+      "ler_silence_millis\030\016 \001(\003\"1\n\016PublishedSha" +
+      "re\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"F\n\016P" +
+      "ublishedStage\022\017\n\007service\030\001 \001(\t\022\r\n\005after\030" +
+      "\002 \003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n\020Publishe" +
+      "dService\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connection" +
+      "s\030\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.bronzewhee" +
+      "l.wire.PublishedStagePool\022:\n\013engine_pool" +
+      "\030\004 \001(\0132%.bronzewheel.wire.PublishedEngin" +
+      "ePool\"\227\001\n\022PublishedStagePool\022\r\n\005slots\030\001 " +
+      "\001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005\022\023\n\013cal" +
+      "l_millis\030\004 \001(\001\022\024\n\014piece_millis\030\005 \001(\001\022\022\n\n" +
+      "room_bytes\030\006 \001(\003\022\025\n\rresult_millis\030\007 \001(\003\"" +
+      ":\n\023PublishedEnginePool\022\r\n\005slots\030\001 \001(\005\022\024\n" +
+      "\014cache_tokens\030\002 \001(\003\"T\n\022PublishedWorkspac" +
+      "e\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010priorit" +
+      "y\030\003 \001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017PublishedLi" +
+      "mits\022\030\n\020max_header_bytes\030\001 \001(\005\022\026\n\016max_bo" +
+      "dy_bytes\030\002 \001(\005\022\035\n\025header_timeout_millis\030" +
+      "\003 \001(\003\022\033\n\023idle_timeout_millis\030\004 \001(\003\"I\n\014St" +
+      "ageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wait_mill" +
+      "is\030\002 \003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247\001\n\nStageF" +
+      "rame\022-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.Sta" +
+      "geJobCallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewhe" +
+      "el.wire.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035" +
+      ".bronzewheel.wire.StageCancelH\000B\006\n\004body\"" +
+      "\303\003\n\014StageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005" +
+      "stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004" +
+      " \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bron" +
+      "zewheel.wire.StageHandle\022\024\n\014result_bytes" +
+      "\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_m" +
+      "illis\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(" +
+      "\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016failure_domai" +
+      "n\030\014 \001(\t\022\032\n\022least_later_millis\030\r \001(\003\022E\n\014u" +
+      "nmet_pieces\030\016 \003(\0132/.bronzewheel.wire.Sta" +
+      "geJobCall.UnmetPiecesEntry\022\r\n\005first\030\017 \001(" +
+      "\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001 \001(\005\022\r\n\005va" +
+      "lue\030\002 \001(\005:\0028\001\"P\n\rStageJobReply\022\017\n\007failur" +
+      "e\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.w" +
+      "ire.StageHandle\"e\n\013StageHandle\022\014\n\004text\030\001" +
+      " \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure_domain" +
+      "\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O" +
+      "\n\014StageRelease\022\017\n\007service\030\001 \001(\t\022.\n\007handl" +
+      "es\030\002 \003(\0132\035.bronzewheel.wire.StageHandle\"" +
+      "2\n\013StageCancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007se" +
+      "rvice\030\002 \001(\tB\030\n\024org.bronzewheel.wireP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -276,25 +280,25 @@
     internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_SeedHello_descriptor,
-        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", "Limits", });
-    internal_static_bronzewheel_wire_UpstreamLimit_descriptor =
+        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", "Statements", });
+    internal_static_bronzewheel_wire_UpstreamStatement_descriptor =
       getDescriptor().getMessageType(1);
-    internal_static_bronzewheel_wire_UpstreamLimit_fieldAccessorTable = new
+    internal_static_bronzewheel_wire_UpstreamStatement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_bronzewheel_wire_UpstreamLimit_descriptor,
-        new java.lang.String[] { "UpstreamId", "PerSecond", "AgeMillis", });
+        internal_static_bronzewheel_wire_UpstreamStatement_descriptor,
+        new java.lang.String[] { "UpstreamId", "PerSecond", "LimitAgeMillis", "StartedMillis", "LeavingAgeMillis", });
     internal_static_bronzewheel_wire_PermitQuestion_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_bronzewheel_wire_PermitQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PermitQuestion_descriptor,
-        new java.lang.String[] { "Name", "Rank", "PatienceMillis", "Limit", "Entry", });
+        new java.lang.String[] { "Name", "Rank", "PatienceMillis", "Statement", "Entry", });
     internal_static_bronzewheel_wire_PermitReply_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_bronzewheel_wire_PermitReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PermitReply_descriptor,
-        new java.lang.String[] { "Granted", "RetryAfterMillis", "Limit", "NextMillis", });
+        new java.lang.String[] { "Granted", "RetryAfterMillis", "Statement", "NextMillis", });
     internal_static_bronzewheel_wire_PeerBeat_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_bronzewheel_wire_PeerBeat_fieldAccessorTable = new
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/UpstreamLimit.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/UpstreamStatement.java
@@ -7,16 +7,16 @@
 
 /**
  * <pre>
- * What an upstream said last of the requests that it takes.
+ * What one life of an upstream said of itself.
  * </pre>
  *
- * Protobuf type {@code bronzewheel.wire.UpstreamLimit}
+ * Protobuf type {@code bronzewheel.wire.UpstreamStatement}
  */
 @com.google.protobuf.Generated
-public final class UpstreamLimit extends
+public final class UpstreamStatement extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:bronzewheel.wire.UpstreamLimit)
-    UpstreamLimitOrBuilder {
+    // @@protoc_insertion_point(message_implements:bronzewheel.wire.UpstreamStatement)
+    UpstreamStatementOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -25,32 +25,32 @@
       /* minor= */ 36,
       /* patch= */ 2,
       /* suffix= */ "",
-      "UpstreamLimit");
+      "UpstreamStatement");
   }
-  // Use UpstreamLimit.newBuilder() to construct.
-  private UpstreamLimit(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use UpstreamStatement.newBuilder() to construct.
+  private UpstreamStatement(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private UpstreamLimit() {
+  private UpstreamStatement() {
     upstreamId_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamLimit_descriptor;
+    return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamStatement_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamLimit_descriptor;
+    return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamStatement_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamLimit_fieldAccessorTable
+    return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamStatement_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            org.bronzewheel.wire.UpstreamLimit.class, org.bronzewheel.wire.UpstreamLimit.Builder.class);
+            org.bronzewheel.wire.UpstreamStatement.class, org.bronzewheel.wire.UpstreamStatement.Builder.class);
   }
 
   private int bitField0_;
@@ -120,19 +120,73 @@
     return perSecond_;
   }
 
-  public static final int AGE_MILLIS_FIELD_NUMBER = 3;
-  private long ageMillis_ = 0L;
+  public static final int LIMIT_AGE_MILLIS_FIELD_NUMBER = 3;
+  private long limitAgeMillis_ = 0L;
   /**
    * <pre>
-   * Since an answer said so.
+   * Since an answer named the limit, or none; absent where the upstream never named one.
    * </pre>
    *
-   * <code>int64 age_millis = 3;</code>
-   * @return The ageMillis.
+   * <code>optional int64 limit_age_millis = 3;</code>
+   * @return Whether the limitAgeMillis field is set.
    */
   @java.lang.Override
-  public long getAgeMillis() {
-    return ageMillis_;
+  public boolean hasLimitAgeMillis() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Since an answer named the limit, or none; absent where the upstream never named one.
+   * </pre>
+   *
+   * <code>optional int64 limit_age_millis = 3;</code>
+   * @return The limitAgeMillis.
+   */
+  @java.lang.Override
+  public long getLimitAgeMillis() {
+    return limitAgeMillis_;
+  }
+
+  public static final int STARTED_MILLIS_FIELD_NUMBER = 4;
+  private long startedMillis_ = 0L;
+  /**
+   * <pre>
+   * When the life began, in milliseconds since 1970; 0 where the upstream does not say.
+   * </pre>
+   *
+   * <code>int64 started_millis = 4;</code>
+   * @return The startedMillis.
+   */
+  @java.lang.Override
+  public long getStartedMillis() {
+    return startedMillis_;
+  }
+
+  public static final int LEAVING_AGE_MILLIS_FIELD_NUMBER = 5;
+  private long leavingAgeMillis_ = 0L;
+  /**
+   * <pre>
+   * Since an answer said that the upstream leaves; absent where it does not.
+   * </pre>
+   *
+   * <code>optional int64 leaving_age_millis = 5;</code>
+   * @return Whether the leavingAgeMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasLeavingAgeMillis() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * Since an answer said that the upstream leaves; absent where it does not.
+   * </pre>
+   *
+   * <code>optional int64 leaving_age_millis = 5;</code>
+   * @return The leavingAgeMillis.
+   */
+  @java.lang.Override
+  public long getLeavingAgeMillis() {
+    return leavingAgeMillis_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -155,8 +209,14 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeDouble(2, perSecond_);
     }
-    if (ageMillis_ != 0L) {
-      output.writeInt64(3, ageMillis_);
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeInt64(3, limitAgeMillis_);
+    }
+    if (startedMillis_ != 0L) {
+      output.writeInt64(4, startedMillis_);
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeInt64(5, leavingAgeMillis_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -169,9 +229,17 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(2, perSecond_);
     }
-    if (ageMillis_ != 0L) {
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, limitAgeMillis_);
+    }
+    if (startedMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, startedMillis_);
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(3, ageMillis_);
+        .computeInt64Size(5, leavingAgeMillis_);
     }
     return size;
   }
@@ -192,10 +260,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof org.bronzewheel.wire.UpstreamLimit)) {
+    if (!(obj instanceof org.bronzewheel.wire.UpstreamStatement)) {
       return super.equals(obj);
     }
-    org.bronzewheel.wire.UpstreamLimit other = (org.bronzewheel.wire.UpstreamLimit) obj;
+    org.bronzewheel.wire.UpstreamStatement other = (org.bronzewheel.wire.UpstreamStatement) obj;
 
     if (!getUpstreamId()
         .equals(other.getUpstreamId())) return false;
@@ -205,8 +273,18 @@
           != java.lang.Double.doubleToLongBits(
               other.getPerSecond())) return false;
     }
-    if (getAgeMillis()
-        != other.getAgeMillis()) return false;
+    if (hasLimitAgeMillis() != other.hasLimitAgeMillis()) return false;
+    if (hasLimitAgeMillis()) {
+      if (getLimitAgeMillis()
+          != other.getLimitAgeMillis()) return false;
+    }
+    if (getStartedMillis()
+        != other.getStartedMillis()) return false;
+    if (hasLeavingAgeMillis() != other.hasLeavingAgeMillis()) return false;
+    if (hasLeavingAgeMillis()) {
+      if (getLeavingAgeMillis()
+          != other.getLeavingAgeMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -225,52 +303,62 @@
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           java.lang.Double.doubleToLongBits(getPerSecond()));
     }
-    hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+    if (hasLimitAgeMillis()) {
+      hash = (37 * hash) + LIMIT_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLimitAgeMillis());
+    }
+    hash = (37 * hash) + STARTED_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getAgeMillis());
+        getStartedMillis());
+    if (hasLeavingAgeMillis()) {
+      hash = (37 * hash) + LEAVING_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getLeavingAgeMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(byte[] data)
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(java.io.InputStream input)
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -278,26 +366,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static org.bronzewheel.wire.UpstreamLimit parseDelimitedFrom(java.io.InputStream input)
+  public static org.bronzewheel.wire.UpstreamStatement parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static org.bronzewheel.wire.UpstreamLimit parseDelimitedFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static org.bronzewheel.wire.UpstreamLimit parseFrom(
+  public static org.bronzewheel.wire.UpstreamStatement parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -310,7 +398,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(org.bronzewheel.wire.UpstreamLimit prototype) {
+  public static Builder newBuilder(org.bronzewheel.wire.UpstreamStatement prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -327,29 +415,29 @@
   }
   /**
    * <pre>
-   * What an upstream said last of the requests that it takes.
+   * What one life of an upstream said of itself.
    * </pre>
    *
-   * Protobuf type {@code bronzewheel.wire.UpstreamLimit}
+   * Protobuf type {@code bronzewheel.wire.UpstreamStatement}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:bronzewheel.wire.UpstreamLimit)
-      org.bronzewheel.wire.UpstreamLimitOrBuilder {
+      // @@protoc_insertion_point(builder_implements:bronzewheel.wire.UpstreamStatement)
+      org.bronzewheel.wire.UpstreamStatementOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamLimit_descriptor;
+      return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamStatement_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamLimit_fieldAccessorTable
+      return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamStatement_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.bronzewheel.wire.UpstreamLimit.class, org.bronzewheel.wire.UpstreamLimit.Builder.class);
+              org.bronzewheel.wire.UpstreamStatement.class, org.bronzewheel.wire.UpstreamStatement.Builder.class);
     }
 
-    // Construct using org.bronzewheel.wire.UpstreamLimit.newBuilder()
+    // Construct using org.bronzewheel.wire.UpstreamStatement.newBuilder()
     private Builder() {
 
     }
@@ -365,24 +453,26 @@
       bitField0_ = 0;
       upstreamId_ = "";
       perSecond_ = 0D;
-      ageMillis_ = 0L;
+      limitAgeMillis_ = 0L;
+      startedMillis_ = 0L;
+      leavingAgeMillis_ = 0L;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamLimit_descriptor;
+      return org.bronzewheel.wire.Serving.internal_static_bronzewheel_wire_UpstreamStatement_descriptor;
     }
 
     @java.lang.Override
-    public org.bronzewheel.wire.UpstreamLimit getDefaultInstanceForType() {
-      return org.bronzewheel.wire.UpstreamLimit.getDefaultInstance();
+    public org.bronzewheel.wire.UpstreamStatement getDefaultInstanceForType() {
+      return org.bronzewheel.wire.UpstreamStatement.getDefaultInstance();
     }
 
     @java.lang.Override
-    public org.bronzewheel.wire.UpstreamLimit build() {
-      org.bronzewheel.wire.UpstreamLimit result = buildPartial();
+    public org.bronzewheel.wire.UpstreamStatement build() {
+      org.bronzewheel.wire.UpstreamStatement result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -390,14 +480,14 @@
     }
 
     @java.lang.Override
-    public org.bronzewheel.wire.UpstreamLimit buildPartial() {
-      org.bronzewheel.wire.UpstreamLimit result = new org.bronzewheel.wire.UpstreamLimit(this);
+    public org.bronzewheel.wire.UpstreamStatement buildPartial() {
+      org.bronzewheel.wire.UpstreamStatement result = new org.bronzewheel.wire.UpstreamStatement(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(org.bronzewheel.wire.UpstreamLimit result) {
+    private void buildPartial0(org.bronzewheel.wire.UpstreamStatement result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.upstreamId_ = upstreamId_;
@@ -408,23 +498,31 @@
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.ageMillis_ = ageMillis_;
+        result.limitAgeMillis_ = limitAgeMillis_;
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.startedMillis_ = startedMillis_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.leavingAgeMillis_ = leavingAgeMillis_;
+        to_bitField0_ |= 0x00000004;
       }
       result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof org.bronzewheel.wire.UpstreamLimit) {
-        return mergeFrom((org.bronzewheel.wire.UpstreamLimit)other);
+      if (other instanceof org.bronzewheel.wire.UpstreamStatement) {
+        return mergeFrom((org.bronzewheel.wire.UpstreamStatement)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(org.bronzewheel.wire.UpstreamLimit other) {
-      if (other == org.bronzewheel.wire.UpstreamLimit.getDefaultInstance()) return this;
+    public Builder mergeFrom(org.bronzewheel.wire.UpstreamStatement other) {
+      if (other == org.bronzewheel.wire.UpstreamStatement.getDefaultInstance()) return this;
       if (!other.getUpstreamId().isEmpty()) {
         upstreamId_ = other.upstreamId_;
         bitField0_ |= 0x00000001;
@@ -433,8 +531,14 @@
       if (other.hasPerSecond()) {
         setPerSecond(other.getPerSecond());
       }
-      if (other.getAgeMillis() != 0L) {
-        setAgeMillis(other.getAgeMillis());
+      if (other.hasLimitAgeMillis()) {
+        setLimitAgeMillis(other.getLimitAgeMillis());
+      }
+      if (other.getStartedMillis() != 0L) {
+        setStartedMillis(other.getStartedMillis());
+      }
+      if (other.hasLeavingAgeMillis()) {
+        setLeavingAgeMillis(other.getLeavingAgeMillis());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -471,10 +575,20 @@
               break;
             } // case 17
             case 24: {
-              ageMillis_ = input.readInt64();
+              limitAgeMillis_ = input.readInt64();
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              startedMillis_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              leavingAgeMillis_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -620,67 +734,179 @@
       return this;
     }
 
-    private long ageMillis_ ;
+    private long limitAgeMillis_ ;
+    /**
+     * <pre>
+     * Since an answer named the limit, or none; absent where the upstream never named one.
+     * </pre>
+     *
+     * <code>optional int64 limit_age_millis = 3;</code>
+     * @return Whether the limitAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasLimitAgeMillis() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
     /**
      * <pre>
-     * Since an answer said so.
+     * Since an answer named the limit, or none; absent where the upstream never named one.
      * </pre>
      *
-     * <code>int64 age_millis = 3;</code>
-     * @return The ageMillis.
+     * <code>optional int64 limit_age_millis = 3;</code>
+     * @return The limitAgeMillis.
      */
     @java.lang.Override
-    public long getAgeMillis() {
-      return ageMillis_;
+    public long getLimitAgeMillis() {
+      return limitAgeMillis_;
     }
     /**
      * <pre>
-     * Since an answer said so.
+     * Since an answer named the limit, or none; absent where the upstream never named one.
      * </pre>
      *
-     * <code>int64 age_millis = 3;</code>
-     * @param value The ageMillis to set.
+     * <code>optional int64 limit_age_millis = 3;</code>
+     * @param value The limitAgeMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setAgeMillis(long value) {
+    public Builder setLimitAgeMillis(long value) {
 
-      ageMillis_ = value;
+      limitAgeMillis_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Since an answer said so.
+     * Since an answer named the limit, or none; absent where the upstream never named one.
      * </pre>
      *
-     * <code>int64 age_millis = 3;</code>
+     * <code>optional int64 limit_age_millis = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearAgeMillis() {
+    public Builder clearLimitAgeMillis() {
       bitField0_ = (bitField0_ & ~0x00000004);
-      ageMillis_ = 0L;
+      limitAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long startedMillis_ ;
+    /**
+     * <pre>
+     * When the life began, in milliseconds since 1970; 0 where the upstream does not say.
+     * </pre>
+     *
+     * <code>int64 started_millis = 4;</code>
+     * @return The startedMillis.
+     */
+    @java.lang.Override
+    public long getStartedMillis() {
+      return startedMillis_;
+    }
+    /**
+     * <pre>
+     * When the life began, in milliseconds since 1970; 0 where the upstream does not say.
+     * </pre>
+     *
+     * <code>int64 started_millis = 4;</code>
+     * @param value The startedMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartedMillis(long value) {
+
+      startedMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * When the life began, in milliseconds since 1970; 0 where the upstream does not say.
+     * </pre>
+     *
+     * <code>int64 started_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartedMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      startedMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long leavingAgeMillis_ ;
+    /**
+     * <pre>
+     * Since an answer said that the upstream leaves; absent where it does not.
+     * </pre>
+     *
+     * <code>optional int64 leaving_age_millis = 5;</code>
+     * @return Whether the leavingAgeMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasLeavingAgeMillis() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <pre>
+     * Since an answer said that the upstream leaves; absent where it does not.
+     * </pre>
+     *
+     * <code>optional int64 leaving_age_millis = 5;</code>
+     * @return The leavingAgeMillis.
+     */
+    @java.lang.Override
+    public long getLeavingAgeMillis() {
+      return leavingAgeMillis_;
+    }
+    /**
+     * <pre>
+     * Since an answer said that the upstream leaves; absent where it does not.
+     * </pre>
+     *
+     * <code>optional int64 leaving_age_millis = 5;</code>
+     * @param value The leavingAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLeavingAgeMillis(long value) {
+
+      leavingAgeMillis_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Since an answer said that the upstream leaves; absent where it does not.
+     * </pre>
+     *
+     * <code>optional int64 leaving_age_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLeavingAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      leavingAgeMillis_ = 0L;
       onChanged();
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:bronzewheel.wire.UpstreamLimit)
+    // @@protoc_insertion_point(builder_scope:bronzewheel.wire.UpstreamStatement)
   }
 
-  // @@protoc_insertion_point(class_scope:bronzewheel.wire.UpstreamLimit)
-  private static final org.bronzewheel.wire.UpstreamLimit DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:bronzewheel.wire.UpstreamStatement)
+  private static final org.bronzewheel.wire.UpstreamStatement DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new org.bronzewheel.wire.UpstreamLimit();
+    DEFAULT_INSTANCE = new org.bronzewheel.wire.UpstreamStatement();
   }
 
-  public static org.bronzewheel.wire.UpstreamLimit getDefaultInstance() {
+  public static org.bronzewheel.wire.UpstreamStatement getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<UpstreamLimit>
-      PARSER = new com.google.protobuf.AbstractParser<UpstreamLimit>() {
+  private static final com.google.protobuf.Parser<UpstreamStatement>
+      PARSER = new com.google.protobuf.AbstractParser<UpstreamStatement>() {
     @java.lang.Override
-    public UpstreamLimit parsePartialFrom(
+    public UpstreamStatement parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -699,17 +925,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<UpstreamLimit> parser() {
+  public static com.google.protobuf.Parser<UpstreamStatement> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<UpstreamLimit> getParserForType() {
+  public com.google.protobuf.Parser<UpstreamStatement> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public org.bronzewheel.wire.UpstreamLimit getDefaultInstanceForType() {
+  public org.bronzewheel.wire.UpstreamStatement getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
