Use kept connections for streams that may be resumed and for freeing results

Streams that may be resumed now do, too: their answers bear their id, and one that breaks goes on elsewhere. Results are freed on the connections of earlier stage calls and frees: an answer to a free says nothing that could be mistaken. Requests that run at most once stay on fresh connections.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestRun.java
@@ -330,7 +330,7 @@
                         engine ? Optional.of(Math.min(9, 1 + 2 * rank())) : Optional.empty(),
                         stages.handles(),
                         relay.resumePoint(),
-                        route.repeatRule() == RepeatRule.IDEMPOTENT,
+                        route.repeatRule() != RepeatRule.AT_MOST_ONCE,
                         targets.connectionShare(service));
         parts.observer()
                 .decided(
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestRunTest.java
@@ -649,4 +649,12 @@
         assertThat(world.refusedWith()).isEqualTo(503);
         assertThat(world.refusals.get(0).retryAfterMillis()).isPresent();
     }
+
+    @ParameterizedTest
+    @EnumSource(RepeatRule.class)
+    void onlyARequestThatRunsAtMostOnceNeedsAFreshConnection(RepeatRule rule) {
+        World world = new World().with(World.route(rule, false, 2)).request();
+        assertThat(world.lastSend().call.reusesConnection())
+                .isEqualTo(rule != RepeatRule.AT_MOST_ONCE);
+    }
 }
