--- /dev/null
+++ b/bronzewheel-measure/src/test/java/org/bronzewheel/measure/LeavingExperimentTest.java
@@ -0,0 +1,43 @@
+package org.bronzewheel.measure;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Fleets before upstreams that leave while the store is silent, in virtual time. */
+class LeavingExperimentTest {
+    // Guards against requests to upstreams whose leaving other routers have heard of.
+    @ParameterizedTest
+    @ValueSource(ints = {6, 91})
+    void routersThatTellEachOtherSendLittleToUpstreamsThatHaveEnded(int size) {
+        double alone = LeavingExperiment.row(size, false, 1).figures().get("afterEnd");
+        double telling = LeavingExperiment.row(size, true, 1).figures().get("afterEnd");
+        assertThat(telling).isAtMost(Math.max(1, LeavingExperiment.MOST_LEFT_BY_TELLING * alone));
+    }
+
+    // Guards against one router that empties a service by what it tells.
+    @ParameterizedTest
+    @ValueSource(ints = {6, 91})
+    void aRouterThatFalselyTellsThatAllUpstreamsLeaveCostsNoRequest(int size) {
+        LeavingFleet fleet = new LeavingFleet(size, true, 1);
+        fleet.advance(1_000);
+        fleet.lie(0);
+        fleet.advance(5_000);
+        assertThat(fleet.sent()).isGreaterThan(0);
+        // The router that believes it itself has no upstream left.
+        assertThat((double) fleet.refused()).isAtMost(2.0 * fleet.sent() / size);
+    }
+
+    @Test
+    void routersThatRestartOrWereSilentLearnOfLeavingUpstreamsSoon() {
+        LeavingFleet fleet = new LeavingFleet(9, true, 1);
+        fleet.silence(3, 2_000);
+        fleet.restart(5, 500);
+        fleet.leave(2, 3_000);
+        fleet.advance(13_000);
+        assertWithMessage("requests to ended upstreams").that(fleet.sentAfterEnd()).isEqualTo(0);
+    }
+}
