Let owners be routers of at least half the largest capacity

Routers tell their capacity, by what their VM has least of, with their signs of life; only those with at least half of the largest own something. In a fleet of alike VMs nothing changes. SeedMembershipTest plays 6, 30, 95 and 390 routers; it names the owners' capacity, which the code before did not know.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerNetwork.java
@@ -113,6 +113,7 @@
                 .setIncarnation(hello.sender().incarnation())
                 .setBeat(hello.sender().beat())
                 .setLeaving(hello.sender().leaving())
+                .setCapacity(hello.sender().capacity())
                 .addAllOthers(hello.others().stream().map(PeerNetwork::encode).toList());
     }
 
@@ -122,6 +123,7 @@
                 .setIncarnation(sign.incarnation())
                 .setBeat(sign.beat())
                 .setLeaving(sign.leaving())
+                .setCapacity(sign.capacity())
                 .build();
     }
 
@@ -131,7 +133,8 @@
                         message.getVmId(),
                         message.getIncarnation(),
                         message.getBeat(),
-                        message.getLeaving());
+                        message.getLeaving(),
+                        message.getCapacity());
         List<PeerBeat> others =
                 message.getOthersList().stream()
                         .map(
@@ -140,7 +143,8 @@
                                                 sign.getVmId(),
                                                 sign.getIncarnation(),
                                                 sign.getBeat(),
-                                                sign.getLeaving()))
+                                                sign.getLeaving(),
+                                                sign.getCapacity()))
                         .toList();
         return new Hello(sender, others);
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerRecord.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/PeerRecord.java
@@ -10,6 +10,7 @@
     private long heardMillis = NEVER;
     private long suspectedMillis = NEVER;
     private boolean leaving;
+    private int capacity = RouterCapacity.USUAL;
     private boolean news;
 
     PeerRecord(long namedMillis) {
@@ -30,6 +31,7 @@
             incarnation = sign.incarnation();
             beat = sign.beat();
             leaving = sign.leaving();
+            capacity = sign.capacity();
             news = true;
             heardMillis = nowMillis;
         }
@@ -56,6 +58,10 @@
         return leaving;
     }
 
+    int capacity() {
+        return capacity;
+    }
+
     /** Returns the time since the router was heard or, where it never was, since it was named. */
     long silentMillis(long nowMillis) {
         return nowMillis - Math.max(heardMillis, namedMillis);
@@ -70,10 +76,10 @@
     }
 
     PeerBeat sign(String vmId) {
-        return new PeerBeat(vmId, incarnation, beat, leaving);
+        return new PeerBeat(vmId, incarnation, beat, leaving, capacity);
     }
 
     PeerBeat name(String vmId) {
-        return new PeerBeat(vmId, incarnation, 0, leaving);
+        return new PeerBeat(vmId, incarnation, 0, leaving, capacity);
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
@@ -38,6 +38,9 @@
 
     private static final long SILENCE_MILLIS = 1_300;
 
+    /** The part of the largest capacity that an owner has at least. */
+    private static final double OWNER_PART = 0.5;
+
     /** Signs of a router that may be missed in a larger fleet, and the time that one travels. */
     private static final int MISSED_SIGNS = 4;
 
@@ -53,6 +56,7 @@
     private final SplittableRandom random;
     private final Map<String, PeerRecord> known = new TreeMap<>();
     private Set<String> seeds;
+    private int capacity = RouterCapacity.USUAL;
     private boolean leaving;
     private long beat = 1;
     private long beatMillis;
@@ -96,6 +100,15 @@
         seeds = new LinkedHashSet<>(newer);
     }
 
+    /**
+     * Sets what this router can do for others.
+     *
+     * @param own its capacity, as {@link RouterCapacity} measures it
+     */
+    public void setCapacity(int own) {
+        capacity = own;
+    }
+
     /** Books that this router stops: it owns nothing any more. */
     public void leave() {
         leaving = true;
@@ -136,7 +149,8 @@
                     }
                     peer.told();
                 });
-        return new Hello(new PeerBeat(self, incarnation, beat, leaving), List.copyOf(others));
+        return new Hello(
+                new PeerBeat(self, incarnation, beat, leaving, capacity), List.copyOf(others));
     }
 
     /**
@@ -254,7 +268,8 @@
     }
 
     /**
-     * Returns the router that owns something.
+     * Returns the router that owns something: one of those with at least half of the largest
+     * capacity, as what others ask of an owner does not shrink with its VM.
      *
      * @param thing what is owned
      * @param excluded routers that were found not to answer
@@ -262,17 +277,28 @@
      * @return the VM of the owner; this router where no other is known
      */
     public String ownerOf(String thing, Set<String> excluded, long nowMillis) {
-        String owner = self;
-        long best = leaving ? Long.MIN_VALUE : RendezvousHash.score(thing, self);
-        boolean own = !leaving;
         long silenceMillis = silenceMillis();
+        int largest = leaving ? 0 : capacity;
         for (Map.Entry<String, PeerRecord> entry : known.entrySet()) {
             PeerRecord peer = entry.getValue();
-            boolean able =
-                    isAble(peer, nowMillis, silenceMillis) && !excluded.contains(entry.getKey());
-            long score = able ? RendezvousHash.score(thing, entry.getKey()) : 0;
-            if (able && (!own || Long.compareUnsigned(score, best) > 0)) {
-                own = true;
+            if (isAble(peer, nowMillis, silenceMillis) && !excluded.contains(entry.getKey())) {
+                largest = Math.max(largest, peer.capacity());
+            }
+        }
+        double least = OWNER_PART * largest;
+        String owner = self;
+        boolean found = !leaving && capacity >= least;
+        long best = found ? RendezvousHash.score(thing, self) : 0;
+        for (Map.Entry<String, PeerRecord> entry : known.entrySet()) {
+            PeerRecord peer = entry.getValue();
+            if (peer.capacity() < least
+                    || !isAble(peer, nowMillis, silenceMillis)
+                    || excluded.contains(entry.getKey())) {
+                continue;
+            }
+            long score = RendezvousHash.score(thing, entry.getKey());
+            if (!found || Long.compareUnsigned(score, best) > 0) {
+                found = true;
                 best = score;
                 owner = entry.getKey();
             }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/peering/SeedMembershipTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/peering/SeedMembershipTest.java
@@ -235,4 +235,41 @@
         create(1);
         assertThat(routers.get(0).routers(0)).isEqualTo(20);
     }
+
+    // Guards against a small VM that takes the stage jobs of a whole fleet.
+    @ParameterizedTest
+    @ValueSource(ints = {6, 30, 95, 390})
+    void onlyRoutersOfAtLeastHalfTheLargestCapacityOwnSomething(int count) {
+        create(count);
+        for (int i = 0; i < count; i++) {
+            routers.get(i).setCapacity(capacity(i));
+        }
+        steps(30, SeedMembershipTest::always);
+        for (int thing = 0; thing < 50; thing++) {
+            Set<String> owners = new HashSet<>();
+            for (int i = 0; i < count; i += Math.max(1, count / 12)) {
+                owners.add(routers.get(i).ownerOf("thing/" + thing, Set.of(), nowMillis));
+            }
+            assertThat(owners).hasSize(1);
+            assertThat(capacity(index(owners.iterator().next()))).isAtLeast(700);
+        }
+    }
+
+    private static int capacity(int index) {
+        return 70 + 1_330 * (index % 5) / 4;
+    }
+
+    @Test
+    void whereTheLargeRoutersAreGoneASmallOneOwns() {
+        create(3);
+        routers.get(0).setCapacity(1_000);
+        routers.get(1).setCapacity(100);
+        routers.get(2).setCapacity(100);
+        steps(5, SeedMembershipTest::always);
+        assertThat(owners(0, 3)).containsExactly(vm(0));
+        dead.add(0);
+        steps(10, SeedMembershipTest::always);
+        assertThat(owners(1, 3)).hasSize(1);
+        assertThat(owners(1, 3)).doesNotContain(vm(0));
+    }
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PeerBeat.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PeerBeat.java
@@ -129,6 +129,17 @@
     return leaving_;
   }
 
+  public static final int CAPACITY_FIELD_NUMBER = 5;
+  private int capacity_ = 0;
+  /**
+   * <code>int32 capacity = 5;</code>
+   * @return The capacity.
+   */
+  @java.lang.Override
+  public int getCapacity() {
+    return capacity_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -155,6 +166,9 @@
     if (leaving_ != false) {
       output.writeBool(4, leaving_);
     }
+    if (capacity_ != 0) {
+      output.writeInt32(5, capacity_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -174,6 +188,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, leaving_);
     }
+    if (capacity_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(5, capacity_);
+    }
     return size;
   }
   @java.lang.Override
@@ -206,6 +224,8 @@
         != other.getBeat()) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (getCapacity()
+        != other.getCapacity()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -228,6 +248,8 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    hash = (37 * hash) + CAPACITY_FIELD_NUMBER;
+    hash = (53 * hash) + getCapacity();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -367,6 +389,7 @@
       incarnation_ = 0L;
       beat_ = 0L;
       leaving_ = false;
+      capacity_ = 0;
       return this;
     }
 
@@ -412,6 +435,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.capacity_ = capacity_;
+      }
     }
 
     @java.lang.Override
@@ -440,6 +466,9 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (other.getCapacity() != 0) {
+        setCapacity(other.getCapacity());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -484,6 +513,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              capacity_ = input.readInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -681,6 +715,38 @@
       return this;
     }
 
+    private int capacity_ ;
+    /**
+     * <code>int32 capacity = 5;</code>
+     * @return The capacity.
+     */
+    @java.lang.Override
+    public int getCapacity() {
+      return capacity_;
+    }
+    /**
+     * <code>int32 capacity = 5;</code>
+     * @param value The capacity to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCapacity(int value) {
+
+      capacity_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 capacity = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCapacity() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      capacity_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PeerBeat)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PeerBeatOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PeerBeatOrBuilder.java
@@ -43,4 +43,10 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <code>int32 capacity = 5;</code>
+   * @return The capacity.
+   */
+  int getCapacity();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
@@ -295,6 +295,21 @@
     return statements_.get(index);
   }
 
+  public static final int CAPACITY_FIELD_NUMBER = 9;
+  private int capacity_ = 0;
+  /**
+   * <pre>
+   * What the sender can do for others.
+   * </pre>
+   *
+   * <code>int32 capacity = 9;</code>
+   * @return The capacity.
+   */
+  @java.lang.Override
+  public int getCapacity() {
+    return capacity_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -330,6 +345,9 @@
     for (int i = 0; i < statements_.size(); i++) {
       output.writeMessage(8, statements_.get(i));
     }
+    if (capacity_ != 0) {
+      output.writeInt32(9, capacity_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -376,6 +394,10 @@
           }
           size += 1 * count;
         }
+    if (capacity_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(9, capacity_);
+    }
     return size;
   }
   @java.lang.Override
@@ -414,6 +436,8 @@
         .equals(other.getOthersList())) return false;
     if (!getStatementsList()
         .equals(other.getStatementsList())) return false;
+    if (getCapacity()
+        != other.getCapacity()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -448,6 +472,8 @@
       hash = (37 * hash) + STATEMENTS_FIELD_NUMBER;
       hash = (53 * hash) + getStatementsList().hashCode();
     }
+    hash = (37 * hash) + CAPACITY_FIELD_NUMBER;
+    hash = (53 * hash) + getCapacity();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -608,6 +634,7 @@
         statementsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000040);
+      capacity_ = 0;
       return this;
     }
 
@@ -684,6 +711,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.beat_ = beat_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.capacity_ = capacity_;
+      }
     }
 
     @java.lang.Override
@@ -790,6 +820,9 @@
           }
         }
       }
+      if (other.getCapacity() != 0) {
+        setCapacity(other.getCapacity());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -873,6 +906,11 @@
               }
               break;
             } // case 66
+            case 72: {
+              capacity_ = input.readInt32();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1916,6 +1954,50 @@
       return statementsBuilder_;
     }
 
+    private int capacity_ ;
+    /**
+     * <pre>
+     * What the sender can do for others.
+     * </pre>
+     *
+     * <code>int32 capacity = 9;</code>
+     * @return The capacity.
+     */
+    @java.lang.Override
+    public int getCapacity() {
+      return capacity_;
+    }
+    /**
+     * <pre>
+     * What the sender can do for others.
+     * </pre>
+     *
+     * <code>int32 capacity = 9;</code>
+     * @param value The capacity to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCapacity(int value) {
+
+      capacity_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender can do for others.
+     * </pre>
+     *
+     * <code>int32 capacity = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCapacity() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      capacity_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.SeedHello)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
@@ -155,4 +155,14 @@
    */
   org.bronzewheel.wire.UpstreamStatementOrBuilder getStatementsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * What the sender can do for others.
+   * </pre>
+   *
+   * <code>int32 capacity = 9;</code>
+   * @return The capacity.
+   */
+  int getCapacity();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -170,106 +170,107 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rserving.proto\022\020bronzewheel.wire\"\353\001\n\tSe" +
+      "\n\rserving.proto\022\020bronzewheel.wire\"\375\001\n\tSe" +
       "edHello\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
       "\001(\003\022\017\n\007leaving\030\003 \001(\010\0220\n\010backlogs\030\005 \003(\0132\036" +
       ".bronzewheel.wire.StageBacklog\022\014\n\004beat\030\006" +
       " \001(\003\022*\n\006others\030\007 \003(\0132\032.bronzewheel.wire." +
       "PeerBeat\0227\n\nstatements\030\010 \003(\0132#.bronzewhe" +
-      "el.wire.UpstreamStatementJ\004\010\004\020\005\"\324\001\n\021Upst" +
-      "reamStatement\022\023\n\013upstream_id\030\001 \001(\t\022\027\n\npe" +
-      "r_second\030\002 \001(\001H\000\210\001\001\022\035\n\020limit_age_millis\030" +
-      "\003 \001(\003H\001\210\001\001\022\026\n\016started_millis\030\004 \001(\003\022\037\n\022le" +
-      "aving_age_millis\030\005 \001(\003H\002\210\001\001B\r\n\013_per_seco" +
-      "ndB\023\n\021_limit_age_millisB\025\n\023_leaving_age_" +
-      "millis\"\214\001\n\016PermitQuestion\022\014\n\004name\030\001 \001(\t\022" +
-      "\014\n\004rank\030\002 \001(\005\022\027\n\017patience_millis\030\003 \001(\003\0226" +
-      "\n\tstatement\030\004 \001(\0132#.bronzewheel.wire.Ups" +
-      "treamStatement\022\r\n\005entry\030\005 \001(\010\"\207\001\n\013Permit" +
-      "Reply\022\017\n\007granted\030\001 \001(\010\022\032\n\022retry_after_mi" +
-      "llis\030\002 \001(\003\0226\n\tstatement\030\003 \001(\0132#.bronzewh" +
-      "eel.wire.UpstreamStatement\022\023\n\013next_milli" +
-      "s\030\004 \001(\003\"M\n\010PeerBeat\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013in" +
-      "carnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\017\n\007leaving" +
-      "\030\004 \001(\010\"@\n\021PublishedQuestion\022\026\n\016after_rev" +
-      "ision\030\001 \001(\003\022\023\n\013wait_millis\030\002 \001(\003\"\336\001\n\017Pub" +
-      "lishedAnswer\022:\n\007outcome\030\001 \001(\0162).bronzewh" +
-      "eel.wire.PublishedAnswer.Outcome\022\020\n\010revi" +
-      "sion\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\0220\n\007change" +
-      "s\030\004 \003(\0132\037.bronzewheel.wire.PublishedItem" +
-      "\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HISTORY_LOST" +
-      "\020\001\022\r\n\tNO_READER\020\002\"\340\001\n\rPublishedItem\0225\n\007c" +
-      "atalog\030\001 \001(\0132\".bronzewheel.wire.Publishe" +
-      "dCatalogH\000\0227\n\010upstream\030\002 \001(\0132#.bronzewhe" +
-      "el.wire.PublishedUpstreamH\000\022\032\n\020removed_u" +
-      "pstream\030\003 \001(\tH\000\022;\n\nunreadable\030\004 \001(\0132%.br" +
-      "onzewheel.wire.PublishedUnreadableH\000B\006\n\004" +
-      "kind\"3\n\023PublishedUnreadable\022\014\n\004name\030\001 \001(" +
-      "\t\022\016\n\006reason\030\002 \001(\t\"\221\001\n\021PublishedUpstream\022" +
-      "\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030" +
-      "\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030\005" +
-      " \001(\005\022\026\n\016started_millis\030\006 \001(\003\022\017\n\007leaving\030" +
-      "\007 \001(\010\"\370\001\n\020PublishedCatalog\022\017\n\007version\030\001 " +
-      "\001(\003\0220\n\006routes\030\002 \003(\0132 .bronzewheel.wire.P" +
-      "ublishedRoute\0224\n\010services\030\003 \003(\0132\".bronze" +
-      "wheel.wire.PublishedService\0228\n\nworkspace" +
-      "s\030\004 \003(\0132$.bronzewheel.wire.PublishedWork" +
-      "space\0221\n\006limits\030\005 \001(\0132!.bronzewheel.wire" +
-      ".PublishedLimits\"\355\002\n\016PublishedRoute\022\014\n\004n" +
-      "ame\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022" +
-      "\021\n\tstreaming\030\004 \001(\010\022\023\n\013repeat_rule\030\005 \001(\t\022" +
-      "\026\n\016timeout_millis\030\006 \001(\003\022\030\n\020objective_mil" +
-      "lis\030\007 \001(\003\022\034\n\024gap_objective_millis\030\010 \001(\003\022" +
-      "\020\n\010priority\030\t \001(\005\022\024\n\014max_attempts\030\n \001(\005\022" +
-      "0\n\006shares\030\013 \003(\0132 .bronzewheel.wire.Publi" +
-      "shedShare\0220\n\006stages\030\014 \003(\0132 .bronzewheel." +
-      "wire.PublishedStage\022\014\n\004open\030\r \001(\010\022\035\n\025cal" +
-      "ler_silence_millis\030\016 \001(\003\"1\n\016PublishedSha" +
-      "re\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"F\n\016P" +
-      "ublishedStage\022\017\n\007service\030\001 \001(\t\022\r\n\005after\030" +
-      "\002 \003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n\020Publishe" +
-      "dService\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connection" +
-      "s\030\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.bronzewhee" +
-      "l.wire.PublishedStagePool\022:\n\013engine_pool" +
-      "\030\004 \001(\0132%.bronzewheel.wire.PublishedEngin" +
-      "ePool\"\227\001\n\022PublishedStagePool\022\r\n\005slots\030\001 " +
-      "\001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005\022\023\n\013cal" +
-      "l_millis\030\004 \001(\001\022\024\n\014piece_millis\030\005 \001(\001\022\022\n\n" +
-      "room_bytes\030\006 \001(\003\022\025\n\rresult_millis\030\007 \001(\003\"" +
-      ":\n\023PublishedEnginePool\022\r\n\005slots\030\001 \001(\005\022\024\n" +
-      "\014cache_tokens\030\002 \001(\003\"T\n\022PublishedWorkspac" +
-      "e\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010priorit" +
-      "y\030\003 \001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017PublishedLi" +
-      "mits\022\030\n\020max_header_bytes\030\001 \001(\005\022\026\n\016max_bo" +
-      "dy_bytes\030\002 \001(\005\022\035\n\025header_timeout_millis\030" +
-      "\003 \001(\003\022\033\n\023idle_timeout_millis\030\004 \001(\003\"I\n\014St" +
-      "ageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wait_mill" +
-      "is\030\002 \003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247\001\n\nStageF" +
-      "rame\022-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.Sta" +
-      "geJobCallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewhe" +
-      "el.wire.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035" +
-      ".bronzewheel.wire.StageCancelH\000B\006\n\004body\"" +
-      "\303\003\n\014StageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005" +
-      "stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004" +
-      " \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bron" +
-      "zewheel.wire.StageHandle\022\024\n\014result_bytes" +
-      "\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_m" +
-      "illis\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(" +
-      "\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016failure_domai" +
-      "n\030\014 \001(\t\022\032\n\022least_later_millis\030\r \001(\003\022E\n\014u" +
-      "nmet_pieces\030\016 \003(\0132/.bronzewheel.wire.Sta" +
-      "geJobCall.UnmetPiecesEntry\022\r\n\005first\030\017 \001(" +
-      "\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001 \001(\005\022\r\n\005va" +
-      "lue\030\002 \001(\005:\0028\001\"P\n\rStageJobReply\022\017\n\007failur" +
-      "e\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.w" +
-      "ire.StageHandle\"e\n\013StageHandle\022\014\n\004text\030\001" +
-      " \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure_domain" +
-      "\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O" +
-      "\n\014StageRelease\022\017\n\007service\030\001 \001(\t\022.\n\007handl" +
-      "es\030\002 \003(\0132\035.bronzewheel.wire.StageHandle\"" +
-      "2\n\013StageCancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007se" +
-      "rvice\030\002 \001(\tB\030\n\024org.bronzewheel.wireP\001b\006p" +
-      "roto3"
+      "el.wire.UpstreamStatement\022\020\n\010capacity\030\t " +
+      "\001(\005J\004\010\004\020\005\"\324\001\n\021UpstreamStatement\022\023\n\013upstr" +
+      "eam_id\030\001 \001(\t\022\027\n\nper_second\030\002 \001(\001H\000\210\001\001\022\035\n" +
+      "\020limit_age_millis\030\003 \001(\003H\001\210\001\001\022\026\n\016started_" +
+      "millis\030\004 \001(\003\022\037\n\022leaving_age_millis\030\005 \001(\003" +
+      "H\002\210\001\001B\r\n\013_per_secondB\023\n\021_limit_age_milli" +
+      "sB\025\n\023_leaving_age_millis\"\214\001\n\016PermitQuest" +
+      "ion\022\014\n\004name\030\001 \001(\t\022\014\n\004rank\030\002 \001(\005\022\027\n\017patie" +
+      "nce_millis\030\003 \001(\003\0226\n\tstatement\030\004 \001(\0132#.br" +
+      "onzewheel.wire.UpstreamStatement\022\r\n\005entr" +
+      "y\030\005 \001(\010\"\207\001\n\013PermitReply\022\017\n\007granted\030\001 \001(\010" +
+      "\022\032\n\022retry_after_millis\030\002 \001(\003\0226\n\tstatemen" +
+      "t\030\003 \001(\0132#.bronzewheel.wire.UpstreamState" +
+      "ment\022\023\n\013next_millis\030\004 \001(\003\"_\n\010PeerBeat\022\r\n" +
+      "\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004bea" +
+      "t\030\003 \001(\003\022\017\n\007leaving\030\004 \001(\010\022\020\n\010capacity\030\005 \001" +
+      "(\005\"@\n\021PublishedQuestion\022\026\n\016after_revisio" +
+      "n\030\001 \001(\003\022\023\n\013wait_millis\030\002 \001(\003\"\336\001\n\017Publish" +
+      "edAnswer\022:\n\007outcome\030\001 \001(\0162).bronzewheel." +
+      "wire.PublishedAnswer.Outcome\022\020\n\010revision" +
+      "\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\0220\n\007changes\030\004 " +
+      "\003(\0132\037.bronzewheel.wire.PublishedItem\"7\n\007" +
+      "Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HISTORY_LOST\020\001\022\r" +
+      "\n\tNO_READER\020\002\"\340\001\n\rPublishedItem\0225\n\007catal" +
+      "og\030\001 \001(\0132\".bronzewheel.wire.PublishedCat" +
+      "alogH\000\0227\n\010upstream\030\002 \001(\0132#.bronzewheel.w" +
+      "ire.PublishedUpstreamH\000\022\032\n\020removed_upstr" +
+      "eam\030\003 \001(\tH\000\022;\n\nunreadable\030\004 \001(\0132%.bronze" +
+      "wheel.wire.PublishedUnreadableH\000B\006\n\004kind" +
+      "\"3\n\023PublishedUnreadable\022\014\n\004name\030\001 \001(\t\022\016\n" +
+      "\006reason\030\002 \001(\t\"\221\001\n\021PublishedUpstream\022\n\n\002i" +
+      "d\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(" +
+      "\t\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005" +
+      "\022\026\n\016started_millis\030\006 \001(\003\022\017\n\007leaving\030\007 \001(" +
+      "\010\"\370\001\n\020PublishedCatalog\022\017\n\007version\030\001 \001(\003\022" +
+      "0\n\006routes\030\002 \003(\0132 .bronzewheel.wire.Publi" +
+      "shedRoute\0224\n\010services\030\003 \003(\0132\".bronzewhee" +
+      "l.wire.PublishedService\0228\n\nworkspaces\030\004 " +
+      "\003(\0132$.bronzewheel.wire.PublishedWorkspac" +
+      "e\0221\n\006limits\030\005 \001(\0132!.bronzewheel.wire.Pub" +
+      "lishedLimits\"\355\002\n\016PublishedRoute\022\014\n\004name\030" +
+      "\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\ts" +
+      "treaming\030\004 \001(\010\022\023\n\013repeat_rule\030\005 \001(\t\022\026\n\016t" +
+      "imeout_millis\030\006 \001(\003\022\030\n\020objective_millis\030" +
+      "\007 \001(\003\022\034\n\024gap_objective_millis\030\010 \001(\003\022\020\n\010p" +
+      "riority\030\t \001(\005\022\024\n\014max_attempts\030\n \001(\005\0220\n\006s" +
+      "hares\030\013 \003(\0132 .bronzewheel.wire.Published" +
+      "Share\0220\n\006stages\030\014 \003(\0132 .bronzewheel.wire" +
+      ".PublishedStage\022\014\n\004open\030\r \001(\010\022\035\n\025caller_" +
+      "silence_millis\030\016 \001(\003\"1\n\016PublishedShare\022\017" +
+      "\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"F\n\016Publi" +
+      "shedStage\022\017\n\007service\030\001 \001(\t\022\r\n\005after\030\002 \003(" +
+      "\005\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n\020PublishedSer" +
+      "vice\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connections\030\002 " +
+      "\001(\005\0228\n\nstage_pool\030\003 \001(\0132$.bronzewheel.wi" +
+      "re.PublishedStagePool\022:\n\013engine_pool\030\004 \001" +
+      "(\0132%.bronzewheel.wire.PublishedEnginePoo" +
+      "l\"\227\001\n\022PublishedStagePool\022\r\n\005slots\030\001 \001(\005\022" +
+      "\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005\022\023\n\013call_mi" +
+      "llis\030\004 \001(\001\022\024\n\014piece_millis\030\005 \001(\001\022\022\n\nroom" +
+      "_bytes\030\006 \001(\003\022\025\n\rresult_millis\030\007 \001(\003\":\n\023P" +
+      "ublishedEnginePool\022\r\n\005slots\030\001 \001(\005\022\024\n\014cac" +
+      "he_tokens\030\002 \001(\003\"T\n\022PublishedWorkspace\022\014\n" +
+      "\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010priority\030\003 " +
+      "\001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017PublishedLimits" +
+      "\022\030\n\020max_header_bytes\030\001 \001(\005\022\026\n\016max_body_b" +
+      "ytes\030\002 \001(\005\022\035\n\025header_timeout_millis\030\003 \001(" +
+      "\003\022\033\n\023idle_timeout_millis\030\004 \001(\003\"I\n\014StageB" +
+      "acklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wait_millis\030\002" +
+      " \003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247\001\n\nStageFrame" +
+      "\022-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.StageJo" +
+      "bCallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel.w" +
+      "ire.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.bro" +
+      "nzewheel.wire.StageCancelH\000B\006\n\004body\"\303\003\n\014" +
+      "StageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stag" +
+      "e\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005" +
+      "\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzewh" +
+      "eel.wire.StageHandle\022\024\n\014result_bytes\030\007 \001" +
+      "(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_milli" +
+      "s\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022\024\n" +
+      "\014later_millis\030\013 \001(\003\022\026\n\016failure_domain\030\014 " +
+      "\001(\t\022\032\n\022least_later_millis\030\r \001(\003\022E\n\014unmet" +
+      "_pieces\030\016 \003(\0132/.bronzewheel.wire.StageJo" +
+      "bCall.UnmetPiecesEntry\022\r\n\005first\030\017 \001(\010\0322\n" +
+      "\020UnmetPiecesEntry\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030" +
+      "\002 \001(\005:\0028\001\"P\n\rStageJobReply\022\017\n\007failure\030\001 " +
+      "\001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.wire." +
+      "StageHandle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t" +
+      "\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001" +
+      "(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014St" +
+      "ageRelease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002" +
+      " \003(\0132\035.bronzewheel.wire.StageHandle\"2\n\013S" +
+      "tageCancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007servic" +
+      "e\030\002 \001(\tB\030\n\024org.bronzewheel.wireP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -280,7 +281,7 @@
     internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_SeedHello_descriptor,
-        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", "Statements", });
+        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", "Statements", "Capacity", });
     internal_static_bronzewheel_wire_UpstreamStatement_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_bronzewheel_wire_UpstreamStatement_fieldAccessorTable = new
@@ -304,7 +305,7 @@
     internal_static_bronzewheel_wire_PeerBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PeerBeat_descriptor,
-        new java.lang.String[] { "VmId", "Incarnation", "Beat", "Leaving", });
+        new java.lang.String[] { "VmId", "Incarnation", "Beat", "Leaving", "Capacity", });
     internal_static_bronzewheel_wire_PublishedQuestion_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_bronzewheel_wire_PublishedQuestion_fieldAccessorTable = new
