Let an owner that has not read the store yet keep new stage jobs

A stage owner refuses a new request at once where its service has no upstream. One that has just started knows none yet; its jobs wait as before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -118,7 +118,8 @@
             return false;
         }
         refreshWorkers();
-        if (workers.isEmpty()) {
+        // An owner that has just started may not know the upstreams yet.
+        if (workers.isEmpty() && upstreams.isLoaded()) {
             return true;
         }
         StageForecast.Queue queue = queue(limits);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -573,6 +573,18 @@
         assertThat(refused.failure).isEqualTo(StageFailure.LATE);
     }
 
+    // Guards against an owner that refuses what it is sent before it has read the store.
+    @Test
+    void aNewRequestWaitsForAnOwnerThatDoesNotKnowTheUpstreamsYet() {
+        first = true;
+        Outcome outcome = submit("a", 1, 0, 10, 9_000);
+        advance(100);
+        assertThat(outcome.failure).isNull();
+        upstreams("u1");
+        advance(100);
+        assertThat(calls).hasSize(1);
+    }
+
     @Test
     void resultsAreFreedAfterThePauseOfTheirMakerAndNotWhereItLeaves() {
         upstreams("u1");
