--- a/bronzewheel-measure/src/test/java/org/bronzewheel/measure/LeavingExperimentTest.java
+++ b/bronzewheel-measure/src/test/java/org/bronzewheel/measure/LeavingExperimentTest.java
@@ -40,4 +40,21 @@
         fleet.advance(13_000);
         assertWithMessage("requests to ended upstreams").that(fleet.sentAfterEnd()).isEqualTo(0);
     }
+
+    @Test
+    void aLargeFleetLearnsOfLeavingUpstreamsThroughRestartsAndFreezes() {
+        double alone = LeavingExperiment.row(91, false, 1).figures().get("afterEnd");
+        LeavingFleet fleet = new LeavingFleet(91, true, 1);
+        for (int i = 0; i < 10; i++) {
+            fleet.silence(i, 2_500);
+        }
+        fleet.leave(13, 3_000);
+        for (int i = 10; i < 20; i++) {
+            fleet.advance(300);
+            fleet.restart(i, 500);
+        }
+        fleet.advance(10_000);
+        assertThat((double) fleet.sentAfterEnd())
+                .isAtMost(LeavingExperiment.MOST_LEFT_BY_TELLING * alone);
+    }
 }
