--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ReturnTimeTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ReturnTimeTest.java
@@ -30,4 +30,12 @@
         assertThat(ReturnTime.afterMillis(500, 0, 15_000, 1, 0.3))
                 .isNotEqualTo(ReturnTime.afterMillis(500, 0, 15_000, 1, 0.4));
     }
+
+    // Guards against callers that all return to the upstream whose pause ends first.
+    @Test
+    void callersReturnSpreadFromTheFirstOpeningToTheLastAndUrgentOnesSooner() {
+        assertThat(ReturnTime.afterMillis(1_000, 2_000, 15_000, 0, 0.0)).isEqualTo(1_250);
+        assertThat(ReturnTime.afterMillis(1_000, 2_000, 15_000, 0, 0.9)).isEqualTo(3_050);
+        assertThat(ReturnTime.afterMillis(1_000, 2_000, 15_000, 1, 0.0)).isEqualTo(1_750);
+    }
 }
