--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -26,6 +26,7 @@
     private final int promptTokens;
     private final long sentMillis;
     private long lastHeardMillis;
+    private long lastCheckMillis;
     private UpstreamHead head;
     private boolean promptRead;
     private boolean silenceReported;
@@ -43,6 +44,7 @@
         this.promptTokens = execution.request().promptTokens();
         this.sentMillis = loop.nowMillis();
         this.lastHeardMillis = sentMillis;
+        this.lastCheckMillis = sentMillis;
     }
 
     void start(UpstreamCall request) {
@@ -223,14 +225,17 @@
             return;
         }
         long nowMillis = loop.nowMillis();
-        boolean upstreamSilent =
-                nowMillis - upstream.lastReceivedMillis(sentMillis) > upstreamSilenceMillis();
-        boolean requestSilent = nowMillis - lastHeardMillis > requestSilenceMillis();
-        if (!upstreamSilent && !requestSilent) {
+        long lateMillis = nowMillis - lastCheckMillis - CHECK_INTERVAL_MILLIS;
+        lastCheckMillis = nowMillis;
+        long upstreamMillis = nowMillis - upstream.lastReceivedMillis(sentMillis);
+        long requestMillis = nowMillis - lastHeardMillis;
+        if (upstreamMillis <= upstreamSilenceMillis() && requestMillis <= requestSilenceMillis()) {
             return;
         }
         if (execution.mayFailOver()) {
-            abandon("silent for " + (nowMillis - lastHeardMillis) + " ms");
+            abandon(
+                    "silent for %d ms, upstream for %d ms, checked %d ms late"
+                            .formatted(requestMillis, upstreamMillis, lateMillis));
         } else if (!silenceReported) {
             silenceReported = true;
             execution.reportFailure(upstream, service, true);
