Give the stages of a resumed stream until its caller would leave after the last event

Callers saw a stream end in the middle although another upstream could have gone on with it. Cause: the stages of a resumed stream were submitted again with the deadline of the first event, counted from the arrival of the request. They were also marked as the first work of a new request, which an owner may turn away at the door, and what was not begun was told as demand that was refused on arrival.

Class: a bound of the first phase is applied to a later one. The bound is now the silence that the caller bears, counted from the last event, and at most the request's deadline. State: one number a request.

Before: theStagesOfAResumedStreamMayTakeAsLongAsItsCallerWaitsForTheNextEvent: deadlineAtMillis() expected: 2900 but was: 2400.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -56,6 +56,7 @@
     private int rejections;
     private boolean mayHaveRun;
     private boolean ended;
+    private long lastEventMillis;
     private UpstreamAttempt attempt;
     private Disposable timeout = Disposable.disposed();
     private Disposable firstAnswerTimeout = Disposable.disposed();
@@ -387,6 +388,23 @@
                 && targets.isAnyAvailableWithoutPermit(service());
     }
 
+    /** Called when the attempt makes progress. */
+    void attemptHeard() {
+        lastEventMillis = loop.nowMillis();
+    }
+
+    /** Returns how long the caller waits for the first event and between two events. */
+    private long maxCallerSilenceMillis() {
+        return firstAnswerDeadlineMillis - arrivedMillis;
+    }
+
+    /** Returns when the caller will have stopped waiting for the next event. */
+    private long nextEventDeadlineMillis() {
+        return relay.hasStarted()
+                ? Math.min(deadlineAtMillis, lastEventMillis + maxCallerSilenceMillis())
+                : firstAnswerDeadlineMillis;
+    }
+
     /** Called when an attempt failed and may have run; returns whether another attempt follows. */
     boolean failed(String reason) {
         mayHaveRun = true;
@@ -409,7 +427,7 @@
             return;
         }
         if (stages.areConsumed()) {
-            stages.rerun();
+            stages.rerun(nextEventDeadlineMillis());
         } else {
             dispatch();
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -31,12 +31,13 @@
     private final CallerRequest request;
     private final ServiceRoute route;
     private final long arrivedMillis;
-    private final long deadlineAtMillis;
     private final Runnable onReady;
     private final Consumer<String> onFailure;
     private StageProgress progress;
     private String failureDomain = "";
+    private long deadlineAtMillis;
     private int rounds;
+    private boolean rerun;
     private boolean consumed;
     private boolean ended;
 
@@ -72,9 +73,15 @@
         submitReady();
     }
 
-    /** Reruns all stages after a failed attempt consumed their results. */
-    void rerun() {
+    /** Reruns all stages, by a new deadline, after an attempt consumed their results. */
+    void rerun(long newDeadlineAtMillis) {
+        deadlineAtMillis = newDeadlineAtMillis;
+        restart();
+    }
+
+    private void restart() {
         consumed = false;
+        rerun = true;
         progress = new StageProgress(route, request.pieces());
         submitReady();
     }
@@ -86,7 +93,7 @@
         if (rounds >= MAX_ROUNDS) {
             onFailure.accept("a result of a stage is gone");
         } else {
-            rerun();
+            restart();
         }
     }
 
@@ -116,7 +123,7 @@
 
     /** Reports the demand of stages that were never started to their owners. */
     private void reportUnmetDemand() {
-        if (rounds == 0) {
+        if (!rerun) {
             progress.notStarted()
                     .forEach(
                             stage ->
@@ -201,7 +208,7 @@
                         millisAfterStage(stage),
                         ENGINE_MILLIS + progress.millisAfter(stage, service -> MIN_STAGE_MILLIS),
                         progress.inputFailureDomain(stage).orElse(failureDomain),
-                        rounds == 0 && progress.hasNoResults());
+                        !rerun && progress.hasNoResults());
         context.observer()
                 .decided(
                         request.id(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -93,6 +93,7 @@
             return;
         }
         markHeard();
+        execution.attemptHeard();
         head = next;
         if (next.misdirected()) {
             upstream.markMisdirected();
@@ -161,6 +162,7 @@
         if (!execution.route().streaming()
                 || execution.relay().forwardedEvents() > forwardedBefore) {
             lastHeardMillis = loop.nowMillis();
+            execution.attemptHeard();
         }
         if (!promptRead && engine && (first || execution.relay().hasStarted())) {
             onPromptRead();
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -348,6 +348,23 @@
         assertThat(harness.aborted).isTrue();
     }
 
+    @Test
+    void theStagesOfAResumedStreamMayTakeAsLongAsItsCallerWaitsForTheNextEvent() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2, oneStage()))
+                        .request("key", List.of(1));
+        harness.jobs.get(0).done();
+        harness.advance(500);
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+        harness.advance(10);
+        assertThat(harness.jobs.get(1).job().deadlineAtMillis())
+                .isEqualTo(500 + ServingHarness.CALLER_SILENCE_MILLIS);
+        assertThat(harness.jobs.get(1).job().isFirst()).isFalse();
+    }
+
     @Test
     void aRequestThatMayHaveRunIsNeverReportedAsNotRun() {
         ServingHarness harness =
