Keep a silent attempt open until its replacement can be sent

Callers saw a stream end in the middle, without its last event and without a worker having broken off: a started stream was cancelled at its upstream after 700 ms of silence, and only then were its stages rerun and an upstream looked for. If a stage failed, no upstream was free or the next one rejected the request, the caller was cut off, while its own upstream would have gone on. A sound upstream may fall silent for a second or so.

Now a silent attempt stays open. If its results were consumed, the stages are rerun meanwhile and the retry budget is charged once; only when they are done and an upstream can take the request without a permit is the attempt cancelled and the request sent, in the same task, so that it does not go on at two upstreams. An event in between drops the replacement, a failed preparation leaves the attempt as it is. A started stream is replaced after half of the silence that its caller bears (three quarters if its upstream serves others), health is reported as early as before. Where this router has cancelled a silent attempt, rejections and lack of budget no longer end the request: it is tried again, ever more slowly, until its deadline. Plain requests go the same way: they got 502.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -29,6 +29,10 @@
     private static final int MAX_PERMIT_WAITS = 3;
     private static final int MAX_REJECTIONS = 4;
     private static final long REJECTION_BACKOFF_MILLIS = 40;
+
+    /** The interval at which a request that lost a silent attempt looks for an upstream. */
+    private static final long REPLACEMENT_BACKOFF_MILLIS = 200;
+
     private static final int CONFLICT = 409;
 
     /** The time reserved for a refusal to reach its caller. */
@@ -52,9 +56,11 @@
     private final ResponseRelay relay;
     private final RequestStages stages;
     private final RequestTargets targets;
+    private final AttemptReplacement replacement;
     private int attempts;
     private int rejections;
     private boolean mayHaveRun;
+    private boolean cancelledSilentAttempt;
     private boolean ended;
     private long lastEventMillis;
     private UpstreamAttempt attempt;
@@ -64,6 +70,7 @@
     private Disposable permit = Disposable.disposed();
     private long permitRetryMillis;
     private int permitWaits;
+    private int replacementWaits;
 
     RequestExecution(
             ServingContext context,
@@ -98,9 +105,10 @@
                         route,
                         arrivedMillis,
                         firstAnswerDeadlineMillis,
-                        this::dispatch,
-                        this::endWithoutAnswer);
+                        this::stagesDone,
+                        this::stagesFailed);
         this.targets = new RequestTargets(context);
+        this.replacement = new AttemptReplacement(this, stages);
         this.relay = new ResponseRelay(request, route, exchange);
     }
 
@@ -177,6 +185,22 @@
         }
     }
 
+    private void stagesDone() {
+        if (replacement.isRerunningStages()) {
+            replacement.stagesDone();
+        } else {
+            dispatch();
+        }
+    }
+
+    private void stagesFailed(String reason) {
+        if (replacement.isRerunningStages()) {
+            replacement.stagesFailed();
+        } else {
+            endOrRetryLater(reason, this::rerunStages);
+        }
+    }
+
     /**
      * Returns the expected time until an engine starts on the request, or until its stages are
      * done.
@@ -239,7 +263,9 @@
         Optional<Upstream> upstream =
                 choose(service, nowMillis).or(() -> availableInTime(service, nowMillis));
         if (upstream.isEmpty()) {
-            endWithoutAnswer("no upstream of " + service + " can take the request");
+            endOrRetryLater(
+                    "no upstream of " + service + " can take the request",
+                    this::dispatchToAnyUpstream);
         } else if (targets.needsPermit(upstream.get())) {
             takePermit(service, upstream.get(), nowMillis);
         } else {
@@ -368,38 +394,114 @@
         if (status == CONFLICT && !route.stages().isEmpty() && !relay.hasStarted()) {
             targets.clearTried();
             stages.rerunAfterLoss();
-            return;
+        } else {
+            retryRejected(status);
         }
-        // Requests that were not sent need no retry budget, because no upstream received them.
-        if (rejections > MAX_REJECTIONS || (status != NOT_SENT && !mayRetry())) {
-            endWithoutAnswer("the upstreams reject the request");
+    }
+
+    /** Requests that were not sent need no retry budget, because no upstream received them. */
+    private void retryRejected(int status) {
+        if (rejections <= MAX_REJECTIONS && (status == NOT_SENT || takeRetry())) {
+            context.observer()
+                    .decided(request.id(), Decision.REPEATED, "rejected with status=" + status);
+            backoff = loop.after(rejections > 1 ? REJECTION_BACKOFF_MILLIS : 0, this::dispatch);
             return;
         }
-        context.observer()
-                .decided(request.id(), Decision.REPEATED, "rejected with status=" + status);
-        backoff = loop.after(rejections > 1 ? REJECTION_BACKOFF_MILLIS : 0, this::dispatch);
+        rejections = 0;
+        endOrRetryLater("the upstreams reject the request", () -> retryRejected(status));
     }
 
-    /** Returns whether another attempt would follow if the current one were abandoned. */
-    boolean mayFailOver() {
-        return route.retryRule() != RetryRule.AT_MOST_ONCE
-                && attempts < route.maxAttempts()
-                && context.budget().canRetry(service(), loop.nowMillis())
-                && targets.isAnyAvailableWithoutPermit(service());
+    /**
+     * Ends the request, unless this router has cancelled an attempt only because it was silent:
+     * then the request is retried until its deadline.
+     */
+    private void endOrRetryLater(String reason, Runnable retry) {
+        if (cancelledSilentAttempt) {
+            replacementWaits++;
+            backoff = loop.after(replacementWaits * REPLACEMENT_BACKOFF_MILLIS, retry);
+        } else {
+            endWithoutAnswer(reason);
+        }
+    }
+
+    private void dispatchToAnyUpstream() {
+        targets.clearTried();
+        dispatch();
+    }
+
+    private void rerunStages() {
+        if (takeRetry()) {
+            stages.rerun(nextEventDeadlineMillis());
+        } else {
+            endOrRetryLater("the retry budget is used up", this::rerunStages);
+        }
     }
 
     /** Called when the attempt makes progress. */
     void attemptHeard() {
         lastEventMillis = loop.nowMillis();
+        replacement.attemptHeard();
+    }
+
+    /** Called repeatedly while the attempt is silent for too long. */
+    void attemptSilent(String reason) {
+        replacement.attemptSilent(reason);
+    }
+
+    /** Returns whether the request may be sent to another upstream in place of its attempt. */
+    boolean mayReplaceAttempt() {
+        return mayRepeat(loop.nowMillis())
+                && context.budget().canRetry(service(), loop.nowMillis())
+                && !targets.availableWithoutPermit(service()).isEmpty();
+    }
+
+    private boolean mayRepeat(long nowMillis) {
+        return route.retryRule() != RetryRule.AT_MOST_ONCE
+                && attempts < route.maxAttempts()
+                && deadlineAtMillis - nowMillis >= MIN_SEND_MILLIS
+                && isStillAuthorized();
+    }
+
+    /**
+     * Cancels the attempt and sends the request to another upstream; does nothing if none can take
+     * it at once.
+     *
+     * @param retryTaken whether the retry budget has been charged for it
+     * @return whether the attempt was replaced
+     */
+    boolean replaceAttempt(String reason, boolean retryTaken) {
+        long nowMillis = loop.nowMillis();
+        String service = service();
+        Optional<Upstream> upstream =
+                mayRepeat(nowMillis)
+                        ? targets.chooseWithoutPermit(service, stages.prompt(), nowMillis)
+                        : Optional.empty();
+        if (upstream.isEmpty() || !(retryTaken || takeRetry())) {
+            return false;
+        }
+        reportRepeat(reason);
+        mayHaveRun = true;
+        cancelledSilentAttempt = true;
+        attempt.cancel();
+        send(service, upstream.get(), nowMillis);
+        return true;
+    }
+
+    private void reportRepeat(String reason) {
+        context.observer()
+                .decided(
+                        request.id(),
+                        relay.hasStarted() ? Decision.RESUMED : Decision.REPEATED,
+                        reason);
     }
 
     /** Returns how long the caller waits for the first event and between two events. */
-    private long maxCallerSilenceMillis() {
+    long maxCallerSilenceMillis() {
         return firstAnswerDeadlineMillis - arrivedMillis;
     }
 
     /** Returns when the caller will have stopped waiting for the next event. */
-    private long nextEventDeadlineMillis() {
+    long nextEventDeadlineMillis() {
         return relay.hasStarted()
                 ? Math.min(deadlineAtMillis, lastEventMillis + maxCallerSilenceMillis())
                 : firstAnswerDeadlineMillis;
@@ -408,16 +510,16 @@
     /** Called when an attempt failed and may have run; returns whether another attempt follows. */
     boolean failed(String reason) {
         mayHaveRun = true;
-        boolean retryable = route.retryRule() != RetryRule.AT_MOST_ONCE;
-        if (!retryable || attempts >= route.maxAttempts() || !mayRetry()) {
+        boolean retryable =
+                route.retryRule() != RetryRule.AT_MOST_ONCE && attempts < route.maxAttempts();
+        boolean prepared = replacement.attemptFailed();
+        if (!retryable || !(prepared || takeRetry())) {
             return false;
         }
-        context.observer()
-                .decided(
-                        request.id(),
-                        relay.hasStarted() ? Decision.RESUMED : Decision.REPEATED,
-                        reason);
-        loop.execute(this::retry);
+        reportRepeat(reason);
+        if (!prepared || stages.areComplete()) {
+            loop.execute(this::retry);
+        }
         return true;
     }
 
@@ -433,7 +535,8 @@
         }
     }
 
-    private boolean mayRetry() {
+    /** Charges the retry budget, if it allows a retry. */
+    boolean takeRetry() {
         return context.budget().tryRetry(service(), loop.nowMillis());
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -86,6 +86,16 @@
         submitReady();
     }
 
+    /** Cancels a rerun whose results are not needed, as the attempt that consumed them goes on. */
+    void cancelRerun() {
+        if (!progress.isComplete()) {
+            cancelUnfinished();
+        }
+        release();
+        progress = new StageProgress(route, request.pieces());
+        consumed = true;
+    }
+
     /** Reruns all stages because a result was lost; fails after {@link #MAX_ROUNDS} rounds. */
     void rerunAfterLoss() {
         rounds++;
@@ -108,19 +118,28 @@
         return consumed;
     }
 
+    /** Returns whether all results are available. */
+    boolean areComplete() {
+        return progress.isComplete();
+    }
+
     /** Cancels unfinished stages and releases all results. */
     void end() {
         if (!ended && !consumed && !progress.isComplete()) {
             reportUnmetDemand();
-            route.stages().stream()
-                    .map(StageStep::service)
-                    .distinct()
-                    .forEach(service -> context.stages().cancel(service, request.id()));
+            cancelUnfinished();
         }
         ended = true;
         release();
     }
 
+    private void cancelUnfinished() {
+        route.stages().stream()
+                .map(StageStep::service)
+                .distinct()
+                .forEach(service -> context.stages().cancel(service, request.id()));
+    }
+
     /** Reports the demand of stages that were never started to their owners. */
     private void reportUnmetDemand() {
         if (!rerun) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
@@ -36,7 +36,16 @@
 
     /** Chooses among the available upstreams of a service. */
     Optional<Upstream> choose(String service, Prompt prompt, long nowMillis) {
-        List<Upstream> candidates = available(service);
+        return choose(service, available(service), prompt, nowMillis);
+    }
+
+    /** Chooses among the upstreams that can accept the request immediately and without a permit. */
+    Optional<Upstream> chooseWithoutPermit(String service, Prompt prompt, long nowMillis) {
+        return choose(service, availableWithoutPermit(service), prompt, nowMillis);
+    }
+
+    private Optional<Upstream> choose(
+            String service, List<Upstream> candidates, Prompt prompt, long nowMillis) {
         if (!isEngine(service)) {
             return UpstreamSelector.selectForService(
                     candidates, tried, context.failureDomain(), nowMillis);
@@ -65,9 +74,9 @@
                 .min(Comparator.comparingLong(this::unavailableMillis));
     }
 
-    /** Returns whether an upstream can accept the request immediately and without a permit. */
-    boolean isAnyAvailableWithoutPermit(String service) {
-        return available(service).stream().anyMatch(upstream -> !needsPermit(upstream));
+    /** Returns the upstreams that can accept the request immediately and without a permit. */
+    List<Upstream> availableWithoutPermit(String service) {
+        return available(service).stream().filter(upstream -> !needsPermit(upstream)).toList();
     }
 
     boolean needsPermit(Upstream upstream) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -11,6 +11,13 @@
     private static final int SERVER_ERROR = 500;
     private static final long CHECK_INTERVAL_MILLIS = 100;
     private static final long STREAM_SILENCE_MILLIS = 700;
+
+    /** The part of the silence that callers bear after which a stream is resumed elsewhere. */
+    private static final double RESUME_SHARE = 0.5;
+
+    /** The same while the upstream serves other requests, which may have preempted this one. */
+    private static final double BUSY_RESUME_SHARE = 0.75;
+
     private static final long ENGINE_SILENCE_MILLIS = 1_000;
     private static final long BUSY_ENGINE_SILENCE_MILLIS = 4_000;
     private static final long PLAIN_SILENCE_MILLIS = 400;
@@ -221,7 +228,10 @@
         }
     }
 
-    /** Abandons a silent upstream if the request may be retried at another one. */
+    /**
+     * Reports a silent upstream. The request is repeated elsewhere if possible, a started stream
+     * only after a longer silence.
+     */
     private void checkSilence() {
         if (ended) {
             return;
@@ -234,14 +244,22 @@
         if (upstreamMillis <= upstreamSilenceMillis() && requestMillis <= requestSilenceMillis()) {
             return;
         }
-        if (execution.mayFailOver()) {
-            abandon(
-                    "silent for %d ms, upstream for %d ms, checked %d ms late"
-                            .formatted(requestMillis, upstreamMillis, lateMillis));
-        } else if (!silenceReported) {
+        if (!silenceReported) {
             silenceReported = true;
             execution.reportFailure(upstream, service, true);
         }
+        if (!execution.relay().hasStarted() || isResumable(upstreamMillis, requestMillis)) {
+            execution.attemptSilent(
+                    "silent for %d ms, upstream for %d ms, checked %d ms late"
+                            .formatted(requestMillis, upstreamMillis, lateMillis));
+        }
+    }
+
+    private boolean isResumable(long upstreamMillis, long requestMillis) {
+        double maxMillis = (double) execution.maxCallerSilenceMillis();
+        return requestMillis > RESUME_SHARE * maxMillis
+                && (upstreamMillis > RESUME_SHARE * maxMillis
+                        || requestMillis > BUSY_RESUME_SHARE * maxMillis);
     }
 
     private long upstreamSilenceMillis() {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -191,7 +191,9 @@
                         .request();
         harness.lastSend().head(200);
         harness.lastSend().data(EVENT_1);
-        harness.advance(1_000);
+        harness.advance(ServingHarness.CALLER_SILENCE_MILLIS / 2);
+        assertThat(harness.sends).hasSize(1);
+        harness.advance(100);
 
         assertThat(harness.sends).hasSize(2);
         assertThat(harness.sends.get(0).cancelled).isTrue();
