Do not count stalls of the router as silence of its upstreams

After a pause of the loop (a large configuration that is parsed, processor quota, a freeze) the overdue checks for silence ran before the sockets were read, so that every request of the router seemed silent at once: plain requests after 400 ms, streams by their own bound, until the retry budget was used up. Class: the time in which nothing could be received is taken for evidence that nothing was sent.

Silence is now measured by a clock that is read with each check and each received part, and that skips any interval over 300 ms between two readings. The checks that a periodic timer catches up on after a stall do not advance it either, so that the sockets are read before the next one counts. Speeds and deadlines still use the steady clock. State: two numbers a router; a read costs a subtraction.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -9,6 +9,7 @@
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.loop.ReceiveClock;
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.serving.RequestObserver.Decision;
@@ -43,6 +44,7 @@
 
     private final ServingContext context;
     private final FirstEventWaits engineWaits;
+    private final ReceiveClock receiveClock;
     private final Loop loop;
     private final CallerRequest request;
     private final ServiceRoute route;
@@ -75,6 +77,7 @@
     RequestExecution(
             ServingContext context,
             FirstEventWaits engineWaits,
+            ReceiveClock receiveClock,
             CallerRequest request,
             ServiceRoute route,
             Optional<WorkspaceEntry> workspace,
@@ -83,6 +86,7 @@
             Consumer<RequestExecution> onEnd) {
         this.context = context;
         this.engineWaits = engineWaits;
+        this.receiveClock = receiveClock;
         this.loop = context.loop();
         this.request = request;
         this.route = route;
@@ -214,6 +218,10 @@
         return engineWaits;
     }
 
+    ReceiveClock receiveClock() {
+        return receiveClock;
+    }
+
     CallerRequest request() {
         return request;
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -8,6 +8,7 @@
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
+import org.bronzewheel.loop.ReceiveClock;
 
 /**
  * Entry point for requests: resolves route and workspace, refuses requests that cannot be served
@@ -22,6 +23,7 @@
 
     private final ServingContext context;
     private final FirstEventWaits engineWaits = new FirstEventWaits();
+    private final ReceiveClock receiveClock;
     private final Set<RequestExecution> running = new HashSet<>();
     private boolean stopping;
 
@@ -32,6 +34,7 @@
      */
     public ServingEngine(ServingContext context) {
         this.context = context;
+        this.receiveClock = new ReceiveClock(context.loop());
     }
 
     /** Refuses new requests from now on; requests in progress continue. */
@@ -100,6 +103,7 @@
                 new RequestExecution(
                         context,
                         engineWaits,
+                        receiveClock,
                         request,
                         route.get(),
                         workspace,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -3,6 +3,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.loop.ReceiveClock;
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.upstreams.Upstream;
 
@@ -31,7 +32,9 @@
     private final Upstream upstream;
     private final boolean engine;
     private final int promptTokens;
+    private final ReceiveClock receiveClock;
     private final long sentMillis;
+    private final long sentReceiveMillis;
     private long lastHeardMillis;
     private long lastCheckMillis;
     private UpstreamHead head;
@@ -50,7 +53,9 @@
         this.engine = engine;
         this.promptTokens = execution.request().promptTokens();
         this.sentMillis = loop.nowMillis();
-        this.lastHeardMillis = sentMillis;
+        this.receiveClock = execution.receiveClock();
+        this.sentReceiveMillis = receiveClock.nowMillis();
+        this.lastHeardMillis = sentReceiveMillis;
         this.lastCheckMillis = sentMillis;
     }
 
@@ -90,7 +95,7 @@
     }
 
     private void markHeard() {
-        lastHeardMillis = loop.nowMillis();
+        lastHeardMillis = receiveClock.nowMillis();
         upstream.bytesReceived(lastHeardMillis);
     }
 
@@ -162,13 +167,13 @@
         if (ended) {
             return;
         }
-        upstream.bytesReceived(loop.nowMillis());
+        upstream.bytesReceived(receiveClock.nowMillis());
         long forwardedBefore = execution.relay().forwardedEvents();
         boolean first = execution.relay().data(bytes);
         // Bytes of a stream that complete no event do not count as progress.
         if (!execution.route().streaming()
                 || execution.relay().forwardedEvents() > forwardedBefore) {
-            lastHeardMillis = loop.nowMillis();
+            lastHeardMillis = receiveClock.nowMillis();
             execution.attemptHeard();
         }
         if (!promptRead && engine && (first || execution.relay().hasStarted())) {
@@ -202,7 +207,7 @@
         if (head.status() >= SERVER_ERROR) {
             execution.reportFailure(upstream, service, false);
         } else {
-            upstream.recordSuccess((double) (lastHeardMillis - sentMillis));
+            upstream.recordSuccess((double) (loop.nowMillis() - sentMillis));
         }
         execution.relay().finish();
         if (engine && !promptRead) {
@@ -239,8 +244,9 @@
         long nowMillis = loop.nowMillis();
         long lateMillis = nowMillis - lastCheckMillis - CHECK_INTERVAL_MILLIS;
         lastCheckMillis = nowMillis;
-        long upstreamMillis = nowMillis - upstream.lastReceivedMillis(sentMillis);
-        long requestMillis = nowMillis - lastHeardMillis;
+        long receiveMillis = receiveClock.nowMillis();
+        long upstreamMillis = receiveMillis - upstream.lastReceivedMillis(sentReceiveMillis);
+        long requestMillis = receiveMillis - lastHeardMillis;
         if (upstreamMillis <= upstreamSilenceMillis() && requestMillis <= requestSilenceMillis()) {
             return;
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
@@ -106,7 +106,7 @@
     /**
      * Records that bytes were received from the upstream.
      *
-     * @param nowMillis the time, in milliseconds of the steady clock
+     * @param nowMillis the time, in milliseconds of the receive clock
      */
     public void bytesReceived(long nowMillis) {
         lastBytesMillis = nowMillis;
@@ -116,7 +116,7 @@
      * Returns when bytes were last received from the upstream.
      *
      * @param sinceMillis the earliest time to return
-     * @return the later of both, in milliseconds of the steady clock
+     * @return the later of both, in milliseconds of the receive clock
      */
     public long lastReceivedMillis(long sinceMillis) {
         return Math.max(sinceMillis, lastBytesMillis);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -154,6 +154,23 @@
         assertThat(harness.aborted).isFalse();
     }
 
+    @Test
+    void aStallOfTheRouterIsNotTakenForTheSilenceOfItsUpstreams() {
+        ServingHarness harness = startStream(budget(9), List.of());
+        harness.advance(1_000).stall(1_500);
+        endStream(harness.sends.get(0));
+        assertWhole(harness);
+
+        ServingHarness plain =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2))
+                        .request();
+        plain.advance(300).stall(1_500);
+        plain.sends.get(0).answer(200);
+        assertThat(plain.finished).isTrue();
+        assertThat(plain.sends).hasSize(1);
+    }
+
     @Test
     void aPlainRequestTakenFromASilentUpstreamDoesNotFailIfAllOthersRejectItAtFirst() {
         ServingHarness harness =
