Answer a request at once if one of its tasks throws

ServingEngine.run caught what the first step of a request threw, but nothing caught what its later ones did: timers, retries, permits, results of stages and received parts. The caller then got neither an answer nor a refusal until the timer of its deadline, or ever if that task threw as well; and an error while a request was sent after its stages went up into the stage call that had brought the results, whose other requests then lost theirs. Class: an error of one request in a task that others share, and no owner for it.

Every step that the loop, permits, stages or an upstream's connection call now runs in one guard, which logs the error and ends the request: 502, or a cut where its answer has begun, as it may have run.

Before, UnexpectedErrorTest (all three): IllegalArgument port out of range, thrown out of the task; no answer.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.serving;
 
+import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -21,6 +22,7 @@
  * responds.
  */
 final class RequestExecution implements RunningRequest {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
     private static final long MIN_SEND_MILLIS = 5;
     private static final double MAX_WAIT_SHARE = 0.6;
@@ -109,14 +111,34 @@
                         route,
                         arrivedMillis,
                         firstAnswerDeadlineMillis,
-                        this::stagesDone,
-                        this::stagesFailed);
+                        () -> guard(this::stagesDone),
+                        reason -> guard(() -> stagesFailed(reason)));
         this.targets = new RequestTargets(context);
         this.replacement = new AttemptReplacement(this, stages);
         this.relay = new ResponseRelay(request, route, exchange);
     }
 
     void start() {
+        guard(this::admit);
+    }
+
+    /** Runs a step; an error ends the request, which would be left unanswered otherwise. */
+    void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("request %s failed unexpectedly", request.id());
+            // The request may have run.
+            mayHaveRun = true;
+            endWithoutAnswer("an unexpected error");
+        }
+    }
+
+    private Disposable after(long delayMillis, Runnable step) {
+        return loop.after(delayMillis, () -> guard(step));
+    }
+
+    private void admit() {
         long expectedMillis = expectedMillis();
         context.observer()
                 .decided(
@@ -142,10 +164,10 @@
             refuse("no upstream takes requests in time");
             return;
         }
-        timeout = loop.after(deadlineAtMillis - arrivedMillis, this::timedOut);
+        timeout = after(deadlineAtMillis - arrivedMillis, this::timedOut);
         if (firstAnswerDeadlineMillis < deadlineAtMillis) {
             firstAnswerTimeout =
-                    loop.after(
+                    after(
                             firstAnswerDeadlineMillis - arrivedMillis - REFUSAL_MARGIN_MILLIS,
                             this::firstAnswerTimedOut);
         }
@@ -168,7 +190,7 @@
                                 service(),
                                 rank(),
                                 Math.round(MAX_ENTRY_WAIT_SHARE * route.objectiveMillis()),
-                                this::onEntryPermitDecision);
+                                decision -> guard(() -> onEntryPermitDecision(decision)));
     }
 
     private void onEntryPermitDecision(PermitDecision decision) {
@@ -307,7 +329,8 @@
                                 upstream.entry().id(),
                                 rank(),
                                 maxWaitMillis,
-                                decision -> onPermitDecision(service, upstream, decision));
+                                decision ->
+                                        guard(() -> onPermitDecision(service, upstream, decision)));
     }
 
     private Optional<Upstream> availableInTime(String service, long nowMillis) {
@@ -412,7 +435,7 @@
         if (rejections <= MAX_REJECTIONS && (status == NOT_SENT || takeRetry())) {
             context.observer()
                     .decided(request.id(), Decision.REPEATED, "rejected with status=" + status);
-            backoff = loop.after(rejections > 1 ? REJECTION_BACKOFF_MILLIS : 0, this::dispatch);
+            backoff = after(rejections > 1 ? REJECTION_BACKOFF_MILLIS : 0, this::dispatch);
             return;
         }
         rejections = 0;
@@ -426,7 +449,7 @@
     private void endOrRetryLater(String reason, Runnable retry) {
         if (cancelledSilentAttempt) {
             replacementWaits++;
-            backoff = loop.after(replacementWaits * REPLACEMENT_BACKOFF_MILLIS, retry);
+            backoff = after(replacementWaits * REPLACEMENT_BACKOFF_MILLIS, retry);
         } else {
             endWithoutAnswer(reason);
         }
@@ -526,7 +549,7 @@
         }
         reportRepeat(reason);
         if (!prepared || stages.areComplete()) {
-            loop.execute(this::retry);
+            loop.execute(() -> guard(this::retry));
         }
         return true;
     }
@@ -616,12 +639,6 @@
         }
     }
 
-    /** Ends the request after an internal error; it may have run. */
-    void failUnexpectedly() {
-        mayHaveRun = true;
-        endWithoutAnswer("an unexpected error");
-    }
-
     private void breakOff(String reason) {
         if (end(RequestOutcome.BROKEN_OFF, reason)) {
             exchange.abort();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -1,6 +1,5 @@
 package org.bronzewheel.serving;
 
-import com.google.common.flogger.FluentLogger;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -15,7 +14,6 @@
  * and executes the others.
  */
 public final class ServingEngine {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final RunningRequest NOT_RUNNING = () -> {};
     private static final long NO_CATALOG_RETRY_MILLIS = 300;
     private static final long STALE_CATALOG_RETRY_MILLIS = 400;
@@ -111,12 +109,7 @@
                         nowMillis,
                         running::remove);
         running.add(execution);
-        try {
-            execution.start();
-        } catch (RuntimeException e) {
-            logger.atSevere().withCause(e).log("request %s failed unexpectedly", request.id());
-            execution.failUnexpectedly();
-        }
+        execution.start();
         return execution;
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -67,7 +67,7 @@
         }
         call = context.upstreamClient().send(request, this);
         if (execution.route().retryRule() != RetryRule.AT_MOST_ONCE) {
-            check = loop.every(CHECK_INTERVAL_MILLIS, this::checkSilence);
+            check = loop.every(CHECK_INTERVAL_MILLIS, () -> execution.guard(this::checkSilence));
         }
     }
 
@@ -101,6 +101,10 @@
 
     @Override
     public void onHead(UpstreamHead next) {
+        execution.guard(() -> receiveHead(next));
+    }
+
+    private void receiveHead(UpstreamHead next) {
         if (ended) {
             return;
         }
@@ -164,6 +168,10 @@
 
     @Override
     public void onData(byte[] bytes) {
+        execution.guard(() -> receiveData(bytes));
+    }
+
+    private void receiveData(byte[] bytes) {
         if (ended) {
             return;
         }
@@ -196,6 +204,10 @@
 
     @Override
     public void onEnd() {
+        execution.guard(this::receiveEnd);
+    }
+
+    private void receiveEnd() {
         if (ended) {
             return;
         }
@@ -219,6 +231,10 @@
 
     @Override
     public void onFailure(CallFailure failure, String reason) {
+        execution.guard(() -> receiveFailure(failure, reason));
+    }
+
+    private void receiveFailure(CallFailure failure, String reason) {
         if (ended) {
             return;
         }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -59,6 +59,7 @@
     boolean finished;
     boolean aborted;
     RequestOutcome outcome;
+    boolean sendThrows;
     RunningRequest running;
 
     /** One attempt at an upstream. */
@@ -130,6 +131,9 @@
     }
 
     private Disposable send(UpstreamCall call, UpstreamListener listener) {
+        if (sendThrows) {
+            throw new IllegalArgumentException("port out of range");
+        }
         Sent sent = new Sent(call, listener);
         sends.add(sent);
         return Disposable.fromRunnable(() -> sent.cancelled = true);
--- /dev/null
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
@@ -0,0 +1,56 @@
+package org.bronzewheel.serving;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.bronzewheel.catalog.RetryRule;
+import org.bronzewheel.catalog.StageStep;
+import org.junit.jupiter.api.Test;
+
+/** Checks that errors in a dependency leave no request without an answer. */
+class UnexpectedErrorTest {
+    private static void assertFailed(ServingHarness harness) {
+        assertThat(harness.refusalStatus()).isEqualTo(Refusal.BAD_GATEWAY);
+        assertThat(harness.engine.runningRequests()).isEqualTo(0);
+    }
+
+    @Test
+    void aRequestWhoseRetryThrowsIsAnsweredAtOnce() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2))
+                        .request();
+        harness.lastSend().listener.onFailure(CallFailure.BROKEN, "reset");
+        harness.sendThrows = true;
+        harness.advance(10);
+        assertFailed(harness);
+    }
+
+    @Test
+    void aRequestThatCannotBeSentAfterItsStagesDoesNotFailTheirCall() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(
+                                ServingHarness.route(
+                                        RetryRule.RESUMABLE,
+                                        true,
+                                        2,
+                                        List.of(new StageStep("t", List.of(), 10))));
+        harness.request("key", List.of(1));
+        harness.sendThrows = true;
+        harness.jobs.get(0).done();
+        assertFailed(harness);
+    }
+
+    @Test
+    void aRejectedRequestWhoseNextSendThrowsIsAnsweredAtOnce() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.AT_MOST_ONCE, false, 1))
+                        .request();
+        harness.sendThrows = true;
+        harness.sends.get(0).listener.onFailure(CallFailure.NOT_SENT, "refused");
+        harness.advance(10);
+        assertFailed(harness);
+    }
+}
