Rerun the stages of a resumed stream whose inputs are gone

A resumed stream that its upstream rejected because an input no longer exists (409) was sent with the same inputs to the next upstream, which rejects it as well, until all had rejected it or the retry budget was used up; then its caller was cut off. Only requests whose answer had not begun had their stages rerun. Class: a lost input is treated as a busy upstream. Its stages are now rerun for one retry of the budget, until the caller would leave.

Before: RequestExecutionTest.aResumedStreamWhoseInputsAreGoneIsNotSentWithThemAgain: iterable.size() expected: 2 but was: 3 (sends).

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -422,11 +422,13 @@
     void rejected(int status) {
         attempts--;
         rejections++;
-        if (status == CONFLICT && !route.stages().isEmpty() && !relay.hasStarted()) {
+        if (status != CONFLICT || route.stages().isEmpty()) {
+            retryRejected(status);
+        } else if (relay.hasStarted()) {
+            rerunStages();
+        } else {
             targets.clearTried();
             stages.rerunAfterLoss();
-        } else {
-            retryRejected(status);
         }
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -73,9 +73,10 @@
         submitReady();
     }
 
-    /** Reruns all stages, by a new deadline, after an attempt consumed their results. */
+    /** Reruns all stages, by a new deadline, after their results were consumed or lost. */
     void rerun(long newDeadlineAtMillis) {
         deadlineAtMillis = newDeadlineAtMillis;
+        release();
         restart();
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -350,6 +350,34 @@
         assertThat(harness.aborted).isTrue();
     }
 
+    @Test
+    void aResumedStreamWhoseInputsAreGoneIsNotSentWithThemAgain() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2, oneStage()))
+                        .request("key", List.of(1));
+        harness.jobs.get(0).done();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+        harness.advance(10);
+        harness.jobs.get(1).done();
+        harness.lastSend()
+                .listener
+                .onHead(new UpstreamHead(409, List.of(), false, true, false, false));
+        harness.advance(100);
+        assertThat(harness.sends).hasSize(2);
+        assertThat(harness.jobs).hasSize(3);
+
+        harness.jobs.get(2).done();
+        assertThat(harness.sends).hasSize(3);
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_2);
+        harness.lastSend().listener.onEnd();
+        assertThat(harness.body.toString()).isEqualTo(EVENT_1 + EVENT_2);
+        assertThat(harness.finished).isTrue();
+    }
+
     @Test
     void theStagesOfAResumedStreamMayTakeAsLongAsItsCallerWaitsForTheNextEvent() {
         ServingHarness harness =
