--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.serving;
 
+import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -9,6 +10,7 @@
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.loop.ReceiveClock;
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.serving.RequestObserver.Decision;
@@ -20,6 +22,7 @@
  * responds.
  */
 final class RequestExecution implements RunningRequest {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
     private static final long MIN_SEND_MILLIS = 5;
     private static final double MAX_WAIT_SHARE = 0.6;
@@ -29,6 +32,10 @@
     private static final int MAX_PERMIT_WAITS = 3;
     private static final int MAX_REJECTIONS = 4;
     private static final long REJECTION_BACKOFF_MILLIS = 40;
+
+    /** The interval at which a request that lost a silent attempt looks for an upstream. */
+    private static final long REPLACEMENT_BACKOFF_MILLIS = 200;
+
     private static final int CONFLICT = 409;
 
     /** The time reserved for a refusal to reach its caller. */
@@ -39,6 +46,7 @@
 
     private final ServingContext context;
     private final FirstEventWaits engineWaits;
+    private final ReceiveClock receiveClock;
     private final Loop loop;
     private final CallerRequest request;
     private final ServiceRoute route;
@@ -52,10 +60,13 @@
     private final ResponseRelay relay;
     private final RequestStages stages;
     private final RequestTargets targets;
+    private final AttemptReplacement replacement;
     private int attempts;
     private int rejections;
     private boolean mayHaveRun;
+    private boolean cancelledSilentAttempt;
     private boolean ended;
+    private long lastEventMillis;
     private UpstreamAttempt attempt;
     private Disposable timeout = Disposable.disposed();
     private Disposable firstAnswerTimeout = Disposable.disposed();
@@ -63,10 +74,12 @@
     private Disposable permit = Disposable.disposed();
     private long permitRetryMillis;
     private int permitWaits;
+    private int replacementWaits;
 
     RequestExecution(
             ServingContext context,
             FirstEventWaits engineWaits,
+            ReceiveClock receiveClock,
             CallerRequest request,
             ServiceRoute route,
             Optional<WorkspaceEntry> workspace,
@@ -75,6 +88,7 @@
             Consumer<RequestExecution> onEnd) {
         this.context = context;
         this.engineWaits = engineWaits;
+        this.receiveClock = receiveClock;
         this.loop = context.loop();
         this.request = request;
         this.route = route;
@@ -97,13 +111,34 @@
                         route,
                         arrivedMillis,
                         firstAnswerDeadlineMillis,
-                        this::dispatch,
-                        this::endWithoutAnswer);
+                        () -> guard(this::stagesDone),
+                        reason -> guard(() -> stagesFailed(reason)));
         this.targets = new RequestTargets(context);
+        this.replacement = new AttemptReplacement(this, stages);
         this.relay = new ResponseRelay(request, route, exchange);
     }
 
     void start() {
+        guard(this::admit);
+    }
+
+    /** Runs a step; an error ends the request, which would be left unanswered otherwise. */
+    void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("request %s failed unexpectedly", request.id());
+            // The request may have run.
+            mayHaveRun = true;
+            endWithoutAnswer("an unexpected error");
+        }
+    }
+
+    private Disposable after(long delayMillis, Runnable step) {
+        return loop.after(delayMillis, () -> guard(step));
+    }
+
+    private void admit() {
         long expectedMillis = expectedMillis();
         context.observer()
                 .decided(
@@ -129,10 +164,10 @@
             refuse("no upstream takes requests in time");
             return;
         }
-        timeout = loop.after(deadlineAtMillis - arrivedMillis, this::timedOut);
+        timeout = after(deadlineAtMillis - arrivedMillis, this::timedOut);
         if (firstAnswerDeadlineMillis < deadlineAtMillis) {
             firstAnswerTimeout =
-                    loop.after(
+                    after(
                             firstAnswerDeadlineMillis - arrivedMillis - REFUSAL_MARGIN_MILLIS,
                             this::firstAnswerTimedOut);
         }
@@ -155,7 +190,7 @@
                                 service(),
                                 rank(),
                                 Math.round(MAX_ENTRY_WAIT_SHARE * route.objectiveMillis()),
-                                this::onEntryPermitDecision);
+                                decision -> guard(() -> onEntryPermitDecision(decision)));
     }
 
     private void onEntryPermitDecision(PermitDecision decision) {
@@ -176,6 +211,22 @@
         }
     }
 
+    private void stagesDone() {
+        if (replacement.isRerunningStages()) {
+            replacement.stagesDone();
+        } else {
+            dispatch();
+        }
+    }
+
+    private void stagesFailed(String reason) {
+        if (replacement.isRerunningStages()) {
+            replacement.stagesFailed();
+        } else {
+            endOrRetryLater(reason, this::rerunStages);
+        }
+    }
+
     /**
      * Returns the expected time until an engine starts on the request, or until its stages are
      * done.
@@ -189,6 +240,10 @@
         return engineWaits;
     }
 
+    ReceiveClock receiveClock() {
+        return receiveClock;
+    }
+
     CallerRequest request() {
         return request;
     }
@@ -238,7 +293,9 @@
         Optional<Upstream> upstream =
                 choose(service, nowMillis).or(() -> availableInTime(service, nowMillis));
         if (upstream.isEmpty()) {
-            endWithoutAnswer("no upstream of " + service + " can take the request");
+            endOrRetryLater(
+                    "no upstream of " + service + " can take the request",
+                    this::dispatchToAnyUpstream);
         } else if (targets.needsPermit(upstream.get())) {
             takePermit(service, upstream.get(), nowMillis);
         } else {
@@ -272,7 +329,8 @@
                                 upstream.entry().id(),
                                 rank(),
                                 maxWaitMillis,
-                                decision -> onPermitDecision(service, upstream, decision));
+                                decision ->
+                                        guard(() -> onPermitDecision(service, upstream, decision)));
     }
 
     private Optional<Upstream> availableInTime(String service, long nowMillis) {
@@ -364,42 +422,137 @@
     void rejected(int status) {
         attempts--;
         rejections++;
-        if (status == CONFLICT && !route.stages().isEmpty() && !relay.hasStarted()) {
+        if (status != CONFLICT || route.stages().isEmpty()) {
+            retryRejected(status);
+        } else if (relay.hasStarted()) {
+            rerunStages();
+        } else {
             targets.clearTried();
             stages.rerunAfterLoss();
-            return;
         }
-        // Requests that were not sent need no retry budget, because no upstream received them.
-        if (rejections > MAX_REJECTIONS || (status != NOT_SENT && !mayRetry())) {
-            endWithoutAnswer("the upstreams reject the request");
+    }
+
+    /** Requests that were not sent need no retry budget, because no upstream received them. */
+    private void retryRejected(int status) {
+        if (rejections <= MAX_REJECTIONS && (status == NOT_SENT || takeRetry())) {
+            context.observer()
+                    .decided(request.id(), Decision.REPEATED, "rejected with status=" + status);
+            backoff = after(rejections > 1 ? REJECTION_BACKOFF_MILLIS : 0, this::dispatch);
             return;
         }
-        context.observer()
-                .decided(request.id(), Decision.REPEATED, "rejected with status=" + status);
-        backoff = loop.after(rejections > 1 ? REJECTION_BACKOFF_MILLIS : 0, this::dispatch);
+        rejections = 0;
+        endOrRetryLater("the upstreams reject the request", () -> retryRejected(status));
+    }
+
+    /**
+     * Ends the request, unless this router has cancelled an attempt only because it was silent:
+     * then the request is retried until its deadline.
+     */
+    private void endOrRetryLater(String reason, Runnable retry) {
+        if (cancelledSilentAttempt) {
+            replacementWaits++;
+            backoff = after(replacementWaits * REPLACEMENT_BACKOFF_MILLIS, retry);
+        } else {
+            endWithoutAnswer(reason);
+        }
+    }
+
+    private void dispatchToAnyUpstream() {
+        targets.clearTried();
+        dispatch();
+    }
+
+    private void rerunStages() {
+        if (takeRetry()) {
+            stages.rerun(nextEventDeadlineMillis());
+        } else {
+            endOrRetryLater("the retry budget is used up", this::rerunStages);
+        }
     }
 
-    /** Returns whether another attempt would follow if the current one were abandoned. */
-    boolean mayFailOver() {
+    /** Called when the attempt makes progress. */
+    void attemptHeard() {
+        lastEventMillis = loop.nowMillis();
+        replacement.attemptHeard();
+    }
+
+    /** Called repeatedly while the attempt is silent for too long. */
+    void attemptSilent(String reason) {
+        replacement.attemptSilent(reason);
+    }
+
+    /** Returns whether the request may be sent to another upstream in place of its attempt. */
+    boolean mayReplaceAttempt() {
+        return mayRepeat(loop.nowMillis())
+                && context.budget().canRetry(service(), loop.nowMillis())
+                && !targets.availableWithoutPermit(service()).isEmpty();
+    }
+
+    private boolean mayRepeat(long nowMillis) {
         return route.retryRule() != RetryRule.AT_MOST_ONCE
                 && attempts < route.maxAttempts()
-                && context.budget().canRetry(service(), loop.nowMillis())
-                && targets.isAnyAvailableWithoutPermit(service());
+                && deadlineAtMillis - nowMillis >= MIN_SEND_MILLIS
+                && isStillAuthorized();
     }
 
-    /** Called when an attempt failed and may have run; returns whether another attempt follows. */
-    boolean failed(String reason) {
-        mayHaveRun = true;
-        boolean retryable = route.retryRule() != RetryRule.AT_MOST_ONCE;
-        if (!retryable || attempts >= route.maxAttempts() || !mayRetry()) {
+    /**
+     * Cancels the attempt and sends the request to another upstream; does nothing if none can take
+     * it at once.
+     *
+     * @param retryTaken whether the retry budget has been charged for it
+     * @return whether the attempt was replaced
+     */
+    boolean replaceAttempt(String reason, boolean retryTaken) {
+        long nowMillis = loop.nowMillis();
+        String service = service();
+        Optional<Upstream> upstream =
+                mayRepeat(nowMillis)
+                        ? targets.chooseWithoutPermit(service, stages.prompt(), nowMillis)
+                        : Optional.empty();
+        if (upstream.isEmpty() || !(retryTaken || takeRetry())) {
             return false;
         }
+        reportRepeat(reason);
+        mayHaveRun = true;
+        cancelledSilentAttempt = true;
+        attempt.cancel();
+        send(service, upstream.get(), nowMillis);
+        return true;
+    }
+
+    private void reportRepeat(String reason) {
         context.observer()
                 .decided(
                         request.id(),
                         relay.hasStarted() ? Decision.RESUMED : Decision.REPEATED,
                         reason);
-        loop.execute(this::retry);
+    }
+
+    /** Returns how long the caller waits for the first event and between two events. */
+    long maxCallerSilenceMillis() {
+        return firstAnswerDeadlineMillis - arrivedMillis;
+    }
+
+    /** Returns when the caller will have stopped waiting for the next event. */
+    long nextEventDeadlineMillis() {
+        return relay.hasStarted()
+                ? Math.min(deadlineAtMillis, lastEventMillis + maxCallerSilenceMillis())
+                : firstAnswerDeadlineMillis;
+    }
+
+    /** Called when an attempt failed and may have run; returns whether another attempt follows. */
+    boolean failed(String reason) {
+        mayHaveRun = true;
+        boolean retryable =
+                route.retryRule() != RetryRule.AT_MOST_ONCE && attempts < route.maxAttempts();
+        boolean prepared = replacement.attemptFailed();
+        if (!retryable || !(prepared || takeRetry())) {
+            return false;
+        }
+        reportRepeat(reason);
+        if (!prepared || stages.areComplete()) {
+            loop.execute(() -> guard(this::retry));
+        }
         return true;
     }
 
@@ -409,13 +562,14 @@
             return;
         }
         if (stages.areConsumed()) {
-            stages.rerun();
+            stages.rerun(nextEventDeadlineMillis());
         } else {
             dispatch();
         }
     }
 
-    private boolean mayRetry() {
+    /** Charges the retry budget, if it allows a retry. */
+    boolean takeRetry() {
         return context.budget().tryRetry(service(), loop.nowMillis());
     }
 
@@ -487,12 +641,6 @@
         }
     }
 
-    /** Ends the request after an internal error; it may have run. */
-    void failUnexpectedly() {
-        mayHaveRun = true;
-        endWithoutAnswer("an unexpected error");
-    }
-
     private void breakOff(String reason) {
         if (end(RequestOutcome.BROKEN_OFF, reason)) {
             exchange.abort();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -31,12 +31,13 @@
     private final CallerRequest request;
     private final ServiceRoute route;
     private final long arrivedMillis;
-    private final long deadlineAtMillis;
     private final Runnable onReady;
     private final Consumer<String> onFailure;
     private StageProgress progress;
     private String failureDomain = "";
+    private long deadlineAtMillis;
     private int rounds;
+    private boolean rerun;
     private boolean consumed;
     private boolean ended;
 
@@ -72,13 +73,30 @@
         submitReady();
     }
 
-    /** Reruns all stages after a failed attempt consumed their results. */
-    void rerun() {
+    /** Reruns all stages, by a new deadline, after their results were consumed or lost. */
+    void rerun(long newDeadlineAtMillis) {
+        deadlineAtMillis = newDeadlineAtMillis;
+        release();
+        restart();
+    }
+
+    private void restart() {
         consumed = false;
+        rerun = true;
         progress = new StageProgress(route, request.pieces());
         submitReady();
     }
 
+    /** Cancels a rerun whose results are not needed, as the attempt that consumed them goes on. */
+    void cancelRerun() {
+        if (!progress.isComplete()) {
+            cancelUnfinished();
+        }
+        release();
+        progress = new StageProgress(route, request.pieces());
+        consumed = true;
+    }
+
     /** Reruns all stages because a result was lost; fails after {@link #MAX_ROUNDS} rounds. */
     void rerunAfterLoss() {
         rounds++;
@@ -86,7 +104,7 @@
         if (rounds >= MAX_ROUNDS) {
             onFailure.accept("a result of a stage is gone");
         } else {
-            rerun();
+            restart();
         }
     }
 
@@ -101,22 +119,31 @@
         return consumed;
     }
 
+    /** Returns whether all results are available. */
+    boolean areComplete() {
+        return progress.isComplete();
+    }
+
     /** Cancels unfinished stages and releases all results. */
     void end() {
         if (!ended && !consumed && !progress.isComplete()) {
             reportUnmetDemand();
-            route.stages().stream()
-                    .map(StageStep::service)
-                    .distinct()
-                    .forEach(service -> context.stages().cancel(service, request.id()));
+            cancelUnfinished();
         }
         ended = true;
         release();
     }
 
+    private void cancelUnfinished() {
+        route.stages().stream()
+                .map(StageStep::service)
+                .distinct()
+                .forEach(service -> context.stages().cancel(service, request.id()));
+    }
+
     /** Reports the demand of stages that were never started to their owners. */
     private void reportUnmetDemand() {
-        if (rounds == 0) {
+        if (!rerun) {
             progress.notStarted()
                     .forEach(
                             stage ->
@@ -201,7 +228,7 @@
                         millisAfterStage(stage),
                         ENGINE_MILLIS + progress.millisAfter(stage, service -> MIN_STAGE_MILLIS),
                         progress.inputFailureDomain(stage).orElse(failureDomain),
-                        rounds == 0 && progress.hasNoResults());
+                        !rerun && progress.hasNoResults());
         context.observer()
                 .decided(
                         request.id(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -1,6 +1,5 @@
 package org.bronzewheel.serving;
 
-import com.google.common.flogger.FluentLogger;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -8,13 +7,13 @@
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
+import org.bronzewheel.loop.ReceiveClock;
 
 /**
  * Entry point for requests: resolves route and workspace, refuses requests that cannot be served
  * and executes the others.
  */
 public final class ServingEngine {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final RunningRequest NOT_RUNNING = () -> {};
     private static final long NO_CATALOG_RETRY_MILLIS = 300;
     private static final long STALE_CATALOG_RETRY_MILLIS = 400;
@@ -22,6 +21,7 @@
 
     private final ServingContext context;
     private final FirstEventWaits engineWaits = new FirstEventWaits();
+    private final ReceiveClock receiveClock;
     private final Set<RequestExecution> running = new HashSet<>();
     private boolean stopping;
 
@@ -32,6 +32,7 @@
      */
     public ServingEngine(ServingContext context) {
         this.context = context;
+        this.receiveClock = new ReceiveClock(context.loop());
     }
 
     /** Refuses new requests from now on; requests in progress continue. */
@@ -100,6 +101,7 @@
                 new RequestExecution(
                         context,
                         engineWaits,
+                        receiveClock,
                         request,
                         route.get(),
                         workspace,
@@ -107,12 +109,7 @@
                         nowMillis,
                         running::remove);
         running.add(execution);
-        try {
-            execution.start();
-        } catch (RuntimeException e) {
-            logger.atSevere().withCause(e).log("request %s failed unexpectedly", request.id());
-            execution.failUnexpectedly();
-        }
+        execution.start();
         return execution;
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -3,6 +3,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.loop.ReceiveClock;
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.upstreams.Upstream;
 
@@ -11,6 +12,13 @@
     private static final int SERVER_ERROR = 500;
     private static final long CHECK_INTERVAL_MILLIS = 100;
     private static final long STREAM_SILENCE_MILLIS = 700;
+
+    /** The part of the silence that callers bear after which a stream is resumed elsewhere. */
+    private static final double RESUME_SHARE = 0.5;
+
+    /** The same while the upstream serves other requests, which may have preempted this one. */
+    private static final double BUSY_RESUME_SHARE = 0.75;
+
     private static final long ENGINE_SILENCE_MILLIS = 1_000;
     private static final long BUSY_ENGINE_SILENCE_MILLIS = 4_000;
     private static final long PLAIN_SILENCE_MILLIS = 400;
@@ -24,8 +32,11 @@
     private final Upstream upstream;
     private final boolean engine;
     private final int promptTokens;
+    private final ReceiveClock receiveClock;
     private final long sentMillis;
+    private final long sentReceiveMillis;
     private long lastHeardMillis;
+    private long lastCheckMillis;
     private UpstreamHead head;
     private boolean promptRead;
     private boolean silenceReported;
@@ -42,7 +53,10 @@
         this.engine = engine;
         this.promptTokens = execution.request().promptTokens();
         this.sentMillis = loop.nowMillis();
-        this.lastHeardMillis = sentMillis;
+        this.receiveClock = execution.receiveClock();
+        this.sentReceiveMillis = receiveClock.nowMillis();
+        this.lastHeardMillis = sentReceiveMillis;
+        this.lastCheckMillis = sentMillis;
     }
 
     void start(UpstreamCall request) {
@@ -53,7 +67,7 @@
         }
         call = context.upstreamClient().send(request, this);
         if (execution.route().retryRule() != RetryRule.AT_MOST_ONCE) {
-            check = loop.every(CHECK_INTERVAL_MILLIS, this::checkSilence);
+            check = loop.every(CHECK_INTERVAL_MILLIS, () -> execution.guard(this::checkSilence));
         }
     }
 
@@ -81,16 +95,21 @@
     }
 
     private void markHeard() {
-        lastHeardMillis = loop.nowMillis();
+        lastHeardMillis = receiveClock.nowMillis();
         upstream.bytesReceived(lastHeardMillis);
     }
 
     @Override
     public void onHead(UpstreamHead next) {
+        execution.guard(() -> receiveHead(next));
+    }
+
+    private void receiveHead(UpstreamHead next) {
         if (ended) {
             return;
         }
         markHeard();
+        execution.attemptHeard();
         head = next;
         if (next.misdirected()) {
             upstream.markMisdirected();
@@ -149,16 +168,21 @@
 
     @Override
     public void onData(byte[] bytes) {
+        execution.guard(() -> receiveData(bytes));
+    }
+
+    private void receiveData(byte[] bytes) {
         if (ended) {
             return;
         }
-        upstream.bytesReceived(loop.nowMillis());
+        upstream.bytesReceived(receiveClock.nowMillis());
         long forwardedBefore = execution.relay().forwardedEvents();
         boolean first = execution.relay().data(bytes);
         // Bytes of a stream that complete no event do not count as progress.
         if (!execution.route().streaming()
                 || execution.relay().forwardedEvents() > forwardedBefore) {
-            lastHeardMillis = loop.nowMillis();
+            lastHeardMillis = receiveClock.nowMillis();
+            execution.attemptHeard();
         }
         if (!promptRead && engine && (first || execution.relay().hasStarted())) {
             onPromptRead();
@@ -180,6 +204,10 @@
 
     @Override
     public void onEnd() {
+        execution.guard(this::receiveEnd);
+    }
+
+    private void receiveEnd() {
         if (ended) {
             return;
         }
@@ -191,7 +219,7 @@
         if (head.status() >= SERVER_ERROR) {
             execution.reportFailure(upstream, service, false);
         } else {
-            upstream.recordSuccess((double) (lastHeardMillis - sentMillis));
+            upstream.recordSuccess((double) (loop.nowMillis() - sentMillis));
         }
         execution.relay().finish();
         if (engine && !promptRead) {
@@ -203,6 +231,10 @@
 
     @Override
     public void onFailure(CallFailure failure, String reason) {
+        execution.guard(() -> receiveFailure(failure, reason));
+    }
+
+    private void receiveFailure(CallFailure failure, String reason) {
         if (ended) {
             return;
         }
@@ -217,24 +249,39 @@
         }
     }
 
-    /** Abandons a silent upstream if the request may be retried at another one. */
+    /**
+     * Reports a silent upstream. The request is repeated elsewhere if possible, a started stream
+     * only after a longer silence.
+     */
     private void checkSilence() {
         if (ended) {
             return;
         }
         long nowMillis = loop.nowMillis();
-        boolean upstreamSilent =
-                nowMillis - upstream.lastReceivedMillis(sentMillis) > upstreamSilenceMillis();
-        boolean requestSilent = nowMillis - lastHeardMillis > requestSilenceMillis();
-        if (!upstreamSilent && !requestSilent) {
+        long lateMillis = nowMillis - lastCheckMillis - CHECK_INTERVAL_MILLIS;
+        lastCheckMillis = nowMillis;
+        long receiveMillis = receiveClock.nowMillis();
+        long upstreamMillis = receiveMillis - upstream.lastReceivedMillis(sentReceiveMillis);
+        long requestMillis = receiveMillis - lastHeardMillis;
+        if (upstreamMillis <= upstreamSilenceMillis() && requestMillis <= requestSilenceMillis()) {
             return;
         }
-        if (execution.mayFailOver()) {
-            abandon("silent for " + (nowMillis - lastHeardMillis) + " ms");
-        } else if (!silenceReported) {
+        if (!silenceReported) {
             silenceReported = true;
             execution.reportFailure(upstream, service, true);
         }
+        if (!execution.relay().hasStarted() || isResumable(upstreamMillis, requestMillis)) {
+            execution.attemptSilent(
+                    "silent for %d ms, upstream for %d ms, checked %d ms late"
+                            .formatted(requestMillis, upstreamMillis, lateMillis));
+        }
+    }
+
+    private boolean isResumable(long upstreamMillis, long requestMillis) {
+        double maxMillis = (double) execution.maxCallerSilenceMillis();
+        return requestMillis > RESUME_SHARE * maxMillis
+                && (upstreamMillis > RESUME_SHARE * maxMillis
+                        || requestMillis > BUSY_RESUME_SHARE * maxMillis);
     }
 
     private long upstreamSilenceMillis() {
