Resume a stream only with a response that continues it

What callers would see: in the middle of a stream that has broken off, the error text of the next upstream, or a stream that ends as if it were complete.

Cause: once a stream had begun, a further response was rejected only for its status (not 2xx), a missing signature or a coding. Any other success was taken for the rest of the stream: a 204 or a response without events completed it, and the text of a 200 or 206 that is no event stream, or an error event without id, was passed on as events without id.

Fix: the response must have the status and the media type of the one that began, its first event must have an id above the last one (comments may come before it), and it completes the stream only after such an event. Otherwise the attempt has failed, and the stream is resumed elsewhere or broken off. Failures, redirects, refusals and unsigned responses were kept out before; they are in the same table now.

Price: a stream whose upstream is lost between its last event and its end is broken off where the next upstream has nothing to add; the router can't tell that from an upstream that has failed.

Evidence: on the code before, RequestExecutionTest fails for NO_CONTENT, NO_EVENTS and NO_FURTHER_EVENTS with "aResponseThatDoesNotContinueAStreamNeitherEntersNorCompletesIt:234 expected to be false" (finished), for PARTIAL_CONTENT, NO_EVENT_STREAM and ERROR_EVENT with ":233 expected: id: 1 data: a but was: id: 1 data: a ..." (bytes of the second response follow), and "aStreamIsResumedAtAThirdUpstreamIfTheSecondDoesNotContinueIt:252 expected: 3 but was: 2". The six other kinds of the table passed before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 /** Splits a byte stream into complete server-sent events. */
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final String COMMENT = ":";
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
@@ -20,7 +22,12 @@
 
     /** A complete event; the id is empty if absent or not numeric. */
     @SuppressWarnings("ArrayRecordComponent")
-    record Event(byte[] bytes, OptionalLong id) {}
+    record Event(byte[] bytes, OptionalLong id) {
+        /** Returns whether the event consists of comments only, such as a keep-alive. */
+        boolean isComment() {
+            return lines(bytes).allMatch(line -> line.isEmpty() || line.startsWith(COMMENT));
+        }
+    }
 
     /** Appends bytes and returns the events they complete. */
     List<Event> append(byte[] bytes) {
@@ -45,17 +52,12 @@
         return pending.size();
     }
 
-    /** Returns the bytes of the incomplete event. */
-    byte[] pendingEvent() {
-        return pending.toByteArray();
-    }
-
     private boolean endsEvent() {
         return lastByte == '\n' || (lastByte == '\r' && secondLastByte == '\n');
     }
 
     private static Event event(byte[] bytes) {
-        for (String line : new String(bytes, StandardCharsets.UTF_8).lines().toList()) {
+        for (String line : lines(bytes).toList()) {
             if (line.startsWith(ID_FIELD)) {
                 return new Event(bytes, parseId(line.substring(ID_FIELD.length()).trim()));
             }
@@ -63,6 +65,10 @@
         return new Event(bytes, OptionalLong.empty());
     }
 
+    private static Stream<String> lines(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8).lines();
+    }
+
     private static OptionalLong parseId(String text) {
         try {
             return OptionalLong.of(Long.parseLong(text));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
@@ -18,6 +18,8 @@
     private final CallerExchange exchange;
     private Optional<Long> lastEventId;
     private boolean started;
+    private boolean awaitingContinuation;
+    private boolean discontinuous;
     private long forwardedEvents;
     private UpstreamHead head;
     private EventSplitter events = new EventSplitter();
@@ -44,11 +46,22 @@
         return lastEventId;
     }
 
+    /**
+     * Returns whether a response can provide the rest of the one that was started, as far as its
+     * head shows.
+     */
+    boolean canContinueWith(UpstreamHead next) {
+        return !started
+                || (next.status() == head.status() && next.mediaType().equals(head.mediaType()));
+    }
+
     /** Starts the response of another attempt and drops an incomplete event of the previous one. */
     void head(UpstreamHead next) {
         if (!started) {
             head = next;
         }
+        awaitingContinuation = started;
+        discontinuous = false;
         events = new EventSplitter();
         body = new ByteArrayOutputStream();
     }
@@ -65,7 +78,9 @@
         }
         boolean startedBefore = started;
         for (EventSplitter.Event event : events.append(bytes)) {
-            forward(event);
+            if (!discontinuous) {
+                forward(event);
+            }
         }
         return started && !startedBefore;
     }
@@ -77,6 +92,11 @@
                 || exchange.unsentBytes() > MAX_BUFFERED_BYTES;
     }
 
+    /** Returns whether a resumed response has sent an event that has no place in the stream. */
+    boolean isDiscontinuous() {
+        return discontinuous;
+    }
+
     private void forward(EventSplitter.Event event) {
         if (event.id().isPresent()) {
             long id = event.id().getAsLong();
@@ -84,6 +104,10 @@
                 return;
             }
             lastEventId = Optional.of(id);
+            awaitingContinuation = false;
+        } else if (awaitingContinuation && !event.isComment()) {
+            discontinuous = true;
+            return;
         }
         beginStream();
         forwardedEvents++;
@@ -97,9 +121,12 @@
         }
     }
 
-    /** Returns whether the response may end here: a stream must not end within an event. */
+    /**
+     * Returns whether the response may end here: a stream must not end within an event, nor may a
+     * resumed one end without a further event.
+     */
     boolean isComplete() {
-        return !isStreaming() || events.pendingEvent().length == 0;
+        return !isStreaming() || (events.pendingBytes() == 0 && !awaitingContinuation);
     }
 
     /** Completes the response. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -100,7 +100,9 @@
             execution.rejected(next.status());
         } else if (next.isSuccess() && (!next.signed() || next.encoded())) {
             reject("a success without the upstream's signature");
-        } else if (!next.isSuccess() && (execution.relay().hasStarted() || mustNotForward(next))) {
+        } else if (!execution.relay().canContinueWith(next)) {
+            reject("no continuation of the stream: status " + next.status());
+        } else if (!next.isSuccess() && mustNotForward(next)) {
             reject("status " + next.status());
         } else if (next.status() >= SERVER_ERROR && failsOver(next)) {
             return;
@@ -166,6 +168,8 @@
         }
         if (execution.relay().isTooLarge()) {
             reject("the answer is too large");
+        } else if (execution.relay().isDiscontinuous()) {
+            reject("no continuation of the stream: an event without id");
         }
     }
 
@@ -185,7 +189,7 @@
         }
         markHeard();
         if (!execution.relay().isComplete()) {
-            abandon("the stream ends within an event");
+            abandon("the stream is incomplete");
             return;
         }
         if (head.status() >= SERVER_ERROR) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamHead.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamHead.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.serving;
 
 import java.util.List;
+import java.util.Locale;
 
 /**
  * The head of an upstream's response.
@@ -19,7 +20,18 @@
         boolean neverRan,
         boolean misdirected,
         boolean encoded) {
+    private static final String CONTENT_TYPE = "Content-Type";
+
     boolean isSuccess() {
         return status >= 200 && status < 300;
     }
+
+    /** Returns the media type of the body without its parameters; empty if there is none. */
+    String mediaType() {
+        return headers.stream()
+                .filter(header -> header.name().equalsIgnoreCase(CONTENT_TYPE))
+                .findFirst()
+                .map(header -> header.value().split(";", 2)[0].trim().toLowerCase(Locale.ROOT))
+                .orElse("");
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -21,6 +21,7 @@
 /** Simulates upstream behaviour and checks what the caller receives. */
 class RequestExecutionTest {
     private static final String EVENT_1 = "id: 1\ndata: a\n\n";
+    private static final String EVENT_STREAM = "text/event-stream";
     private static final String EVENT_2 = "id: 2\ndata: b\n\n";
 
     /** What the first upstream does, and the outcome for a request that runs at most once. */
@@ -154,6 +155,110 @@
         assertThat(harness.aborted).isFalse();
     }
 
+    /** Responses that do not continue a stream that has begun at another upstream. */
+    @SuppressWarnings("ImmutableEnumChecker")
+    private enum NoContinuation {
+        FAILURE(s -> s.answer(500)),
+        FAILURE_AS_EVENTS(
+                s -> {
+                    s.head(503);
+                    s.data(EVENT_2);
+                    s.listener.onEnd();
+                }),
+        NOT_FOUND(s -> s.answer(404)),
+        REDIRECT(s -> s.answer(302)),
+        REFUSAL(s -> s.listener.onHead(Fault.head(503, false, true))),
+        UNSIGNED_SUCCESS(s -> s.listener.onHead(Fault.head(200, false, false))),
+        NO_CONTENT(
+                s -> {
+                    s.head(204);
+                    s.listener.onEnd();
+                }),
+        PARTIAL_CONTENT(
+                s -> {
+                    s.head(206);
+                    s.data(EVENT_2);
+                    s.listener.onEnd();
+                }),
+        NO_EVENT_STREAM(
+                s -> {
+                    s.listener.onHead(typed("text/plain"));
+                    s.data("out of memory\n\n");
+                    s.listener.onEnd();
+                }),
+        ERROR_EVENT(
+                s -> {
+                    s.listener.onHead(typed(EVENT_STREAM));
+                    s.data("event: error\ndata: out of memory\n\n" + EVENT_2);
+                    s.listener.onEnd();
+                }),
+        NO_EVENTS(
+                s -> {
+                    s.listener.onHead(typed(EVENT_STREAM));
+                    s.listener.onEnd();
+                }),
+        NO_FURTHER_EVENTS(
+                s -> {
+                    s.listener.onHead(typed(EVENT_STREAM));
+                    s.data(EVENT_1);
+                    s.listener.onEnd();
+                });
+
+        private final Consumer<ServingHarness.Sent> act;
+
+        NoContinuation(Consumer<ServingHarness.Sent> act) {
+            this.act = act;
+        }
+
+        private static UpstreamHead typed(String type) {
+            return new UpstreamHead(
+                    200, List.of(new Header("Content-Type", type)), true, false, false, false);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(NoContinuation.class)
+    void aResponseThatDoesNotContinueAStreamNeitherEntersNorCompletesIt(NoContinuation second) {
+        ServingHarness harness =
+                new ServingHarness(new SharedRetryBudget(0, 1, 10_000, 1))
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.lastSend().listener.onHead(NoContinuation.typed(EVENT_STREAM + "; charset=utf-8"));
+        harness.lastSend().data(EVENT_1);
+        harness.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+        second.act.accept(harness.lastSend());
+        harness.advance(100);
+
+        assertThat(harness.sends).hasSize(2);
+        assertThat(harness.body.toString()).isEqualTo(EVENT_1);
+        assertThat(harness.finished).isFalse();
+        assertThat(harness.aborted).isTrue();
+        assertThat(harness.refusals).isEmpty();
+    }
+
+    @Test
+    void aStreamIsResumedAtAThirdUpstreamIfTheSecondDoesNotContinueIt() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 3))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+        harness.lastSend().head(200);
+        harness.lastSend().data("data: out of memory\n\n" + EVENT_2);
+
+        ServingHarness.Sent third = harness.lastSend();
+        assertThat(harness.sends).hasSize(3);
+        assertThat(harness.sends.get(1).cancelled).isTrue();
+        assertThat(third.call.resumeAfter()).hasValue(1L);
+        third.head(200);
+        third.data(": keep-alive\n\n" + EVENT_2);
+        third.listener.onEnd();
+        assertThat(harness.body.toString()).isEqualTo(EVENT_1 + ": keep-alive\n\n" + EVENT_2);
+        assertThat(harness.finished).isTrue();
+    }
+
     @Test
     void aStreamThatMayNotBeResumedIsAborted() {
         ServingHarness harness =
