Do not resume a stream whose last event has no id

What callers would see: events twice.

Cause: a stream is resumed after the id of its last event. If that event had no id, the next upstream was asked to go on after an older event, or to begin anew, and sent the last events once more; ids only keep out those that have one.

Fix: such a stream has no position from which another run could go on. It is not given up for silence, and it is broken off where its upstream fails. Comments are no events and change nothing.

Evidence: on the code before, RequestExecutionTest fails with "aStreamWhoseLastEventHasNoIdIsNotResumed:274 value of: iterable.size() expected: 1 but was: 2", with and without an earlier event that has an id.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -381,7 +381,7 @@
 
     /** Returns whether another attempt would follow if the current one were abandoned. */
     boolean mayFailOver() {
-        return route.retryRule() != RetryRule.AT_MOST_ONCE
+        return mayRunAgain()
                 && attempts < route.maxAttempts()
                 && context.budget().canRetry(service(), loop.nowMillis())
                 && targets.isAnyAvailableWithoutPermit(service());
@@ -390,8 +390,7 @@
     /** Called when an attempt failed and may have run; returns whether another attempt follows. */
     boolean failed(String reason) {
         mayHaveRun = true;
-        boolean retryable = route.retryRule() != RetryRule.AT_MOST_ONCE;
-        if (!retryable || attempts >= route.maxAttempts() || !mayRetry()) {
+        if (!mayRunAgain() || attempts >= route.maxAttempts() || !mayRetry()) {
             return false;
         }
         context.observer()
@@ -415,6 +414,10 @@
         }
     }
 
+    private boolean mayRunAgain() {
+        return route.retryRule() != RetryRule.AT_MOST_ONCE && relay.isResumable();
+    }
+
     private boolean mayRetry() {
         return context.budget().tryRetry(service(), loop.nowMillis());
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
@@ -18,6 +18,7 @@
     private final CallerExchange exchange;
     private Optional<Long> lastEventId;
     private boolean started;
+    private boolean resumable = true;
     private boolean awaitingContinuation;
     private boolean discontinuous;
     private long forwardedEvents;
@@ -41,6 +42,11 @@
         return forwardedEvents;
     }
 
+    /** Returns whether another attempt could go on after the last event the caller has received. */
+    boolean isResumable() {
+        return resumable;
+    }
+
     /** Returns the id of the last event the caller has received. */
     Optional<Long> resumeAfter() {
         return lastEventId;
@@ -104,10 +110,14 @@
                 return;
             }
             lastEventId = Optional.of(id);
+            resumable = true;
             awaitingContinuation = false;
-        } else if (awaitingContinuation && !event.isComment()) {
-            discontinuous = true;
-            return;
+        } else if (!event.isComment()) {
+            discontinuous = awaitingContinuation;
+            if (discontinuous) {
+                return;
+            }
+            resumable = false;
         }
         beginStream();
         forwardedEvents++;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Simulates upstream behaviour and checks what the caller receives. */
 class RequestExecutionTest {
@@ -259,6 +260,38 @@
         assertThat(harness.finished).isTrue();
     }
 
+    // Another run would send the last event once more.
+    @ParameterizedTest
+    @ValueSource(strings = {"data: a\n\n", EVENT_1 + "data: b\n\n"})
+    void aStreamWhoseLastEventHasNoIdIsNotResumed(String events) {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(events);
+        harness.advance(1_000);
+        assertThat(harness.sends).hasSize(1);
+        assertThat(harness.aborted).isFalse();
+
+        harness.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+        harness.advance(100);
+        assertThat(harness.sends).hasSize(1);
+        assertThat(harness.aborted).isTrue();
+    }
+
+    @Test
+    void aCommentDoesNotPreventAStreamFromBeingResumed() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data("data: a\n\n" + EVENT_1 + ": keep-alive\n\n");
+        harness.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+        assertThat(harness.lastSend().call.resumeAfter()).hasValue(1L);
+    }
+
     @Test
     void aStreamThatMayNotBeResumedIsAborted() {
         ServingHarness harness =
