Let no answer that may be a late copy end a limit or a pause

What operators would see: a limit or a pause that an upstream has announced ends too early, and requests are sent to it against its word.

Cause: answers to calls that free results carry no id, and those calls share kept connections. A late copy of an earlier answer is taken for the answer to the current call, and its success counted as a good answer to a request that was sent after the announcement.

AnnouncementsTest's new test needs the new origin and was not run on the code before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Announcement.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Announcement.java
@@ -21,6 +21,8 @@
         SIGNED_FAILURE,
         /** The upstream states that it did not run the request. */
         NEVER_RAN,
+        /** An answer without an id that may be a late copy of an earlier one. */
+        UNIDENTIFIED,
         /** Another upstream answers at the address. */
         MISDIRECTED,
         /** An interim answer, one that no caller waits for any more, or one without a signature. */
@@ -31,7 +33,7 @@
     boolean updatesLimit() {
         return switch (origin) {
             case GOOD -> limit.readable();
-            case SIGNED_FAILURE, NEVER_RAN -> limit.isPresent();
+            case SIGNED_FAILURE, NEVER_RAN, UNIDENTIFIED -> limit.isPresent();
             case MISDIRECTED, OTHER -> false;
         };
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Announcements.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Announcements.java
@@ -84,7 +84,8 @@
      * Applies the announcement of an answer.
      *
      * <p>Answers may arrive out of order, so an answer to a request that was sent before a
-     * statement was received neither ends the statement nor raises a limit.
+     * statement was received neither ends the statement nor raises a limit. Nor does an answer that
+     * may belong to an earlier request.
      *
      * @param from the upstream that the request was sent to
      * @param announcement what its answer announces
@@ -106,7 +107,12 @@
             state.recordGoodAnswer(sentMillis);
         }
         if (announcement.updatesLimit()) {
-            applyLimit(state, announcement.limit().perSecond(), sentMillis, nowMillis);
+            boolean identified = announcement.origin() != Announcement.Origin.UNIDENTIFIED;
+            applyLimit(
+                    state,
+                    announcement.limit().perSecond(),
+                    identified ? sentMillis : Long.MIN_VALUE,
+                    nowMillis);
         }
         announcement.pauseMillis().ifPresent(pause -> applyPause(state, pause, nowMillis));
         if (announcement.leaving() && !state.isLeaving()) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/AnnouncementsTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/AnnouncementsTest.java
@@ -71,6 +71,27 @@
         assertThat(known()).isEqualTo(OptionalDouble.of(2));
     }
 
+    // It may be a late copy of an answer from before the limit or the pause.
+    @Test
+    void anUnidentifiedAnswerLowersALimitButNeitherRaisesItNorEndsAPause() {
+        answered(AnnouncedLimit.of(2), 0, 100);
+        pause(3_000, 100);
+        unidentified(AnnouncedLimit.of(5));
+        unidentified(AnnouncedLimit.NONE);
+        assertThat(known()).isEqualTo(OptionalDouble.of(2));
+        assertThat(announcements.takesNew(UPSTREAM, 300)).isFalse();
+        unidentified(AnnouncedLimit.of(1));
+        assertThat(known()).isEqualTo(OptionalDouble.of(1));
+    }
+
+    private void unidentified(AnnouncedLimit limit) {
+        answered(
+                new Announcement(
+                        Announcement.Origin.UNIDENTIFIED, limit, false, OptionalLong.empty()),
+                200,
+                300);
+    }
+
     @Test
     void aPeersLimitAppliesOnlyIfItIsNewer() {
         learned(3, 50);
