--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -489,7 +489,7 @@
     }
 
     private boolean mayRepeat(long nowMillis) {
-        return route.retryRule() != RetryRule.AT_MOST_ONCE
+        return mayRunAgain()
                 && attempts < route.maxAttempts()
                 && deadlineAtMillis - nowMillis >= MIN_SEND_MILLIS
                 && isStillAuthorized();
@@ -543,8 +543,7 @@
     /** Called when an attempt failed and may have run; returns whether another attempt follows. */
     boolean failed(String reason) {
         mayHaveRun = true;
-        boolean retryable =
-                route.retryRule() != RetryRule.AT_MOST_ONCE && attempts < route.maxAttempts();
+        boolean retryable = mayRunAgain() && attempts < route.maxAttempts();
         boolean prepared = replacement.attemptFailed();
         if (!retryable || !(prepared || takeRetry())) {
             return false;
@@ -568,6 +567,10 @@
         }
     }
 
+    private boolean mayRunAgain() {
+        return route.retryRule() != RetryRule.AT_MOST_ONCE && relay.isResumable();
+    }
+
     /** Charges the retry budget, if it allows a retry. */
     boolean takeRetry() {
         return context.budget().tryRetry(service(), loop.nowMillis());
