Treat an unexpected error while sending as a failure of the attempt

Where the client of upstreams throws, callers got 502 though other upstreams could take the request, and requests that waited for their stages or were sent again got no answer until their deadline.

Before: RequestExecutionTest.anUnexpectedErrorAtOneUpstreamDoesNotFailAnIdempotentRequest failed at its first assertion with "expected to be empty", as the request was refused.

An attempt that cannot be sent now ends like one whose connection broke: it may have run, counts as a failure of its upstream, and is repeated elsewhere if the route allows that.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.serving;
 
+import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.disposables.Disposable;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.loop.Loop;
@@ -8,6 +9,7 @@
 
 /** One attempt of a request at one upstream: validates the response and detects silence. */
 final class UpstreamAttempt implements UpstreamListener {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int SERVER_ERROR = 500;
     private static final long CHECK_INTERVAL_MILLIS = 100;
     private static final long STREAM_SILENCE_MILLIS = 700;
@@ -51,7 +53,15 @@
         if (engine) {
             execution.engineWaits().sent(service, execution.route().priority(), sentMillis);
         }
-        call = context.upstreamClient().send(request, this);
+        try {
+            call = context.upstreamClient().send(request, this);
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log(
+                    "cannot send request %s to upstream %s",
+                    execution.request().id(), upstream.entry().id());
+            onFailure(CallFailure.BROKEN, "an unexpected error");
+            return;
+        }
         if (execution.route().retryRule() != RetryRule.AT_MOST_ONCE) {
             check = loop.every(CHECK_INTERVAL_MILLIS, this::checkSilence);
         }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -183,6 +183,18 @@
         assertThat(harness.aborted).isTrue();
     }
 
+    @Test
+    void anUnexpectedErrorAtOneUpstreamDoesNotFailAnIdempotentRequest() {
+        ServingHarness harness =
+                new ServingHarness().with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2));
+        harness.failsNextSend = true;
+        harness.request();
+
+        assertThat(harness.refusals).isEmpty();
+        harness.lastSend().answer(200);
+        assertThat(harness.finished).isTrue();
+    }
+
     @Test
     void aSilentUpstreamIsAbandonedIfTheRequestMayBeRetried() {
         ServingHarness harness =
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -56,6 +56,7 @@
     final StringBuilder body = new StringBuilder();
     final ServingEngine engine;
     int status;
+    boolean failsNextSend;
     boolean finished;
     boolean aborted;
     RequestOutcome outcome;
@@ -130,6 +131,10 @@
     }
 
     private Disposable send(UpstreamCall call, UpstreamListener listener) {
+        if (failsNextSend) {
+            failsNextSend = false;
+            throw new IllegalArgumentException("unexpected");
+        }
         Sent sent = new Sent(call, listener);
         sends.add(sent);
         return Disposable.fromRunnable(() -> sent.cancelled = true);
