Log an unreadable entry once, not at each read

Before: PublishedFollowerTest.unreadableEntryIsNotLoggedAgainAtEachRead failed with "expected : 1, but was : 3".

The documentation of the change said that the previous value stays in use, which holds for the configuration alone.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedChange.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedChange.java
@@ -27,7 +27,8 @@
     record UpstreamRemoved(String id) implements PublishedChange {}
 
     /**
-     * An entry that cannot be parsed; its previous value stays in use.
+     * An entry that cannot be parsed. The previous configuration stays in use; the removal of an
+     * upstream is a change of its own.
      *
      * @param name the key under which it is published
      * @param reason why parsing failed
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -56,6 +56,7 @@
     private final RandomGenerator random;
     private final PublishedRelay relay;
     private final ReturnSettlement settlement = new ReturnSettlement();
+    private final UnreadableLog unreadableLog = new UnreadableLog();
     private Disposable pending = Disposable.disposed();
     private PublishedPosition position = PublishedPosition.START;
     private Optional<ClockReading> evidence = Optional.empty();
@@ -272,6 +273,7 @@
         for (PublishedChange change : batch.changes()) {
             if (change instanceof UpstreamPut put) {
                 entries.add(put.entry());
+                unreadableLog.readable(put.entry().id());
             } else {
                 applyChange(change, nowMillis);
             }
@@ -302,12 +304,11 @@
             }
         } else if (change instanceof UpstreamPut put) {
             upstreams.put(put.entry());
+            unreadableLog.readable(put.entry().id());
         } else if (change instanceof UpstreamRemoved removed) {
             upstreams.remove(removed.id(), nowMillis);
         } else if (change instanceof Unreadable unreadable) {
-            logger.atWarning().log(
-                    "cannot parse published entry: name=%s reason=%s",
-                    unreadable.name(), unreadable.reason());
+            unreadableLog.report(unreadable);
         }
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -9,12 +9,17 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.SimpleFormatter;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogProgress;
 import org.bronzewheel.catalog.CatalogState;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
+import org.bronzewheel.published.PublishedChange.Unreadable;
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
 import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
 import org.bronzewheel.standin.VirtualPeers;
@@ -317,4 +322,48 @@
         answer(polls, 5);
         assertThat(catalog.ageMillis(loop.now())).isEqualTo(1_900);
     }
+
+    @Test
+    void unreadableEntryIsNotLoggedAgainAtEachRead() {
+        List<String> lines = new ArrayList<>();
+        Handler handler = new RecordingHandler(lines);
+        Logger published = Logger.getLogger("org.bronzewheel.published");
+        published.addHandler(handler);
+        try {
+            UpstreamRemoved removed = new UpstreamRemoved("odd");
+            answer(snapshots, 5, version(1), new Unreadable("odd", "depth"), removed);
+            polls.get(0).onError(new HistoryLostException());
+            advance(0);
+            answer(snapshots, 6, version(1), new Unreadable("odd", "depth"), removed);
+            answer(polls, 7, new Unreadable("odd", "depth"), removed);
+            assertThat(lines.stream().filter(line -> line.contains("odd"))).hasSize(1);
+            advance(250);
+            answer(polls, 8, new Unreadable("odd", "port"), removed);
+            advance(250);
+            answer(polls, 9, upstream("odd"), new Unreadable("odd", "port"), removed);
+            assertThat(lines.stream().filter(line -> line.contains("cannot parse"))).hasSize(3);
+        } finally {
+            published.removeHandler(handler);
+        }
+    }
+
+    /** A handler that keeps the lines that would be logged. */
+    private static final class RecordingHandler extends Handler {
+        private final List<String> lines;
+
+        RecordingHandler(List<String> lines) {
+            this.lines = lines;
+        }
+
+        @Override
+        public void publish(LogRecord record) {
+            lines.add(new SimpleFormatter().formatMessage(record));
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+    }
 }
