Deliver a stream whole that ends with blank lines or comments

Callers saw a stream broken off, or for nothing resumed at another upstream, where the upstream sent a blank line or a comment after its last event: all bytes after the last event counted as part of an event.

A stream now ends within an event only if a field, or a line that is not ended, follows its last event; what else follows is forwarded.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
@@ -9,6 +9,7 @@
 /** Splits a byte stream into complete server-sent events. */
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final String COMMENT = ":";
 
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
 
@@ -40,16 +41,27 @@
         return events;
     }
 
-    /** Returns the length of the incomplete event in bytes. */
+    /** Returns the number of bytes after the last complete event. */
     int pendingBytes() {
         return pending.size();
     }
 
-    /** Returns the bytes of the incomplete event. */
-    byte[] pendingEvent() {
+    /** Returns the bytes after the last complete event. */
+    byte[] pending() {
         return pending.toByteArray();
     }
 
+    /** Returns whether more than blank lines and comments follows the last complete event. */
+    boolean isWithinEvent() {
+        if (pending.size() == 0) {
+            return false;
+        }
+        return lastByte != '\n'
+                || pending.toString(StandardCharsets.UTF_8)
+                        .lines()
+                        .anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT));
+    }
+
     private boolean endsEvent() {
         return lastByte == '\n' || (lastByte == '\r' && secondLastByte == '\n');
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
@@ -99,13 +99,16 @@
 
     /** Returns whether the response may end here: a stream must not end within an event. */
     boolean isComplete() {
-        return !isStreaming() || events.pendingEvent().length == 0;
+        return !isStreaming() || !events.isWithinEvent();
     }
 
     /** Completes the response. */
     void finish() {
         if (isStreaming()) {
             beginStream();
+            if (events.pendingBytes() > 0) {
+                exchange.write(events.pending());
+            }
         } else {
             started = true;
             exchange.begin(head.status(), head.headers(), false);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Simulates upstream behaviour and checks what the caller receives. */
 class RequestExecutionTest {
@@ -195,6 +196,44 @@
         assertThat(harness.finished).isTrue();
     }
 
+    // Neither blank lines nor comments are a part of an event.
+    @ParameterizedTest
+    @ValueSource(strings = {"", "\n", "\r\n", "\n\n\n", ": end\n", ": end\r\n", "\n: end\n\n"})
+    void aStreamThatEndsAfterAnEventIsForwardedWhole(String tail) {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.AT_MOST_ONCE, true, 1))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1 + EVENT_2 + tail);
+        harness.sends.get(0).listener.onEnd();
+
+        assertThat(harness.aborted).isFalse();
+        assertThat(harness.finished).isTrue();
+        assertThat(harness.body.toString()).isEqualTo(EVENT_1 + EVENT_2 + tail);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"i", "id: 2", "id: 2\n", "data: x\r\n", "\nid: 2\n", ": a\nid: 2\n", ": a"})
+    void aResumableStreamThatEndsWithinAnEventIsResumedElsewhere(String tail) {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1 + tail);
+        harness.sends.get(0).listener.onEnd();
+
+        ServingHarness.Sent second = harness.lastSend();
+        assertThat(second.call.resumeAfter()).hasValue(1L);
+        second.head(200);
+        second.data(EVENT_2);
+        second.listener.onEnd();
+        assertThat(harness.body.toString()).isEqualTo(EVENT_1 + EVENT_2);
+        assertThat(harness.finished).isTrue();
+    }
+
     @Test
     void aSilentUpstreamIsAbandonedIfTheRequestMayBeRetried() {
         ServingHarness harness =
