Do not deliver a stream that ended before its first event

A stream without a length whose connection was closed after the head reached callers as a complete stream without events. Callers did not repeat it, and a stream that may be resumed was not sent to another upstream.

A stream now counts as complete only after an event, its own or one before the id from which it goes on: a stream that is resumed after its last event has none left.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
@@ -97,9 +97,12 @@
         }
     }
 
-    /** Returns whether the response may end here: a stream must not end within an event. */
+    /**
+     * Returns whether the response may end here: a stream must not end before its first event or
+     * within an event.
+     */
     boolean isComplete() {
-        return !isStreaming() || !events.isWithinEvent();
+        return !isStreaming() || ((started || lastEventId.isPresent()) && !events.isWithinEvent());
     }
 
     /** Completes the response. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -195,7 +195,7 @@
         }
         markHeard();
         if (!execution.relay().isComplete()) {
-            abandon("the stream ends within an event");
+            abandon("the stream ends before its first event or within an event");
             return;
         }
         if (head.status() >= SERVER_ERROR) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -196,6 +196,38 @@
         assertThat(harness.finished).isTrue();
     }
 
+    @Test
+    void aStreamThatEndsBeforeItsFirstEventIsNotForwardedAsEmpty() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.lastSend().head(200);
+        harness.sends.get(0).listener.onEnd();
+        harness.lastSend().head(200);
+        harness.sends.get(1).listener.onEnd();
+
+        assertThat(harness.sends).hasSize(2);
+        assertThat(harness.finished).isFalse();
+        assertThat(harness.refusalStatus()).isEqualTo(502);
+    }
+
+    @Test
+    void aStreamThatIsResumedAfterItsLastEventIsComplete() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.sends.get(0).listener.onFailure(CallFailure.BROKEN, "crash");
+        harness.lastSend().head(200);
+        harness.sends.get(1).listener.onEnd();
+
+        assertThat(harness.finished).isTrue();
+        assertThat(harness.body.toString()).isEqualTo(EVENT_1);
+    }
+
     // Neither blank lines nor comments are a part of an event.
     @ParameterizedTest
     @ValueSource(strings = {"", "\n", "\r\n", "\n\n\n", ": end\n", ": end\r\n", "\n: end\n\n"})
