--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EventSplitter.java
@@ -47,11 +47,27 @@
         return events;
     }
 
-    /** Returns the length of the incomplete event in bytes. */
+    /** Returns the number of bytes after the last complete event. */
     int pendingBytes() {
         return pending.size();
     }
 
+    /** Returns the bytes after the last complete event. */
+    byte[] pending() {
+        return pending.toByteArray();
+    }
+
+    /** Returns whether more than blank lines and comments follows the last complete event. */
+    boolean isWithinEvent() {
+        if (pending.size() == 0) {
+            return false;
+        }
+        return lastByte != '\n'
+                || pending.toString(StandardCharsets.UTF_8)
+                        .lines()
+                        .anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT));
+    }
+
     private boolean endsEvent() {
         return lastByte == '\n' || (lastByte == '\r' && secondLastByte == '\n');
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
@@ -132,17 +132,23 @@
     }
 
     /**
-     * Returns whether the response may end here: a stream must not end within an event, nor may a
-     * resumed one end without a further event.
+     * Returns whether the response may end here: a stream must not end before its first event or
+     * within an event, nor may a resumed one end without a further event.
      */
     boolean isComplete() {
-        return !isStreaming() || (events.pendingBytes() == 0 && !awaitingContinuation);
+        return !isStreaming()
+                || ((started || lastEventId.isPresent())
+                        && !awaitingContinuation
+                        && !events.isWithinEvent());
     }
 
     /** Completes the response. */
     void finish() {
         if (isStreaming()) {
             beginStream();
+            if (events.pendingBytes() > 0) {
+                exchange.write(events.pending());
+            }
         } else {
             started = true;
             exchange.begin(head.status(), head.headers(), false);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -321,6 +321,72 @@
         assertThat(harness.aborted).isTrue();
     }
 
+    @Test
+    void anUnexpectedErrorAtOneUpstreamDoesNotFailAnIdempotentRequest() {
+        ServingHarness harness =
+                new ServingHarness().with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2));
+        harness.failsNextSend = true;
+        harness.request();
+
+        assertThat(harness.refusals).isEmpty();
+        harness.lastSend().answer(200);
+        assertThat(harness.finished).isTrue();
+    }
+
+    @Test
+    void aStreamThatEndsBeforeItsFirstEventIsNotForwardedAsEmpty() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.lastSend().head(200);
+        harness.sends.get(0).listener.onEnd();
+        harness.lastSend().head(200);
+        harness.sends.get(1).listener.onEnd();
+
+        assertThat(harness.sends).hasSize(2);
+        assertThat(harness.finished).isFalse();
+        assertThat(harness.refusalStatus()).isEqualTo(502);
+    }
+
+    // Neither blank lines nor comments are a part of an event.
+    @ParameterizedTest
+    @ValueSource(strings = {"", "\n", "\r\n", "\n\n\n", ": end\n", ": end\r\n", "\n: end\n\n"})
+    void aStreamThatEndsAfterAnEventIsForwardedWhole(String tail) {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.AT_MOST_ONCE, true, 1))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1 + EVENT_2 + tail);
+        harness.sends.get(0).listener.onEnd();
+
+        assertThat(harness.aborted).isFalse();
+        assertThat(harness.finished).isTrue();
+        assertThat(harness.body.toString()).isEqualTo(EVENT_1 + EVENT_2 + tail);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"i", "id: 2", "id: 2\n", "data: x\r\n", "\nid: 2\n", ": a\nid: 2\n", ": a"})
+    void aResumableStreamThatEndsWithinAnEventIsResumedElsewhere(String tail) {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1 + tail);
+        harness.sends.get(0).listener.onEnd();
+
+        ServingHarness.Sent second = harness.lastSend();
+        assertThat(second.call.resumeAfter()).hasValue(1L);
+        second.head(200);
+        second.data(EVENT_2);
+        second.listener.onEnd();
+        assertThat(harness.body.toString()).isEqualTo(EVENT_1 + EVENT_2);
+        assertThat(harness.finished).isTrue();
+    }
+
     @Test
     void aSilentUpstreamIsAbandonedIfTheRequestMayBeRetried() {
         ServingHarness harness =
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -56,6 +56,7 @@
     final StringBuilder body = new StringBuilder();
     final ServingEngine engine;
     int status;
+    boolean failsNextSend;
     boolean finished;
     boolean aborted;
     RequestOutcome outcome;
@@ -134,6 +135,10 @@
         if (sendThrows) {
             throw new IllegalArgumentException("port out of range");
         }
+        if (failsNextSend) {
+            failsNextSend = false;
+            throw new IllegalArgumentException("unexpected");
+        }
         Sent sent = new Sent(call, listener);
         sends.add(sent);
         return Disposable.fromRunnable(() -> sent.cancelled = true);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
@@ -39,6 +39,7 @@
         harness.request("key", List.of(1));
         harness.sendThrows = true;
         harness.jobs.get(0).done();
+        harness.advance(10);
         assertFailed(harness);
     }
 
