Quarantine prompt parts that crash model engines

Cause: a crash was remembered, if at all, as the failure of an engine. Nothing was kept by prompt, so new requests with the part were sent as before, streams that may resume took the part to the next engine, and no router knew what another one had seen.

Routers now keep the crashes that each shared part of a prompt waited for, as a set by engine lifetime, and exchange it. An engine that survives a part refutes its earlier crashes. The part with most crashes is quarantined from three on; what it explains counts against no other part. Its requests are refused as not run, before their stages and before each send, and withdrawn from engines that have not begun. Parts with two crashes that no engine has survived are not failed over.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/Channel.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/Channel.java
@@ -21,7 +21,9 @@
     /** State published by the platform, relayed by the routers that read it. */
     PUBLISHED(9),
     /** Catalogs, for routers that act on an older one than a peer. */
-    CATALOG(10);
+    CATALOG(10),
+    /** Evidence about prompt parts that crash model engines. */
+    EVIDENCE(11);
 
     private final int number;
 
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -23,6 +23,7 @@
 import org.bronzewheel.peering.ProgressExchange;
 import org.bronzewheel.peering.SeedMembership;
 import org.bronzewheel.permits.PeerPermits;
+import org.bronzewheel.quarantine.PromptQuarantine;
 import org.bronzewheel.repeats.SharedRetryBudget;
 import org.bronzewheel.serving.CallerExchange;
 import org.bronzewheel.serving.CallerRequest;
@@ -279,6 +280,7 @@
                                     shared,
                                     budget,
                                     new EngineSelector(),
+                                    new PromptQuarantine(),
                                     failureDomain(index),
                                     loop,
                                     random.split(),
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/CrashAttribution.java
@@ -0,0 +1,91 @@
+package org.bronzewheel.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Attributes engine crashes to prompt parts. The part with the most crashes is blamed first, and
+ * crashes that a blamed part explains count against no other.
+ */
+final class CrashAttribution {
+    private static final int MIN_CRASHES = 3;
+
+    /** One more, as the part was harmless at some time. */
+    private static final int MIN_CRASHES_AFTER_SURVIVAL = 4;
+
+    /** Engines that end within this time may have ended for one reason outside of any prompt. */
+    private static final long SIMULTANEOUS_MILLIS = 250;
+
+    private CrashAttribution() {}
+
+    /**
+     * The crashes attributed to one part.
+     *
+     * @param count their number, simultaneous ones counted once
+     * @param newestMillis when the newest one was noticed
+     */
+    record Blame(int count, long newestMillis) {}
+
+    /** Returns the blamed parts. */
+    static Map<String, Blame> blamedParts(Collection<SuspectedPart> suspects) {
+        Map<String, Blame> blamed = new LinkedHashMap<>();
+        Set<String> explained = new HashSet<>();
+        List<SuspectedPart> found = mostLikely(suspects, blamed, explained);
+        while (!found.isEmpty()) {
+            for (SuspectedPart part : found) {
+                blamed.put(part.id(), blame(part, explained));
+            }
+            found.forEach(part -> explained.addAll(part.lives()));
+            found = mostLikely(suspects, blamed, explained);
+        }
+        return blamed;
+    }
+
+    /** Returns the parts with the most crashes; of equal ones, those no engine has survived. */
+    private static List<SuspectedPart> mostLikely(
+            Collection<SuspectedPart> suspects, Map<String, Blame> blamed, Set<String> explained) {
+        List<SuspectedPart> best = new ArrayList<>();
+        int most = 0;
+        boolean survived = true;
+        for (SuspectedPart part : suspects) {
+            int count = blame(part, explained).count();
+            if (blamed.containsKey(part.id()) || count < minCrashes(part) || count < most) {
+                continue;
+            }
+            if (count > most || (survived && !part.hasSurvived())) {
+                best.clear();
+                most = count;
+                survived = part.hasSurvived();
+            }
+            if (survived == part.hasSurvived()) {
+                best.add(part);
+            }
+        }
+        return best;
+    }
+
+    private static int minCrashes(SuspectedPart part) {
+        return part.hasSurvived() ? MIN_CRASHES_AFTER_SURVIVAL : MIN_CRASHES;
+    }
+
+    /** Returns the crashes of a part that are not explained by another one. */
+    static Blame blame(SuspectedPart part, Set<String> explained) {
+        int count = 0;
+        long lastMillis = Long.MIN_VALUE / 2;
+        for (EngineCrash crash : part.standing()) {
+            if (explained.contains(crash.life())) {
+                continue;
+            }
+            if (crash.atMillis() - lastMillis >= SIMULTANEOUS_MILLIS) {
+                count++;
+                lastMillis = crash.atMillis();
+            }
+        }
+        return new Blame(count, lastMillis);
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -11,6 +11,7 @@
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.permits.PermitKind;
+import org.bronzewheel.quarantine.Quarantine;
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.upstreams.OutlierDetector;
 import org.bronzewheel.upstreams.Upstream;
@@ -104,6 +105,9 @@
     }
 
     void start() {
+        if (endIfQuarantined()) {
+            return;
+        }
         long expectedMillis = expectedMillis();
         context.observer()
                 .decided(
@@ -259,7 +263,42 @@
             endWithoutAnswer("the key may no longer be honoured");
             return false;
         }
-        return true;
+        return !endIfQuarantined();
+    }
+
+    /**
+     * Ends the request if a part of its prompt is quarantined, unless an engine has already begun
+     * to respond; returns whether it ended.
+     */
+    boolean endIfQuarantined() {
+        if (ended || (attempt != null && attempt.hasBegun()) || !targets.isEngine(service())) {
+            return false;
+        }
+        Optional<Quarantine> quarantine =
+                context.quarantine().find(request.promptParts(), loop.nowMillis());
+        quarantine.ifPresent(this::endQuarantined);
+        return quarantine.isPresent();
+    }
+
+    private void endQuarantined(Quarantine quarantine) {
+        context.observer()
+                .decided(
+                        request.id(),
+                        Decision.QUARANTINED,
+                        "part=%s crashes=%d remainingMillis=%d"
+                                .formatted(
+                                        quarantine.partId(),
+                                        quarantine.crashes(),
+                                        quarantine.remainingMillis()));
+        String reason = "part " + quarantine.partId() + " of the prompt crashes engines";
+        if (attempt != null || mayHaveRun) {
+            mayHaveRun = true;
+            endWithoutAnswer(reason);
+        } else if (relay.hasStarted()) {
+            breakOff(reason);
+        } else if (end(RequestOutcome.REFUSED, reason)) {
+            exchange.refuse(Refusal.notRun(reason, quarantine.remainingMillis()));
+        }
     }
 
     private void takePermit(String service, Upstream upstream, long nowMillis) {
@@ -391,7 +430,7 @@
     boolean failed(String reason) {
         mayHaveRun = true;
         boolean retryable = route.retryRule() != RetryRule.AT_MOST_ONCE;
-        if (!retryable || attempts >= route.maxAttempts() || !mayRetry()) {
+        if (!retryable || attempts >= route.maxAttempts() || mayCrashAnother() || !mayRetry()) {
             return false;
         }
         context.observer()
@@ -415,6 +454,11 @@
         }
     }
 
+    private boolean mayCrashAnother() {
+        return targets.isEngine(service())
+                && context.quarantine().isSuspicious(request.promptParts());
+    }
+
     private boolean mayRetry() {
         return context.budget().tryRetry(service(), loop.nowMillis());
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestObserver.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestObserver.java
@@ -39,6 +39,8 @@
         ANSWER_REJECTED,
         /** A stream is resumed at another upstream. */
         RESUMED,
+        /** The request is not sent, because a part of its prompt crashes engines. */
+        QUARANTINED,
         /** The router sent a response of its own. */
         REFUSED
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingContext.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingContext.java
@@ -4,6 +4,7 @@
 import org.bronzewheel.catalog.CatalogState;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.permits.Permits;
+import org.bronzewheel.quarantine.PromptQuarantine;
 import org.bronzewheel.repeats.SharedRetryBudget;
 import org.bronzewheel.stages.StageService;
 import org.bronzewheel.upstreams.EngineSelector;
@@ -19,6 +20,7 @@
  * @param stages runs stages
  * @param budget the retry budget
  * @param engines chooses among model engines
+ * @param quarantine the prompt parts that crash model engines
  * @param failureDomain the failure domain of this router
  * @param loop the serving loop, on which all of these are used
  * @param random the source of randomness for traffic splits and jitter
@@ -32,6 +34,7 @@
         StageService stages,
         SharedRetryBudget budget,
         EngineSelector engines,
+        PromptQuarantine quarantine,
         String failureDomain,
         Loop loop,
         RandomGenerator random,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -32,6 +32,11 @@
      */
     public ServingEngine(ServingContext context) {
         this.context = context;
+        context.quarantine().onQuarantine(() -> context.loop().execute(this::endQuarantined));
+    }
+
+    private void endQuarantined() {
+        List.copyOf(running).forEach(RequestExecution::endIfQuarantined);
     }
 
     /** Refuses new requests from now on; requests in progress continue. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -24,6 +24,7 @@
     private final Upstream upstream;
     private final boolean engine;
     private final int promptTokens;
+    private final PromptTrial trial;
     private final long sentMillis;
     private long lastHeardMillis;
     private UpstreamHead head;
@@ -41,6 +42,8 @@
         this.upstream = upstream;
         this.engine = engine;
         this.promptTokens = execution.request().promptTokens();
+        this.trial =
+                new PromptTrial(context.quarantine(), upstream, execution.request().promptParts());
         this.sentMillis = loop.nowMillis();
         this.lastHeardMillis = sentMillis;
     }
@@ -80,6 +83,11 @@
         return true;
     }
 
+    /** Returns whether an engine has begun to respond. */
+    boolean hasBegun() {
+        return trial.hasBegun();
+    }
+
     private void markHeard() {
         lastHeardMillis = loop.nowMillis();
         upstream.bytesReceived(lastHeardMillis);
@@ -164,6 +172,7 @@
             onPromptRead();
             execution.inputsRead();
         }
+        trial.progressed(loop.nowMillis());
         if (execution.relay().isTooLarge()) {
             reject("the answer is too large");
         }
@@ -172,6 +181,7 @@
     /** Called when the engine has read the prompt and started to respond. */
     private void onPromptRead() {
         promptRead = true;
+        trial.began(loop.nowMillis());
         upstream.promptTokensRead(promptTokens);
         execution
                 .engineWaits()
@@ -197,10 +207,20 @@
         if (engine && !promptRead) {
             onPromptRead();
         }
+        if (head.isSuccess()) {
+            trial.completed(loop.nowMillis());
+        }
         end();
         execution.answered(head.status());
     }
 
+    @Override
+    public void onDisconnected() {
+        if (!ended && engine) {
+            trial.disconnected(loop.nowMillis());
+        }
+    }
+
     @Override
     public void onFailure(CallFailure failure, String reason) {
         if (ended) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamListener.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamListener.java
@@ -9,6 +9,12 @@
      */
     void onHead(UpstreamHead head);
 
+    /**
+     * Called before {@link #onFailure} if the connection ended before the response did, as it does
+     * when the process of the upstream ends.
+     */
+    default void onDisconnected() {}
+
     /**
      * Called with a part of the body.
      *
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -23,6 +23,7 @@
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.permits.FakePermits;
+import org.bronzewheel.quarantine.PromptQuarantine;
 import org.bronzewheel.repeats.SharedRetryBudget;
 import org.bronzewheel.stages.StageFailure;
 import org.bronzewheel.stages.StageJob;
@@ -47,6 +48,7 @@
     long expectedWaitMillis;
     final CatalogState catalog = new CatalogState(LEASE_MILLIS);
     final UpstreamTable upstreams = new UpstreamTable(2_000);
+    final PromptQuarantine quarantine = new PromptQuarantine();
     final FakePermits permits = new FakePermits();
     final List<Sent> sends = new ArrayList<>();
     final List<Submitted> jobs = new ArrayList<>();
@@ -119,6 +121,7 @@
                                 this,
                                 budget,
                                 new EngineSelector(),
+                                quarantine,
                                 "d",
                                 loop,
                                 new SplittableRandom(1),
