Merge the quarantine of prompt parts that crash model engines

A prompt part under suspicion also forbids the replacement of a silent attempt, in the one place that decides whether a request may run again; ending quarantined requests is guarded like every other step of a request.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -13,6 +13,7 @@
 import org.bronzewheel.loop.ReceiveClock;
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.permits.PermitKind;
+import org.bronzewheel.quarantine.Quarantine;
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.upstreams.OutlierDetector;
 import org.bronzewheel.upstreams.Upstream;
@@ -139,6 +140,9 @@
     }
 
     private void admit() {
+        if (endIfQuarantined()) {
+            return;
+        }
         long expectedMillis = expectedMillis();
         context.observer()
                 .decided(
@@ -316,7 +320,42 @@
             endWithoutAnswer("the key may no longer be honoured");
             return false;
         }
-        return true;
+        return !endIfQuarantined();
+    }
+
+    /**
+     * Ends the request if a part of its prompt is quarantined, unless an engine has already begun
+     * to respond; returns whether it ended.
+     */
+    boolean endIfQuarantined() {
+        if (ended || (attempt != null && attempt.hasBegun()) || !targets.isEngine(service())) {
+            return false;
+        }
+        Optional<Quarantine> quarantine =
+                context.quarantine().find(request.promptParts(), loop.nowMillis());
+        quarantine.ifPresent(this::endQuarantined);
+        return quarantine.isPresent();
+    }
+
+    private void endQuarantined(Quarantine quarantine) {
+        context.observer()
+                .decided(
+                        request.id(),
+                        Decision.QUARANTINED,
+                        "part=%s crashes=%d remainingMillis=%d"
+                                .formatted(
+                                        quarantine.partId(),
+                                        quarantine.crashes(),
+                                        quarantine.remainingMillis()));
+        String reason = "part " + quarantine.partId() + " of the prompt crashes engines";
+        if (attempt != null || mayHaveRun) {
+            mayHaveRun = true;
+            endWithoutAnswer(reason);
+        } else if (relay.hasStarted()) {
+            breakOff(reason);
+        } else if (end(RequestOutcome.REFUSED, reason)) {
+            exchange.refuse(Refusal.notRun(reason, quarantine.remainingMillis()));
+        }
     }
 
     private void takePermit(String service, Upstream upstream, long nowMillis) {
@@ -568,7 +607,14 @@
     }
 
     private boolean mayRunAgain() {
-        return route.retryRule() != RetryRule.AT_MOST_ONCE && relay.isResumable();
+        return route.retryRule() != RetryRule.AT_MOST_ONCE
+                && relay.isResumable()
+                && !mayCrashAnother();
+    }
+
+    private boolean mayCrashAnother() {
+        return targets.isEngine(service())
+                && context.quarantine().isSuspicious(request.promptParts());
     }
 
     /** Charges the retry budget, if it allows a retry. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -33,6 +33,11 @@
     public ServingEngine(ServingContext context) {
         this.context = context;
         this.receiveClock = new ReceiveClock(context.loop());
+        context.quarantine().onQuarantine(() -> context.loop().execute(this::endQuarantined));
+    }
+
+    private void endQuarantined() {
+        List.copyOf(running).forEach(execution -> execution.guard(execution::endIfQuarantined));
     }
 
     /** Refuses new requests from now on; requests in progress continue. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -35,6 +35,7 @@
     private final boolean engine;
     private final int promptTokens;
     private final ReceiveClock receiveClock;
+    private final PromptTrial trial;
     private final long sentMillis;
     private final long sentReceiveMillis;
     private long lastHeardMillis;
@@ -54,6 +55,8 @@
         this.upstream = upstream;
         this.engine = engine;
         this.promptTokens = execution.request().promptTokens();
+        this.trial =
+                new PromptTrial(context.quarantine(), upstream, execution.request().promptParts());
         this.sentMillis = loop.nowMillis();
         this.receiveClock = execution.receiveClock();
         this.sentReceiveMillis = receiveClock.nowMillis();
@@ -104,6 +107,11 @@
         return true;
     }
 
+    /** Returns whether an engine has begun to respond. */
+    boolean hasBegun() {
+        return trial.hasBegun();
+    }
+
     private void markHeard() {
         lastHeardMillis = receiveClock.nowMillis();
         upstream.bytesReceived(lastHeardMillis);
@@ -200,6 +208,7 @@
             onPromptRead();
             execution.inputsRead();
         }
+        trial.progressed(loop.nowMillis());
         if (execution.relay().isTooLarge()) {
             reject("the answer is too large");
         } else if (execution.relay().isDiscontinuous()) {
@@ -210,6 +219,7 @@
     /** Called when the engine has read the prompt and started to respond. */
     private void onPromptRead() {
         promptRead = true;
+        trial.began(loop.nowMillis());
         upstream.promptTokensRead(promptTokens);
         execution
                 .engineWaits()
@@ -239,10 +249,20 @@
         if (engine && !promptRead) {
             onPromptRead();
         }
+        if (head.isSuccess()) {
+            trial.completed(loop.nowMillis());
+        }
         end();
         execution.answered(head.status());
     }
 
+    @Override
+    public void onDisconnected() {
+        if (!ended && engine) {
+            execution.guard(() -> trial.disconnected(loop.nowMillis()));
+        }
+    }
+
     @Override
     public void onFailure(CallFailure failure, String reason) {
         execution.guard(() -> receiveFailure(failure, reason));
