Do not hold a request back whose stages cannot be rerun after a silent attempt

It gets its 502 at once again; only a started stream, which can end in nothing but a cut, is tried again. And one bound for started streams, half of the silence that callers bear, also where the upstream serves others.

Before: SilentUpstreamTest.aRequestThatHasNotBegunIsNotHeldBackOnceItsStagesCannotBeRerun: refusalStatus() expected: 502 but was: 0.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -222,8 +222,10 @@
     private void stagesFailed(String reason) {
         if (replacement.isRerunningStages()) {
             replacement.stagesFailed();
-        } else {
+        } else if (relay.hasStarted()) {
             endOrRetryLater(reason, this::rerunStages);
+        } else {
+            endWithoutAnswer(reason);
         }
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -16,9 +16,6 @@
     /** The part of the silence that callers bear after which a stream is resumed elsewhere. */
     private static final double RESUME_SHARE = 0.5;
 
-    /** The same while the upstream serves other requests, which may have preempted this one. */
-    private static final double BUSY_RESUME_SHARE = 0.75;
-
     private static final long ENGINE_SILENCE_MILLIS = 1_000;
     private static final long BUSY_ENGINE_SILENCE_MILLIS = 4_000;
     private static final long PLAIN_SILENCE_MILLIS = 400;
@@ -270,20 +267,14 @@
             silenceReported = true;
             execution.reportFailure(upstream, service, true);
         }
-        if (!execution.relay().hasStarted() || isResumable(upstreamMillis, requestMillis)) {
+        if (!execution.relay().hasStarted()
+                || requestMillis > RESUME_SHARE * execution.maxCallerSilenceMillis()) {
             execution.attemptSilent(
                     "silent for %d ms, upstream for %d ms, checked %d ms late"
                             .formatted(requestMillis, upstreamMillis, lateMillis));
         }
     }
 
-    private boolean isResumable(long upstreamMillis, long requestMillis) {
-        double maxMillis = (double) execution.maxCallerSilenceMillis();
-        return requestMillis > RESUME_SHARE * maxMillis
-                && (upstreamMillis > RESUME_SHARE * maxMillis
-                        || requestMillis > BUSY_RESUME_SHARE * maxMillis);
-    }
-
     private long upstreamSilenceMillis() {
         if (execution.relay().hasStarted()) {
             return STREAM_SILENCE_MILLIS;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -154,6 +154,21 @@
         assertThat(harness.aborted).isFalse();
     }
 
+    @Test
+    void aRequestThatHasNotBegunIsNotHeldBackOnceItsStagesCannotBeRerun() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2, ONE_STAGE));
+        harness.request("key", List.of(1));
+        harness.jobs.get(0).done();
+        harness.advance(LONG_SILENCE_MILLIS);
+        harness.lastSend()
+                .listener
+                .onHead(new UpstreamHead(409, List.of(), false, true, false, false));
+        harness.jobs.get(1).fail(StageFailure.LATE);
+        assertThat(harness.refusalStatus()).isEqualTo(Refusal.BAD_GATEWAY);
+    }
+
     @Test
     void aStallOfTheRouterIsNotTakenForTheSilenceOfItsUpstreams() {
         ServingHarness harness = startStream(budget(9), List.of());
