Schedule one retry only when several stages of a request fail

Two stages of one round that both failed each scheduled a rerun for a request whose silent attempt had been cancelled, and only the later timer was kept for disposal. The second rerun released the results that an upstream was reading and sent the request again while its attempt was open: it went on at two upstreams at once, the first attempt was never cancelled, and events of both reached one caller. Class: a timer that replaces another one without disposing of it.

The pending retry is now disposed of before the next one is scheduled.

Before: SilentUpstreamTest.aStreamWhoseStagesAllFailIsNotSentToTwoUpstreamsAtOnce: sends not cancelled, expected: 1 but was: 2.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -451,6 +451,7 @@
     private void endOrRetryLater(String reason, Runnable retry) {
         if (cancelledSilentAttempt) {
             replacementWaits++;
+            backoff.dispose();
             backoff = after(replacementWaits * REPLACEMENT_BACKOFF_MILLIS, retry);
         } else {
             endWithoutAnswer(reason);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -29,7 +29,7 @@
         ServingHarness harness =
                 new ServingHarness(budget)
                         .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2, steps));
-        harness.request("key", steps.isEmpty() ? List.of() : List.of(1));
+        harness.request("key", steps.stream().map(step -> 1).toList());
         harness.jobs.forEach(ServingHarness.Submitted::done);
         harness.lastSend().head(200);
         harness.lastSend().data(EVENT_1);
@@ -185,4 +185,29 @@
         assertThat(harness.refusals).isEmpty();
         assertThat(harness.finished).isTrue();
     }
+
+    @Test
+    void aStreamWhoseStagesAllFailIsNotSentToTwoUpstreamsAtOnce() {
+        ServingHarness harness =
+                startStream(
+                        budget(9),
+                        List.of(
+                                new StageStep("t", List.of(), 10),
+                                new StageStep("t", List.of(), 10)));
+        harness.advance(LONG_SILENCE_MILLIS);
+        harness.jobs.get(2).done();
+        harness.jobs.get(3).done();
+        harness.lastSend()
+                .listener
+                .onHead(new UpstreamHead(409, List.of(), false, true, false, false));
+        harness.jobs.get(4).fail(StageFailure.UPSTREAM_FAILED);
+        harness.jobs.get(5).fail(StageFailure.UPSTREAM_FAILED);
+        for (int done = 6, round = 0; round < 30; round++) {
+            harness.advance(50);
+            for (; done < harness.jobs.size(); done++) {
+                harness.jobs.get(done).done();
+            }
+        }
+        assertThat(harness.sends.stream().filter(sent -> !sent.cancelled).count()).isEqualTo(1);
+    }
 }
