Answer a request at once if its next stage cannot be submitted

The guard of covered what follows the last stage of a request, not the steps between its stages: an error while the next stage was submitted went up into the call that had brought its inputs, whose other requests then lost theirs, and the request itself had no answer until its deadline. All callbacks of stages now run in the guard.

Before: UnexpectedErrorTest.anErrorInTheNextStageDoesNotFailTheCallThatBroughtItsInputs: IllegalState no owner, thrown out of the callback.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -111,8 +111,9 @@
                         route,
                         arrivedMillis,
                         firstAnswerDeadlineMillis,
-                        () -> guard(this::stagesDone),
-                        reason -> guard(() -> stagesFailed(reason)));
+                        this::guard,
+                        this::stagesDone,
+                        this::stagesFailed);
         this.targets = new RequestTargets(context);
         this.replacement = new AttemptReplacement(this, stages);
         this.relay = new ResponseRelay(request, route, exchange);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -31,6 +31,7 @@
     private final CallerRequest request;
     private final ServiceRoute route;
     private final long arrivedMillis;
+    private final Consumer<Runnable> guard;
     private final Runnable onReady;
     private final Consumer<String> onFailure;
     private StageProgress progress;
@@ -44,6 +45,7 @@
     /**
      * Creates the stages of a request.
      *
+     * @param guard runs each step that a stage calls
      * @param onReady called when all results are available
      * @param onFailure called with the reason why there will be none
      */
@@ -53,6 +55,7 @@
             ServiceRoute route,
             long arrivedMillis,
             long deadlineAtMillis,
+            Consumer<Runnable> guard,
             Runnable onReady,
             Consumer<String> onFailure) {
         this.context = context;
@@ -60,6 +63,7 @@
         this.route = route;
         this.arrivedMillis = arrivedMillis;
         this.deadlineAtMillis = deadlineAtMillis;
+        this.guard = guard;
         this.onReady = onReady;
         this.onFailure = onFailure;
         this.progress = new StageProgress(route, request.pieces());
@@ -252,6 +256,10 @@
 
         @Override
         public void onResults(List<StageResult> results) {
+            guard.accept(() -> receiveResults(results));
+        }
+
+        private void receiveResults(List<StageResult> results) {
             if (ended || round != progress) {
                 context.stages().release(results);
                 return;
@@ -263,6 +271,10 @@
 
         @Override
         public void onFailure(StageFailure failure) {
+            guard.accept(() -> receiveFailure(failure));
+        }
+
+        private void receiveFailure(StageFailure failure) {
             if (ended || round != progress) {
                 return;
             }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -60,6 +60,7 @@
     boolean aborted;
     RequestOutcome outcome;
     boolean sendThrows;
+    boolean submitThrows;
     RunningRequest running;
 
     /** One attempt at an upstream. */
@@ -249,6 +250,7 @@
 
     @Override
     public void submit(StageJob job, StageListener listener) {
+        throwIf(submitThrows);
         jobs.add(new Submitted(job, listener));
     }
 
@@ -260,6 +262,12 @@
     @Override
     public void cancel(String service, String requestId) {}
 
+    private static void throwIf(boolean fails) {
+        if (fails) {
+            throw new IllegalStateException("no owner");
+        }
+    }
+
     @Override
     public void reportUnmetDemand(String service, int rank, int pieces) {
         unmetPieces.merge(service, pieces, Integer::sum);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
@@ -53,4 +53,22 @@
         harness.advance(10);
         assertFailed(harness);
     }
+
+    @Test
+    void anErrorInTheNextStageDoesNotFailTheCallThatBroughtItsInputs() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(
+                                ServingHarness.route(
+                                        RetryRule.RESUMABLE,
+                                        true,
+                                        2,
+                                        List.of(
+                                                new StageStep("t", List.of(), 10),
+                                                new StageStep("t", List.of(0), 10))));
+        harness.request("key", List.of(1, 1));
+        harness.submitThrows = true;
+        harness.jobs.get(0).done();
+        assertFailed(harness);
+    }
 }
