Answer a request even if its stages cannot be cancelled

A request counted as ended before its attempt and stages were cancelled, and was answered after that. An error in between left it without an answer for good, as neither the guard nor the timer of its deadline ends a request twice, and the router counted it as running until its own end. Errors of the two steps are now logged, and the answer follows.

Before: UnexpectedErrorTest.aRequestIsAnsweredEvenIfItsStagesCannotBeCancelled: refusals, expected: 1 but was: 0.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -663,16 +663,29 @@
         firstAnswerTimeout.dispose();
         backoff.dispose();
         permit.dispose();
-        if (attempt != null) {
-            attempt.cancel();
-        }
-        stages.end();
+        cleanUp(this::cancelAttempt);
+        cleanUp(stages::end);
         onEnd.accept(this);
         context.observer()
                 .ended(request.id(), route.name(), end, detail, loop.nowMillis() - arrivedMillis);
         return true;
     }
 
+    private void cancelAttempt() {
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+
+    /** Runs a step after which the request must still be answered. */
+    private void cleanUp(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("request %s not cleaned up", request.id());
+        }
+    }
+
     void attemptEnded() {
         attempt = null;
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -61,6 +61,7 @@
     RequestOutcome outcome;
     boolean sendThrows;
     boolean submitThrows;
+    boolean cancelThrows;
     RunningRequest running;
 
     /** One attempt at an upstream. */
@@ -260,7 +261,9 @@
     }
 
     @Override
-    public void cancel(String service, String requestId) {}
+    public void cancel(String service, String requestId) {
+        throwIf(cancelThrows);
+    }
 
     private static void throwIf(boolean fails) {
         if (fails) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
@@ -71,4 +71,21 @@
         harness.jobs.get(0).done();
         assertFailed(harness);
     }
+
+    @Test
+    void aRequestIsAnsweredEvenIfItsStagesCannotBeCancelled() {
+        ServingHarness harness =
+                new ServingHarness()
+                        .with(
+                                ServingHarness.route(
+                                        RetryRule.RESUMABLE,
+                                        true,
+                                        2,
+                                        List.of(new StageStep("t", List.of(), 10))));
+        harness.request("key", List.of(1));
+        harness.cancelThrows = true;
+        harness.advance(5_000);
+        assertThat(harness.refusals).hasSize(1);
+        assertThat(harness.engine.runningRequests()).isEqualTo(0);
+    }
 }
