Answer a request that lost a silent attempt before its caller leaves

A stream whose upstream was silent before its first event, and which all others rejected, was retried until the deadline of the request. Its caller leaves when the time for the first event is over, so that it got neither an answer nor a refusal; before it got 502 at once and could try again itself. Class: a bound of a later phase is applied to the first one.

Such a request is now retried only as long as its caller waits for the first event, and ends with 502 then, as it may have run.

Before: SilentUpstreamTest.aStreamThatHasNotBegunIsAnsweredBeforeItsCallerLeaves: refusalStatus() expected: 502 but was: 0.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -447,18 +447,25 @@
 
     /**
      * Ends the request, unless this router has cancelled an attempt only because it was silent:
-     * then the request is retried until its deadline.
+     * then the request is retried while its caller waits.
      */
     private void endOrRetryLater(String reason, Runnable retry) {
-        if (cancelledSilentAttempt) {
+        long delayMillis = (replacementWaits + 1) * REPLACEMENT_BACKOFF_MILLIS;
+        if (cancelledSilentAttempt && callerWaits(delayMillis)) {
             replacementWaits++;
             backoff.dispose();
-            backoff = after(replacementWaits * REPLACEMENT_BACKOFF_MILLIS, retry);
+            backoff = after(delayMillis, retry);
         } else {
             endWithoutAnswer(reason);
         }
     }
 
+    private boolean callerWaits(long delayMillis) {
+        return relay.hasStarted()
+                || loop.nowMillis() + delayMillis
+                        < firstAnswerDeadlineMillis - REFUSAL_MARGIN_MILLIS;
+    }
+
     private void dispatchToAnyUpstream() {
         targets.clearTried();
         dispatch();
@@ -607,10 +614,10 @@
         }
     }
 
-    /** Refuses a request that was never sent, before its caller stops waiting. */
+    /** Ends a request without an attempt before its caller stops waiting for a first event. */
     private void firstAnswerTimedOut() {
-        if (!ended && !relay.hasStarted() && !mayHaveRun && attempt == null) {
-            refuse("the caller waits no longer for a first event");
+        if (!ended && !relay.hasStarted() && attempt == null) {
+            endWithoutAnswer("the caller waits no longer for a first event");
         }
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -186,6 +186,19 @@
         assertThat(harness.finished).isTrue();
     }
 
+    @Test
+    void aStreamThatHasNotBegunIsAnsweredBeforeItsCallerLeaves() {
+        ServingHarness harness =
+                new ServingHarness(budget(1))
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.advance(1_200);
+        assertThat(harness.sends).hasSize(2);
+        reject(harness.lastSend());
+        harness.advance(ServingHarness.CALLER_SILENCE_MILLIS - 1_200);
+        assertThat(harness.refusalStatus()).isEqualTo(Refusal.BAD_GATEWAY);
+    }
+
     @Test
     void aStreamWhoseStagesAllFailIsNotSentToTwoUpstreamsAtOnce() {
         ServingHarness harness =
