Answer requests that wait for stages or an upstream before the exit

At the end of a graceful stop the router closed the connections of all requests in progress. One that was not at an upstream, but waited for its stages, a permit or a retry, got neither an answer nor a refusal, although it had been read whole and nobody worked on it. Class: only requests at an upstream were thought of. Those without an attempt are now ended before the connections are shut down: refused if they have not run, otherwise 502 or a cut. Requests at an upstream keep the rest of the time.

Before: GracefulShutdownTest.aRequestThatWaitsForItsStagesIsRefusedBeforeExit: refusalStatus() expected: 503 but was: 0.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/GracefulShutdown.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/GracefulShutdown.java
@@ -55,6 +55,7 @@
         boolean idle = engine.runningRequests() == 0 && otherWork.getAsInt() == 0;
         if (elapsedMillis >= stopMillis - EXIT_MARGIN_MILLIS
                 || (idle && wasIdle && elapsedMillis >= BALANCER_DRAIN_MILLIS)) {
+            engine.endWaiting();
             exit.run();
             return;
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -656,6 +656,13 @@
         }
     }
 
+    /** Ends the request if it is not at an upstream, as this router stops. */
+    void endIfWaiting() {
+        if (attempt == null) {
+            endWithoutAnswer("this router stops");
+        }
+    }
+
     @Override
     public void callerDisconnected() {
         end(RequestOutcome.CANCELLED, "the caller left");
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -40,6 +40,11 @@
         stopping = true;
     }
 
+    /** Ends the requests that no upstream is working on, which would be cut off at the exit. */
+    void endWaiting() {
+        List.copyOf(running).forEach(RequestExecution::endIfWaiting);
+    }
+
     /**
      * Returns the number of requests in progress.
      *
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/GracefulShutdownTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/GracefulShutdownTest.java
@@ -5,6 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.bronzewheel.catalog.RetryRule;
+import org.bronzewheel.catalog.ServiceRoute;
+import org.bronzewheel.catalog.ServiceShare;
+import org.bronzewheel.catalog.StageStep;
 import org.junit.jupiter.api.Test;
 
 class GracefulShutdownTest {
@@ -84,4 +87,41 @@
         shutDown(harness).advance(STOP_MILLIS);
         assertThat(exits).isNotEmpty();
     }
+
+    /** A route whose requests may last longer than the shutdown. */
+    private static ServiceRoute longRoute(List<StageStep> stages) {
+        return new ServiceRoute(
+                "r",
+                "h",
+                "/r/",
+                false,
+                RetryRule.IDEMPOTENT,
+                10_000,
+                500,
+                300,
+                0,
+                0,
+                2,
+                List.of(new ServiceShare("s", 1)),
+                stages,
+                false);
+    }
+
+    private void advanceToExit(ServingHarness harness) {
+        while (exits.isEmpty()) {
+            harness.advance(10);
+        }
+    }
+
+    @Test
+    void aRequestThatWaitsForItsStagesIsRefusedBeforeExit() {
+        ServingHarness harness =
+                shutDown(
+                        new ServingHarness()
+                                .with(longRoute(List.of(new StageStep("t", List.of(), 10)))));
+        harness.advance(2_560).request("key", List.of(1));
+        assertThat(harness.jobs).hasSize(1);
+        advanceToExit(harness);
+        assertThat(harness.refusalStatus()).isEqualTo(503);
+    }
 }
