Show that a stall of the router is taken for a timeout of its stage calls (fails)

The class of still acts in StageCall.onTimeout, a timer of the steady clock: after a stall the overdue timer runs before the sockets are read, the call is cancelled though its answer has arrived, its upstream pauses for 600 ms, and all its pieces are made again for one retry of the budget each; without budget they fail and their requests with them.

Fails: StageDispatcherTest.aStallOfTheRouterIsNotTakenForATimeoutOfItsStageCalls: results expected: 1 but was: 0.

--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.loop.StallingScheduler;
 import org.bronzewheel.permits.FakePermits;
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.repeats.SharedRetryBudget;
@@ -602,4 +603,45 @@
         advance(400);
         assertThat(freed).containsExactly("a0");
     }
+
+    @Test
+    void aStallOfTheRouterIsNotTakenForATimeoutOfItsStageCalls() {
+        StallingScheduler stalling = new StallingScheduler();
+        Loop stallingLoop = new Loop(stalling, () -> 0);
+        StageDispatcher stalled =
+                new StageDispatcher(
+                        "s",
+                        service -> Optional.of(POOL),
+                        upstreams,
+                        permits,
+                        new Port(),
+                        new SharedRetryBudget(0, 100, 10_000, 1),
+                        stallingLoop,
+                        inputsReleased::addAll);
+        upstreams("u");
+        Outcome outcome = new Outcome();
+        stalled.submit(
+                new StageJob(
+                        "a",
+                        0,
+                        "s",
+                        1,
+                        Optional.of("k"),
+                        List.of(),
+                        10,
+                        0,
+                        9_000,
+                        9_000,
+                        300,
+                        100,
+                        "d",
+                        false),
+                outcome,
+                true);
+        stalling.advance(100);
+        assertThat(calls).hasSize(1);
+        stalling.stall(2_000);
+        calls.get(0).done();
+        assertThat(outcome.results).hasSize(1);
+    }
 }
