Show that a short stall of the router is taken for silence (fails)

ReceiveClock counts any interval of up to 300 ms in full, three quarters of the 400 ms after which a plain request is taken from its upstream, while it is read every 100 ms. A stall of 250 ms after 250 ms repeats the plain requests of a router at once.

Fails: SilentUpstreamTest.aShortStallOfTheRouterIsNotTakenForTheSilenceOfItsUpstreams: sends expected: 1 but was: 2.

--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -223,4 +223,14 @@
         }
         assertThat(harness.sends.stream().filter(sent -> !sent.cancelled).count()).isEqualTo(1);
     }
+
+    @Test
+    void aShortStallOfTheRouterIsNotTakenForTheSilenceOfItsUpstreams() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2))
+                        .request();
+        harness.advance(250).stall(250);
+        assertThat(harness.sends).hasSize(1);
+    }
 }
