Show that a stream at a dead upstream is not resumed after one failed rerun of its stages (fails)

AttemptReplacement stays in STAGES_FAILED until the silent attempt is heard again. If its upstream is gone without a reset, that never happens, and the stream ends when its caller leaves, although half of the time that its caller waits is left.

Fails: SilentUpstreamTest.aStreamAtADeadUpstreamIsResumedAlthoughTheFirstRerunOfItsStagesFailed: jobs expected: 3 but was: 2.

--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -233,4 +233,13 @@
         harness.advance(250).stall(250);
         assertThat(harness.sends).hasSize(1);
     }
+
+    @Test
+    void aStreamAtADeadUpstreamIsResumedAlthoughTheFirstRerunOfItsStagesFailed() {
+        ServingHarness harness = startStream(budget(9), ONE_STAGE);
+        harness.advance(1_300);
+        harness.jobs.get(1).fail(StageFailure.UPSTREAM_FAILED);
+        harness.advance(500);
+        assertThat(harness.jobs).hasSize(3);
+    }
 }
