Show that a stream is not resumed again in time after a second silent upstream (fails)

UpstreamAttempt.isResumable compares the silence of one attempt with half of the silence that the caller bears. The caller has already borne the silence of the attempt before, so that it leaves before the third upstream is tried.

Fails: SilentUpstreamTest.aStreamResumedAtAnotherSilentUpstreamIsResumedAgainBeforeItsCallerLeaves: sends expected: 3 but was: 2.

--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -242,4 +242,18 @@
         harness.advance(500);
         assertThat(harness.jobs).hasSize(3);
     }
+
+    @Test
+    void aStreamResumedAtAnotherSilentUpstreamIsResumedAgainBeforeItsCallerLeaves() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 3))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.advance(LONG_SILENCE_MILLIS);
+        assertThat(harness.sends).hasSize(2);
+        harness.advance(ServingHarness.CALLER_SILENCE_MILLIS - LONG_SILENCE_MILLIS - 50);
+        assertThat(harness.sends).hasSize(3);
+    }
 }
