Show that a stream taken from a silent upstream is cut off after a failure without retry budget (fails)

RequestExecution.failed ends the request if the budget is used up, also where this router has cancelled a silent attempt that might have gone on; rejections and failed stages are retried in that case (endOrRetryLater).

--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -256,4 +256,19 @@
         harness.advance(ServingHarness.CALLER_SILENCE_MILLIS - LONG_SILENCE_MILLIS - 50);
         assertThat(harness.sends).hasSize(3);
     }
+
+    @Test
+    void aStreamTakenFromASilentUpstreamIsNotCutOffForLackOfRetryBudgetAfterAFailure() {
+        ServingHarness harness =
+                new ServingHarness(budget(1))
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 3))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.advance(LONG_SILENCE_MILLIS);
+        assertThat(harness.sends).hasSize(2);
+        harness.lastSend().head(500);
+        harness.advance(100);
+        assertThat(harness.aborted).isFalse();
+    }
 }
