--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -112,8 +112,9 @@
                         route,
                         arrivedMillis,
                         firstAnswerDeadlineMillis,
-                        () -> guard(this::stagesDone),
-                        reason -> guard(() -> stagesFailed(reason)));
+                        this::guard,
+                        this::stagesDone,
+                        this::stagesFailed);
         this.targets = new RequestTargets(context);
         this.replacement = new AttemptReplacement(this, stages);
         this.relay = new ResponseRelay(request, route, exchange);
@@ -487,17 +488,25 @@
 
     /**
      * Ends the request, unless this router has cancelled an attempt only because it was silent:
-     * then the request is retried until its deadline.
+     * then the request is retried while its caller waits.
      */
     private void endOrRetryLater(String reason, Runnable retry) {
-        if (cancelledSilentAttempt) {
+        long delayMillis = (replacementWaits + 1) * REPLACEMENT_BACKOFF_MILLIS;
+        if (cancelledSilentAttempt && callerWaits(delayMillis)) {
             replacementWaits++;
-            backoff = after(replacementWaits * REPLACEMENT_BACKOFF_MILLIS, retry);
+            backoff.dispose();
+            backoff = after(delayMillis, retry);
         } else {
             endWithoutAnswer(reason);
         }
     }
 
+    private boolean callerWaits(long delayMillis) {
+        return relay.hasStarted()
+                || loop.nowMillis() + delayMillis
+                        < firstAnswerDeadlineMillis - REFUSAL_MARGIN_MILLIS;
+    }
+
     private void dispatchToAnyUpstream() {
         targets.clearTried();
         dispatch();
@@ -656,10 +665,10 @@
         }
     }
 
-    /** Refuses a request that was never sent, before its caller stops waiting. */
+    /** Ends a request without an attempt before its caller stops waiting for a first event. */
     private void firstAnswerTimedOut() {
-        if (!ended && !relay.hasStarted() && !mayHaveRun && attempt == null) {
-            refuse("the caller waits no longer for a first event");
+        if (!ended && !relay.hasStarted() && attempt == null) {
+            endWithoutAnswer("the caller waits no longer for a first event");
         }
     }
 
@@ -698,6 +707,13 @@
         }
     }
 
+    /** Ends the request if it is not at an upstream, as this router stops. */
+    void endIfWaiting() {
+        if (attempt == null) {
+            endWithoutAnswer("this router stops");
+        }
+    }
+
     @Override
     public void callerDisconnected() {
         end(RequestOutcome.CANCELLED, "the caller left");
@@ -712,16 +728,29 @@
         firstAnswerTimeout.dispose();
         backoff.dispose();
         permit.dispose();
-        if (attempt != null) {
-            attempt.cancel();
-        }
-        stages.end();
+        cleanUp(this::cancelAttempt);
+        cleanUp(stages::end);
         onEnd.accept(this);
         context.observer()
                 .ended(request.id(), route.name(), end, detail, loop.nowMillis() - arrivedMillis);
         return true;
     }
 
+    private void cancelAttempt() {
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+
+    /** Runs a step after which the request must still be answered. */
+    private void cleanUp(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            logger.atSevere().withCause(e).log("request %s not cleaned up", request.id());
+        }
+    }
+
     void attemptEnded() {
         attempt = null;
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -63,6 +63,8 @@
     boolean aborted;
     RequestOutcome outcome;
     boolean sendThrows;
+    boolean submitThrows;
+    boolean cancelThrows;
     RunningRequest running;
 
     /** One attempt at an upstream. */
@@ -257,6 +259,7 @@
 
     @Override
     public void submit(StageJob job, StageListener listener) {
+        throwIf(submitThrows);
         jobs.add(new Submitted(job, listener));
     }
 
@@ -266,7 +269,15 @@
     }
 
     @Override
-    public void cancel(String service, String requestId) {}
+    public void cancel(String service, String requestId) {
+        throwIf(cancelThrows);
+    }
+
+    private static void throwIf(boolean fails) {
+        if (fails) {
+            throw new IllegalStateException("no owner");
+        }
+    }
 
     @Override
     public void reportUnmetDemand(String service, int rank, int pieces) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -29,7 +29,7 @@
         ServingHarness harness =
                 new ServingHarness(budget)
                         .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2, steps));
-        harness.request("key", steps.isEmpty() ? List.of() : List.of(1));
+        harness.request("key", steps.stream().map(step -> 1).toList());
         harness.jobs.forEach(ServingHarness.Submitted::done);
         harness.lastSend().head(200);
         harness.lastSend().data(EVENT_1);
@@ -200,4 +200,90 @@
         assertThat(harness.refusals).isEmpty();
         assertThat(harness.finished).isTrue();
     }
+
+    @Test
+    void aStreamThatHasNotBegunIsAnsweredBeforeItsCallerLeaves() {
+        ServingHarness harness =
+                new ServingHarness(budget(1))
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 2))
+                        .request();
+        harness.advance(1_200);
+        assertThat(harness.sends).hasSize(2);
+        reject(harness.lastSend());
+        harness.advance(ServingHarness.CALLER_SILENCE_MILLIS - 1_200);
+        assertThat(harness.refusalStatus()).isEqualTo(Refusal.BAD_GATEWAY);
+    }
+
+    @Test
+    void aStreamWhoseStagesAllFailIsNotSentToTwoUpstreamsAtOnce() {
+        ServingHarness harness =
+                startStream(
+                        budget(9),
+                        List.of(
+                                new StageStep("t", List.of(), 10),
+                                new StageStep("t", List.of(), 10)));
+        harness.advance(LONG_SILENCE_MILLIS);
+        harness.jobs.get(2).done();
+        harness.jobs.get(3).done();
+        harness.lastSend()
+                .listener
+                .onHead(new UpstreamHead(409, List.of(), false, true, false, false));
+        harness.jobs.get(4).fail(StageFailure.UPSTREAM_FAILED);
+        harness.jobs.get(5).fail(StageFailure.UPSTREAM_FAILED);
+        for (int done = 6, round = 0; round < 30; round++) {
+            harness.advance(50);
+            for (; done < harness.jobs.size(); done++) {
+                harness.jobs.get(done).done();
+            }
+        }
+        assertThat(harness.sends.stream().filter(sent -> !sent.cancelled).count()).isEqualTo(1);
+    }
+
+    @Test
+    void aShortStallOfTheRouterIsNotTakenForTheSilenceOfItsUpstreams() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2))
+                        .request();
+        harness.advance(250).stall(250);
+        assertThat(harness.sends).hasSize(1);
+    }
+
+    @Test
+    void aStreamAtADeadUpstreamIsResumedAlthoughTheFirstRerunOfItsStagesFailed() {
+        ServingHarness harness = startStream(budget(9), ONE_STAGE);
+        harness.advance(1_300);
+        harness.jobs.get(1).fail(StageFailure.UPSTREAM_FAILED);
+        harness.advance(500);
+        assertThat(harness.jobs).hasSize(3);
+    }
+
+    @Test
+    void aStreamResumedAtAnotherSilentUpstreamIsResumedAgainBeforeItsCallerLeaves() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 3))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.advance(LONG_SILENCE_MILLIS);
+        assertThat(harness.sends).hasSize(2);
+        harness.advance(ServingHarness.CALLER_SILENCE_MILLIS - LONG_SILENCE_MILLIS - 50);
+        assertThat(harness.sends).hasSize(3);
+    }
+
+    @Test
+    void aStreamTakenFromASilentUpstreamIsNotCutOffForLackOfRetryBudgetAfterAFailure() {
+        ServingHarness harness =
+                new ServingHarness(budget(1))
+                        .with(ServingHarness.route(RetryRule.RESUMABLE, true, 3))
+                        .request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.advance(LONG_SILENCE_MILLIS);
+        assertThat(harness.sends).hasSize(2);
+        harness.lastSend().head(500);
+        harness.advance(100);
+        assertThat(harness.aborted).isFalse();
+    }
 }
