Count no interval over twice the period of checks as silence

Callers of plain requests got their answers later or 502, as a router that had stalled for 250 ms repeated all of them at once: the receive clock counted intervals of up to 300 ms in full, three quarters of the 400 ms after which a plain request leaves its upstream. It is read every 100 ms; intervals over 200 ms now count as a stall.

Before: SilentUpstreamTest.aShortStallOfTheRouterIsNotTakenForTheSilenceOfItsUpstreams: sends expected: 1 but was: 2 (found by the review).

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/loop/ReceiveClock.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/loop/ReceiveClock.java
@@ -9,7 +9,7 @@
  */
 public final class ReceiveClock {
     /** The longest time between two readings that is not a stall, in milliseconds. */
-    public static final long MAX_INTERVAL_MILLIS = 300;
+    public static final long MAX_INTERVAL_MILLIS = 200;
 
     private final Loop loop;
     private long readAtMillis;
