Do not time a stage call out right after a stall of the router

After a stall the overdue timer of a stage call ran before the sockets were read: the call was cancelled though its answer had arrived, its upstream paused, and all of its pieces were made again for a retry each; without budget their requests failed. A timer that fires over 100 ms late now waits 100 ms more, so that the sockets are read first. State: one number a call.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -14,6 +14,12 @@
     private static final long NOT_RUN_PAUSE_MILLIS = 120;
     private static final long FAILURE_PAUSE_MILLIS = 600;
 
+    /** The lateness of a timer that shows that the loop has stalled. */
+    private static final long MAX_LATE_MILLIS = 100;
+
+    /** The time for reading the sockets after a stall. */
+    private static final long READ_MILLIS = 100;
+
     private final StageDispatcher dispatcher;
     private final String service;
     private final StageWorker worker;
@@ -25,6 +31,7 @@
     private final long startedMillis;
     private Disposable call = Disposable.disposed();
     private Disposable timeout = Disposable.disposed();
+    private long timeoutAtMillis;
     private boolean inputsReleased;
     private boolean ended;
 
@@ -50,7 +57,8 @@
 
     void start(StagePort port, List<StageItem> items, long timeoutMillis) {
         call = port.run(worker.upstream().entry(), items, this);
-        timeout = loop.after(timeoutMillis, this::onTimeout);
+        timeoutAtMillis = loop.nowMillis() + timeoutMillis;
+        timeout = loop.after(timeoutMillis, this::checkTimeout);
         loop.after(inputRetention.millis(startedMillis), this::releaseReadInputs);
     }
 
@@ -165,6 +173,19 @@
         dispatcher.releaseReadInputs(task);
     }
 
+    /** A timer that fires late comes after a stall: the response may wait unread in its socket. */
+    private void checkTimeout() {
+        long nowMillis = loop.nowMillis();
+        if (nowMillis > timeoutAtMillis + MAX_LATE_MILLIS) {
+            timeoutAtMillis = nowMillis + READ_MILLIS;
+        }
+        if (nowMillis < timeoutAtMillis) {
+            timeout = loop.after(timeoutAtMillis - nowMillis, this::checkTimeout);
+        } else {
+            onTimeout();
+        }
+    }
+
     private void onTimeout() {
         call.dispose();
         recordDuration();
