Measure the silence of a stream by the time that its caller still waits

A stream that was resumed at an upstream that fell silent as well was tried a third time only after its caller had left: each attempt was given half of the whole silence that callers bear. An attempt now gets half of what is left of it when its own silence begins.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -15,7 +15,10 @@
     private static final long CHECK_INTERVAL_MILLIS = 100;
     private static final long STREAM_SILENCE_MILLIS = 700;
 
-    /** The part of the silence that callers bear after which a stream is resumed elsewhere. */
+    /**
+     * The part of the time that the caller still waits at the begin of a silence after which a
+     * stream is resumed elsewhere.
+     */
     private static final double RESUME_SHARE = 0.5;
 
     private static final long ENGINE_SILENCE_MILLIS = 1_000;
@@ -36,6 +39,7 @@
     private final long sentMillis;
     private final long sentReceiveMillis;
     private long lastHeardMillis;
+    private long patienceMillis;
     private long lastCheckMillis;
     private UpstreamHead head;
     private boolean promptRead;
@@ -59,6 +63,7 @@
         this.sentReceiveMillis = receiveClock.nowMillis();
         this.lastHeardMillis = sentReceiveMillis;
         this.lastCheckMillis = sentMillis;
+        this.patienceMillis = execution.nextEventDeadlineMillis() - sentMillis;
     }
 
     void start(UpstreamCall request) {
@@ -109,6 +114,11 @@
         return trial.hasBegun();
     }
 
+    private void attemptHeard() {
+        execution.attemptHeard();
+        patienceMillis = execution.nextEventDeadlineMillis() - loop.nowMillis();
+    }
+
     private void markHeard() {
         lastHeardMillis = receiveClock.nowMillis();
         upstream.bytesReceived(lastHeardMillis);
@@ -124,7 +134,7 @@
             return;
         }
         markHeard();
-        execution.attemptHeard();
+        attemptHeard();
         head = next;
         if (next.misdirected()) {
             upstream.markMisdirected();
@@ -199,7 +209,7 @@
         if (!execution.route().streaming()
                 || execution.relay().forwardedEvents() > forwardedBefore) {
             lastHeardMillis = receiveClock.nowMillis();
-            execution.attemptHeard();
+            attemptHeard();
         }
         if (!promptRead && engine && (first || execution.relay().hasStarted())) {
             onPromptRead();
@@ -301,8 +311,7 @@
             silenceReported = true;
             execution.reportFailure(upstream, service, true);
         }
-        if (!execution.relay().hasStarted()
-                || requestMillis > RESUME_SHARE * execution.maxCallerSilenceMillis()) {
+        if (!execution.relay().hasStarted() || requestMillis > RESUME_SHARE * patienceMillis) {
             execution.attemptSilent(
                     "silent for %d ms, upstream for %d ms, checked %d ms late"
                             .formatted(requestMillis, upstreamMillis, lateMillis));
