Rerun the stages of a silent stream again after a failed rerun

A stream at an upstream that had died without a reset ended when its caller left, although half of the time that its caller waits was left: after one failed rerun of its stages no other was tried, as only an event of the dead upstream would have allowed one. Reruns now follow at growing intervals, for the one retry that was charged.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AttemptReplacement.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AttemptReplacement.java
@@ -8,13 +8,18 @@
     private enum State {
         NONE,
         STAGES_RUNNING,
-        STAGES_DONE,
-        STAGES_FAILED
+        STAGES_DONE
     }
 
+    /** The delay before stages are rerun again, times the number of failed reruns. */
+    private static final long RERUN_BACKOFF_MILLIS = 200;
+
     private final RequestExecution execution;
     private final RequestStages stages;
     private State state = State.NONE;
+    private boolean retryTaken;
+    private int failedReruns;
+    private long rerunNotBeforeMillis;
 
     AttemptReplacement(RequestExecution execution, RequestStages stages) {
         this.execution = execution;
@@ -28,16 +33,20 @@
                 if (stages.areConsumed()) {
                     rerunStages();
                 } else {
-                    execution.replaceAttempt(reason, false);
+                    execution.replaceAttempt(reason, retryTaken);
                 }
             }
             case STAGES_DONE -> replaceWithNewResults(reason);
-            case STAGES_RUNNING, STAGES_FAILED -> {}
+            case STAGES_RUNNING -> {}
         }
     }
 
     private void rerunStages() {
-        if (execution.mayReplaceAttempt() && execution.takeRetry()) {
+        if (execution.nowMillis() < rerunNotBeforeMillis || !execution.mayReplaceAttempt()) {
+            return;
+        }
+        retryTaken = retryTaken || execution.takeRetry();
+        if (retryTaken) {
             state = State.STAGES_RUNNING;
             stages.rerun(execution.nextEventDeadlineMillis());
         }
@@ -45,7 +54,7 @@
 
     private void replaceWithNewResults(String reason) {
         if (execution.replaceAttempt(reason, true)) {
-            state = State.NONE;
+            reset();
         }
     }
 
@@ -63,7 +72,9 @@
     /** Called when the rerun has failed; the silent attempt may still go on. */
     void stagesFailed() {
         stages.cancelRerun();
-        state = State.STAGES_FAILED;
+        state = State.NONE;
+        failedReruns++;
+        rerunNotBeforeMillis = execution.nowMillis() + failedReruns * RERUN_BACKOFF_MILLIS;
     }
 
     /** Drops the replacement because the attempt goes on. */
@@ -71,7 +82,14 @@
         if (state == State.STAGES_RUNNING || state == State.STAGES_DONE) {
             stages.cancelRerun();
         }
+        reset();
+    }
+
+    private void reset() {
         state = State.NONE;
+        retryTaken = false;
+        failedReruns = 0;
+        rerunNotBeforeMillis = 0;
     }
 
     /**
@@ -81,7 +99,7 @@
      */
     boolean attemptFailed() {
         boolean prepared = state == State.STAGES_RUNNING || state == State.STAGES_DONE;
-        state = State.NONE;
+        reset();
         return prepared;
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -531,6 +531,10 @@
         replacement.attemptSilent(reason);
     }
 
+    long nowMillis() {
+        return loop.nowMillis();
+    }
+
     /** Returns whether the request may be sent to another upstream in place of its attempt. */
     boolean mayReplaceAttempt() {
         return mayRepeat(loop.nowMillis())
@@ -579,7 +583,7 @@
     }
 
     /** Returns how long the caller waits for the first event and between two events. */
-    long maxCallerSilenceMillis() {
+    private long maxCallerSilenceMillis() {
         return firstAnswerDeadlineMillis - arrivedMillis;
     }
 
