Let a stream that lost a silent attempt wait for the retry budget after a failure

A stream that this router had taken from a silent upstream was cut off if the next one failed while the retry budget was used up; after a rejection it was tried again. Both wait for the budget now, until the caller leaves.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -599,9 +599,12 @@
         mayHaveRun = true;
         boolean retryable = mayRunAgain() && attempts < route.maxAttempts();
         boolean prepared = replacement.attemptFailed();
-        if (!retryable || !(prepared || takeRetry())) {
+        if (!retryable) {
             return false;
         }
+        if (!(prepared || takeRetry())) {
+            return retriesFailedLater(reason);
+        }
         reportRepeat(reason);
         if (!prepared || stages.areComplete()) {
             loop.execute(() -> guard(this::retry));
@@ -609,6 +612,24 @@
         return true;
     }
 
+    /** Returns whether a started stream that lost a silent attempt waits for the retry budget. */
+    private boolean retriesFailedLater(String reason) {
+        boolean retries = cancelledSilentAttempt && relay.hasStarted();
+        if (retries) {
+            endOrRetryLater(reason, () -> retryFailed(reason));
+        }
+        return retries;
+    }
+
+    private void retryFailed(String reason) {
+        if (takeRetry()) {
+            reportRepeat(reason);
+            retry();
+        } else {
+            endOrRetryLater(reason, () -> retryFailed(reason));
+        }
+    }
+
     /** Retries the request, rerunning its stages if a failed attempt has consumed their results. */
     private void retry() {
         if (ended) {
