Resume a started stream although its key has been taken away

Beside a change of the configuration, callers saw a stream end in the middle though another upstream could have gone on with it: the key was checked again before each send, also of a stream that had been admitted and begun, and a key that a configuration had taken away in the meantime, or evidence that had grown old, cut it off. Class: admission is applied again to what has been admitted. A key that is taken away bars requests that are sent later; those that have not begun are still refused.

Before: RequestExecutionTest.aStartedStreamIsNotCutOffBecauseALaterConfigurationTakesItsKeyAway:512 expected to be false (aborted).

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -412,9 +412,10 @@
         }
     }
 
+    /** A stream that has started goes on, whatever a later configuration says of its key. */
     private boolean isStillAuthorized() {
         Optional<Catalog> catalog = context.catalog().current();
-        if (workspace.isEmpty() || catalog.isEmpty()) {
+        if (relay.hasStarted() || workspace.isEmpty() || catalog.isEmpty()) {
             return true;
         }
         return context.catalog().acceptsKeys(loop.now())
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.bronzewheel.catalog.RetryRule;
+import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.permits.PermitKind;
@@ -498,6 +499,20 @@
         assertThat(harness.released).hasSize(1);
     }
 
+    @Test
+    void aStartedStreamIsNotCutOffBecauseALaterConfigurationTakesItsKeyAway() {
+        ServiceRoute route = ServingHarness.route(RetryRule.RESUMABLE, true, 2);
+        ServingHarness harness = new ServingHarness().with(route).request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT_1);
+        harness.with(2, route, List.of());
+        harness.lastSend().listener.onFailure(CallFailure.BROKEN, "crash");
+        harness.advance(10);
+
+        assertThat(harness.aborted).isFalse();
+        assertThat(harness.sends).hasSize(2);
+    }
+
     @Test
     void stageResultsArePassedOnOnceAndReleasedOnceRead() {
         List<StageStep> steps =
