Do not take a stream without events for proof that its prompt is harmless

An answer may come with neither a length nor chunks and end with its connection, so that an engine that crashes after the head of such a stream looked like one that had answered whole: its prompt's parts were cleared, and they could reach further engines. Only a stream of which an event has come counts now.

Before: QuarantinedRequestTest.aStreamThatEndsWithoutEventsDoesNotClearThePartsOfItsPrompt, "expected: 503 but was: 0".

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -204,10 +204,12 @@
             upstream.recordSuccess((double) (lastHeardMillis - sentMillis));
         }
         execution.relay().finish();
+        // A stream that ends with its connection and has no events may be the end of its engine.
+        boolean answered = promptRead || !execution.route().streaming();
         if (engine && !promptRead) {
             onPromptRead();
         }
-        if (head.isSuccess()) {
+        if (answered && head.isSuccess()) {
             trial.completed(loop.nowMillis());
         }
         end();
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
@@ -139,6 +139,18 @@
         assertThat(harness.quarantine.suspected()).isEqualTo(0);
     }
 
+    @Test
+    void aStreamThatEndsWithoutEventsDoesNotClearThePartsOfItsPrompt() {
+        engines(3);
+        harness.request();
+        crashEngines(2);
+        harness.advance(100);
+        harness.lastSend().head(200);
+        harness.lastSend().listener.onEnd();
+        crashEngines(1);
+        assertThat(harness.request().refusalStatus()).isEqualTo(Refusal.UNAVAILABLE);
+    }
+
     @Test
     void aCompleteAnswerClearsThePartsOfItsPrompt() {
         engines(3);
