Blame parts that no engine has survived before those that some have

Callers of sound requests were told 503, or 502 where they waited at an engine, for two minutes at all routers: a first part that all requests share is part of each crash that a deadly part causes, and of each engine that ends for another reason too. With one crash of the second kind before the next survival it had the most crashes, was blamed first and explained the crashes of the deadly part, which was sent on. Nobody could send the shared part any more, so that no survival cleared it.

The number of crashes now decides only among parts of the same kind. The test failed before: aSoundPartIsNotBlamedBecauseItWaitedAtOneMoreCrashThanThePartBesideIt: expected to be false

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/CrashAttribution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/CrashAttribution.java
@@ -9,8 +9,9 @@
 import java.util.Set;
 
 /**
- * Attributes engine crashes to prompt parts. The part with the most crashes is blamed first, and
- * crashes that a blamed part explains count against no other.
+ * Attributes engine crashes to prompt parts. Parts that no engine has survived are blamed first,
+ * the one with the most crashes before the others, and crashes that a blamed part explains count
+ * against no other.
  */
 final class CrashAttribution {
     private static final int MIN_CRASHES = 3;
@@ -46,7 +47,10 @@
         return blamed;
     }
 
-    /** Returns the parts with the most crashes; of equal ones, those no engine has survived. */
+    /**
+     * Returns the parts with the most crashes among those that no engine has survived, or among the
+     * others if there are none.
+     */
     private static List<SuspectedPart> mostLikely(
             Collection<SuspectedPart> suspects, Map<String, Blame> blamed, Set<String> explained) {
         List<SuspectedPart> best = new ArrayList<>();
@@ -54,15 +58,17 @@
         boolean survived = true;
         for (SuspectedPart part : suspects) {
             int count = blame(part, explained).count();
-            if (blamed.containsKey(part.id()) || count < minCrashes(part) || count < most) {
+            if (blamed.containsKey(part.id())
+                    || count < minCrashes(part)
+                    || (part.hasSurvived() && !survived)) {
                 continue;
             }
-            if (count > most || (survived && !part.hasSurvived())) {
+            if (count > most || part.hasSurvived() != survived) {
                 best.clear();
                 most = count;
                 survived = part.hasSurvived();
             }
-            if (survived == part.hasSurvived()) {
+            if (count == most) {
                 best.add(part);
             }
         }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/quarantine/PromptQuarantineTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/quarantine/PromptQuarantineTest.java
@@ -208,4 +208,15 @@
         crash(3, 5_000, "bad");
         assertThat(isQuarantined("bad", 5_000)).isTrue();
     }
+
+    @Test
+    void aSoundPartIsNotBlamedBecauseItWaitedAtOneMoreCrashThanThePartBesideIt() {
+        quarantine.survived(prompt("a"), 500, 600);
+        for (int i = 1; i <= 4; i++) {
+            crash(i, 600 + i * 300L, "a", "bad");
+        }
+        crash(5, 2_100, "a");
+        assertThat(isQuarantined("a", 2_100)).isFalse();
+        assertThat(isQuarantined("bad", 2_100)).isTrue();
+    }
 }
