Hold no crash against others that the culprit may have forgotten

A part keeps its eight newest crashes. A part that waited beside the deadly one at three earlier crashes was quarantined, once the deadly part had more than eight and no longer listed these: callers of sound sessions got 503. A full list now explains all crashes before its oldest one as well. The test failed before: crashesThatThePartToBlameNoLongerListsAreNotHeldAgainstOthers: expected to be false

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/CrashAttribution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/CrashAttribution.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Attributes engine crashes to prompt parts. Parts that no engine has survived are blamed first,
@@ -35,14 +33,14 @@
     /** Returns the blamed parts. */
     static Map<String, Blame> blamedParts(Collection<SuspectedPart> suspects) {
         Map<String, Blame> blamed = new LinkedHashMap<>();
-        Set<String> explained = new HashSet<>();
-        List<SuspectedPart> found = mostLikely(suspects, blamed, explained);
+        List<SuspectedPart> culprits = new ArrayList<>();
+        List<SuspectedPart> found = mostLikely(suspects, blamed, culprits);
         while (!found.isEmpty()) {
             for (SuspectedPart part : found) {
-                blamed.put(part.id(), blame(part, explained));
+                blamed.put(part.id(), blame(part, culprits));
             }
-            found.forEach(part -> explained.addAll(part.lives()));
-            found = mostLikely(suspects, blamed, explained);
+            culprits.addAll(found);
+            found = mostLikely(suspects, blamed, culprits);
         }
         return blamed;
     }
@@ -52,12 +50,14 @@
      * others if there are none.
      */
     private static List<SuspectedPart> mostLikely(
-            Collection<SuspectedPart> suspects, Map<String, Blame> blamed, Set<String> explained) {
+            Collection<SuspectedPart> suspects,
+            Map<String, Blame> blamed,
+            List<SuspectedPart> culprits) {
         List<SuspectedPart> best = new ArrayList<>();
         int most = 0;
         boolean survived = true;
         for (SuspectedPart part : suspects) {
-            int count = blame(part, explained).count();
+            int count = blame(part, culprits).count();
             if (blamed.containsKey(part.id())
                     || count < minCrashes(part)
                     || (part.hasSurvived() && !survived)) {
@@ -80,11 +80,11 @@
     }
 
     /** Returns the crashes of a part that are not explained by another one. */
-    static Blame blame(SuspectedPart part, Set<String> explained) {
+    static Blame blame(SuspectedPart part, List<SuspectedPart> culprits) {
         int count = 0;
         long lastMillis = Long.MIN_VALUE / 2;
         for (EngineCrash crash : part.standing()) {
-            if (explained.contains(crash.life())) {
+            if (culprits.stream().anyMatch(culprit -> culprit.explains(crash))) {
                 continue;
             }
             if (crash.atMillis() - lastMillis >= SIMULTANEOUS_MILLIS) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/PromptQuarantine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/PromptQuarantine.java
@@ -230,7 +230,7 @@
 
     private static boolean isSuspicious(SuspectedPart part) {
         return !part.hasSurvived()
-                && CrashAttribution.blame(part, Set.of()).count() >= MIN_CRASHES_OF_SUSPECT;
+                && CrashAttribution.blame(part, List.of()).count() >= MIN_CRASHES_OF_SUSPECT;
     }
 
     /** The last part belongs to the request alone. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/SuspectedPart.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/SuspectedPart.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The evidence about one prompt part: a bounded set of crashes, which grows the same way in
@@ -91,9 +90,17 @@
         return crashes.isEmpty();
     }
 
-    /** Returns the lifetimes that ended while the part waited, refuted ones included. */
-    Set<String> lives() {
-        return Set.copyOf(crashes.keySet());
+    /**
+     * Returns whether the part waited at a crash, refuted ones included. It may have waited at
+     * those before the oldest one that is kept.
+     */
+    boolean explains(EngineCrash crash) {
+        return crashes.containsKey(crash.life())
+                || (crashes.size() == MAX_CRASHES && crash.atMillis() < oldestMillis());
+    }
+
+    private long oldestMillis() {
+        return crashes.values().stream().mapToLong(EngineCrash::atMillis).min().orElseThrow();
     }
 
     /** Returns the crashes that nothing refutes, in order of time. */
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/quarantine/PromptQuarantineTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/quarantine/PromptQuarantineTest.java
@@ -219,4 +219,16 @@
         assertThat(isQuarantined("a", 2_100)).isFalse();
         assertThat(isQuarantined("bad", 2_100)).isTrue();
     }
+
+    @Test
+    void crashesThatThePartToBlameNoLongerListsAreNotHeldAgainstOthers() {
+        for (int i = 1; i <= 3; i++) {
+            crash(i, i * 1_000L, "b", "bad");
+        }
+        for (int i = 4; i <= 20; i++) {
+            crash(i, i * 1_000L, "bad");
+        }
+        assertThat(isQuarantined("bad", 20_000)).isTrue();
+        assertThat(isQuarantined("b", 20_000)).isFalse();
+    }
 }
