Do not resume a silent stream elsewhere if a part of its prompt is quarantined

The replacement of a silent attempt does not ask for a quarantine but only whether the prompt is suspicious, and a part that was harmless at some time never was, even when quarantined. The stream went to two more engines. A blamed part is now suspicious in any case. The test failed before: aSilentStreamWithAQuarantinedPartIsNotSentToAnotherEngine: expected: 1 but was: 3

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/PromptQuarantine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/PromptQuarantine.java
@@ -228,9 +228,11 @@
                         .anyMatch(part -> part != null && isSuspicious(part));
     }
 
-    private static boolean isSuspicious(SuspectedPart part) {
-        return !part.hasSurvived()
-                && CrashAttribution.blame(part, List.of()).count() >= MIN_CRASHES_OF_SUSPECT;
+    private boolean isSuspicious(SuspectedPart part) {
+        return blamed.containsKey(part.id())
+                || (!part.hasSurvived()
+                        && CrashAttribution.blame(part, List.of()).count()
+                                >= MIN_CRASHES_OF_SUSPECT);
     }
 
     /** The last part belongs to the request alone. */
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
@@ -152,4 +152,18 @@
         harness.request();
         assertThat(harness.sends).hasSize(2);
     }
+
+    @Test
+    void aSilentStreamWithAQuarantinedPartIsNotSentToAnotherEngine() {
+        engines(9);
+        harness.request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT);
+        harness.advance(600);
+        harness.lastSend().data("id: 2\ndata: a\n\n");
+        crashEngines(4);
+        assertThat(harness.quarantine.quarantined(harness.loop.nowMillis())).isEqualTo(1);
+        harness.advance(12_000);
+        assertThat(harness.sends).hasSize(1);
+    }
 }
