Fail over requests whose crashes a blamed part explains

A part of sound requests that waited at two crashes of a deadly part was not failed over any more, for up to ten minutes after the deadly part was found: callers got 502 or a broken stream at the next failure. Crashes that a blamed part explains do not count any more. The test failed before: aPartIsNotSuspiciousForCrashesThatAnotherPartExplains: expected to be false

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/PromptQuarantine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/PromptQuarantine.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -231,10 +232,14 @@
     private boolean isSuspicious(SuspectedPart part) {
         return blamed.containsKey(part.id())
                 || (!part.hasSurvived()
-                        && CrashAttribution.blame(part, List.of()).count()
+                        && CrashAttribution.blame(part, culprits()).count()
                                 >= MIN_CRASHES_OF_SUSPECT);
     }
 
+    private List<SuspectedPart> culprits() {
+        return blamed.keySet().stream().map(suspects::get).filter(Objects::nonNull).toList();
+    }
+
     /** The last part belongs to the request alone. */
     private static Set<String> sharedParts(List<PromptPart> prompt) {
         return prompt.subList(0, Math.max(0, prompt.size() - 1)).stream()
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/quarantine/PromptQuarantineTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/quarantine/PromptQuarantineTest.java
@@ -231,4 +231,13 @@
         assertThat(isQuarantined("bad", 20_000)).isTrue();
         assertThat(isQuarantined("b", 20_000)).isFalse();
     }
+
+    @Test
+    void aPartIsNotSuspiciousForCrashesThatAnotherPartExplains() {
+        crash(1, 1_000, "b", "bad");
+        crash(2, 2_000, "b", "bad");
+        crash(3, 3_000, "bad");
+        assertThat(quarantine.isSuspicious(prompt("b"))).isFalse();
+        assertThat(quarantine.isSuspicious(prompt("bad"))).isTrue();
+    }
 }
