--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/SuspectedPart.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/SuspectedPart.java
@@ -18,6 +18,7 @@
 
     private final String id;
     private final Map<String, EngineCrash> crashes = new HashMap<>();
+    private List<EngineCrash> standing = List.of();
     private boolean survived;
     private long changedMillis;
 
@@ -48,9 +49,11 @@
             EngineCrash dropped = crashes.values().stream().min(LEAST_USEFUL_FIRST).orElseThrow();
             crashes.remove(dropped.life());
             if (dropped.life().equals(crash.life())) {
+                updateStanding();
                 return false;
             }
         }
+        updateStanding();
         return changed(known == null || (crash.refuted() && !known.refuted()), nowMillis);
     }
 
@@ -70,6 +73,7 @@
                 refuted = true;
             }
         }
+        updateStanding();
         return changed(refuted, nowMillis);
     }
 
@@ -82,8 +86,14 @@
 
     /** Removes the crashes before a time, refuted ones before a later time. */
     boolean removeBefore(long millis, long refutedMillis) {
-        return crashes.values()
-                .removeIf(crash -> crash.atMillis() < (crash.refuted() ? refutedMillis : millis));
+        boolean removed =
+                crashes.values()
+                        .removeIf(
+                                crash ->
+                                        crash.atMillis()
+                                                < (crash.refuted() ? refutedMillis : millis));
+        updateStanding();
+        return removed;
     }
 
     boolean isEmpty() {
@@ -105,10 +115,15 @@
 
     /** Returns the crashes that nothing refutes, in order of time. */
     List<EngineCrash> standing() {
-        return crashes.values().stream()
-                .filter(crash -> !crash.refuted())
-                .sorted(Comparator.comparingLong(EngineCrash::atMillis))
-                .toList();
+        return standing;
+    }
+
+    private void updateStanding() {
+        standing =
+                crashes.values().stream()
+                        .filter(crash -> !crash.refuted())
+                        .sorted(Comparator.comparingLong(EngineCrash::atMillis))
+                        .toList();
     }
 
     PartEvidence evidence() {
