Take the end of an unframed answer for a crash or for nothing, not for survival

An answer with neither a length nor chunks ends with its connection, as it does when the engine crashes. The client of the upstreams reports its end as that of a complete response: an engine that crashed within the first event left no evidence, and one that crashed between two events refuted all crashes before it, so that requests with the part went on to reach engines.

The client now says that the connection ended the response.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -44,6 +44,7 @@
     private UpstreamHead head;
     private boolean promptRead;
     private boolean silenceReported;
+    private boolean endedByClose;
     private boolean ended;
     private Disposable call = Disposable.disposed();
     private Disposable check = Disposable.disposed();
@@ -233,6 +234,11 @@
                 .ended(service, execution.route().priority(), true, loop.nowMillis());
     }
 
+    @Override
+    public void onEndedByClose() {
+        endedByClose = true;
+    }
+
     @Override
     public void onEnd() {
         execution.guard(this::receiveEnd);
@@ -244,6 +250,9 @@
         }
         markHeard();
         if (!execution.relay().isComplete()) {
+            if (engine && endedByClose) {
+                trial.disconnected(loop.nowMillis());
+            }
             abandon("the stream is incomplete");
             return;
         }
@@ -256,7 +265,7 @@
         if (engine && !promptRead) {
             onPromptRead();
         }
-        if (head.isSuccess()) {
+        if (head.isSuccess() && !endedByClose) {
             trial.completed(loop.nowMillis());
         }
         end();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamListener.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamListener.java
@@ -22,6 +22,12 @@
      */
     void onData(byte[] bytes);
 
+    /**
+     * Called before {@link #onEnd} if the response has neither a length nor chunks and ended with
+     * its connection, which also ends with the process of the upstream.
+     */
+    default void onEndedByClose() {}
+
     /** Called at the end of a complete response. */
     void onEnd();
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
@@ -166,4 +166,30 @@
         harness.advance(12_000);
         assertThat(harness.sends).hasSize(1);
     }
+
+    @Test
+    void anEngineThatCrashesWithinAnUnframedAnswerMakesItsPromptSuspect() {
+        engines(1);
+        harness.request();
+        harness.lastSend().head(200);
+        harness.lastSend().data("id: 1\nda");
+        harness.lastSend().listener.onEndedByClose();
+        harness.lastSend().listener.onEnd();
+        assertThat(harness.quarantine.suspected()).isEqualTo(1);
+    }
+
+    @Test
+    void anUnframedAnswerThatEndsAtOnceDoesNotClearThePartsOfItsPrompt() {
+        engines(3);
+        harness.request();
+        crashEngines(2);
+        harness.advance(100);
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT);
+        harness.lastSend().listener.onEndedByClose();
+        harness.lastSend().listener.onEnd();
+        crashEngines(1);
+        harness.request();
+        assertThat(harness.refusalStatus()).isEqualTo(Refusal.UNAVAILABLE);
+    }
 }
