--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -262,10 +262,12 @@
             upstream.recordSuccess((double) (loop.nowMillis() - sentMillis));
         }
         execution.relay().finish();
+        // A stream that ends with its connection and has no events may be the end of its engine.
+        boolean answered = promptRead || !execution.route().streaming();
         if (engine && !promptRead) {
             onPromptRead();
         }
-        if (head.isSuccess() && !endedByClose) {
+        if (answered && head.isSuccess() && !endedByClose) {
             trial.completed(loop.nowMillis());
         }
         end();
