--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/PromptQuarantine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/PromptQuarantine.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -228,9 +229,15 @@
                         .anyMatch(part -> part != null && isSuspicious(part));
     }
 
-    private static boolean isSuspicious(SuspectedPart part) {
-        return !part.hasSurvived()
-                && CrashAttribution.blame(part, Set.of()).count() >= MIN_CRASHES_OF_SUSPECT;
+    private boolean isSuspicious(SuspectedPart part) {
+        return blamed.containsKey(part.id())
+                || (!part.hasSurvived()
+                        && CrashAttribution.blame(part, culprits()).count()
+                                >= MIN_CRASHES_OF_SUSPECT);
+    }
+
+    private List<SuspectedPart> culprits() {
+        return blamed.keySet().stream().map(suspects::get).filter(Objects::nonNull).toList();
     }
 
     /** The last part belongs to the request alone. */
