--- a/bronzewheel-serving/src/test/java/org/bronzewheel/quarantine/PromptQuarantineTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/quarantine/PromptQuarantineTest.java
@@ -208,4 +208,36 @@
         crash(3, 5_000, "bad");
         assertThat(isQuarantined("bad", 5_000)).isTrue();
     }
+
+    @Test
+    void aSoundPartIsNotBlamedBecauseItWaitedAtOneMoreCrashThanThePartBesideIt() {
+        quarantine.survived(prompt("a"), 500, 600);
+        for (int i = 1; i <= 4; i++) {
+            crash(i, 600 + i * 300L, "a", "bad");
+        }
+        crash(5, 2_100, "a");
+        assertThat(isQuarantined("a", 2_100)).isFalse();
+        assertThat(isQuarantined("bad", 2_100)).isTrue();
+    }
+
+    @Test
+    void crashesThatThePartToBlameNoLongerListsAreNotHeldAgainstOthers() {
+        for (int i = 1; i <= 3; i++) {
+            crash(i, i * 1_000L, "b", "bad");
+        }
+        for (int i = 4; i <= 20; i++) {
+            crash(i, i * 1_000L, "bad");
+        }
+        assertThat(isQuarantined("bad", 20_000)).isTrue();
+        assertThat(isQuarantined("b", 20_000)).isFalse();
+    }
+
+    @Test
+    void aPartIsNotSuspiciousForCrashesThatAnotherPartExplains() {
+        crash(1, 1_000, "b", "bad");
+        crash(2, 2_000, "b", "bad");
+        crash(3, 3_000, "bad");
+        assertThat(quarantine.isSuspicious(prompt("b"))).isFalse();
+        assertThat(quarantine.isSuspicious(prompt("bad"))).isTrue();
+    }
 }
