--- a/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/SuspectedPart.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/quarantine/SuspectedPart.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * The evidence about one prompt part: a bounded set of crashes, which grows the same way in
@@ -19,6 +18,7 @@
 
     private final String id;
     private final Map<String, EngineCrash> crashes = new HashMap<>();
+    private List<EngineCrash> standing = List.of();
     private boolean survived;
     private long changedMillis;
 
@@ -49,9 +49,11 @@
             EngineCrash dropped = crashes.values().stream().min(LEAST_USEFUL_FIRST).orElseThrow();
             crashes.remove(dropped.life());
             if (dropped.life().equals(crash.life())) {
+                updateStanding();
                 return false;
             }
         }
+        updateStanding();
         return changed(known == null || (crash.refuted() && !known.refuted()), nowMillis);
     }
 
@@ -71,6 +73,7 @@
                 refuted = true;
             }
         }
+        updateStanding();
         return changed(refuted, nowMillis);
     }
 
@@ -83,25 +86,44 @@
 
     /** Removes the crashes before a time, refuted ones before a later time. */
     boolean removeBefore(long millis, long refutedMillis) {
-        return crashes.values()
-                .removeIf(crash -> crash.atMillis() < (crash.refuted() ? refutedMillis : millis));
+        boolean removed =
+                crashes.values()
+                        .removeIf(
+                                crash ->
+                                        crash.atMillis()
+                                                < (crash.refuted() ? refutedMillis : millis));
+        updateStanding();
+        return removed;
     }
 
     boolean isEmpty() {
         return crashes.isEmpty();
     }
 
-    /** Returns the lifetimes that ended while the part waited, refuted ones included. */
-    Set<String> lives() {
-        return Set.copyOf(crashes.keySet());
+    /**
+     * Returns whether the part waited at a crash, refuted ones included. It may have waited at
+     * those before the oldest one that is kept.
+     */
+    boolean explains(EngineCrash crash) {
+        return crashes.containsKey(crash.life())
+                || (crashes.size() == MAX_CRASHES && crash.atMillis() < oldestMillis());
+    }
+
+    private long oldestMillis() {
+        return crashes.values().stream().mapToLong(EngineCrash::atMillis).min().orElseThrow();
     }
 
     /** Returns the crashes that nothing refutes, in order of time. */
     List<EngineCrash> standing() {
-        return crashes.values().stream()
-                .filter(crash -> !crash.refuted())
-                .sorted(Comparator.comparingLong(EngineCrash::atMillis))
-                .toList();
+        return standing;
+    }
+
+    private void updateStanding() {
+        standing =
+                crashes.values().stream()
+                        .filter(crash -> !crash.refuted())
+                        .sorted(Comparator.comparingLong(EngineCrash::atMillis))
+                        .toList();
     }
 
     PartEvidence evidence() {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
@@ -148,7 +148,9 @@
         harness.lastSend().head(200);
         harness.lastSend().listener.onEnd();
         crashEngines(1);
-        assertThat(harness.request().refusalStatus()).isEqualTo(Refusal.UNAVAILABLE);
+        harness.request();
+        Refusal last = harness.refusals.get(harness.refusals.size() - 1);
+        assertThat(last.status()).isEqualTo(Refusal.UNAVAILABLE);
     }
 
     @Test
@@ -164,4 +166,44 @@
         harness.request();
         assertThat(harness.sends).hasSize(2);
     }
+
+    @Test
+    void aSilentStreamWithAQuarantinedPartIsNotSentToAnotherEngine() {
+        engines(9);
+        harness.request();
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT);
+        harness.advance(600);
+        harness.lastSend().data("id: 2\ndata: a\n\n");
+        crashEngines(4);
+        assertThat(harness.quarantine.quarantined(harness.loop.nowMillis())).isEqualTo(1);
+        harness.advance(12_000);
+        assertThat(harness.sends).hasSize(1);
+    }
+
+    @Test
+    void anEngineThatCrashesWithinAnUnframedAnswerMakesItsPromptSuspect() {
+        engines(1);
+        harness.request();
+        harness.lastSend().head(200);
+        harness.lastSend().data("id: 1\nda");
+        harness.lastSend().listener.onEndedByClose();
+        harness.lastSend().listener.onEnd();
+        assertThat(harness.quarantine.suspected()).isEqualTo(1);
+    }
+
+    @Test
+    void anUnframedAnswerThatEndsAtOnceDoesNotClearThePartsOfItsPrompt() {
+        engines(3);
+        harness.request();
+        crashEngines(2);
+        harness.advance(100);
+        harness.lastSend().head(200);
+        harness.lastSend().data(EVENT);
+        harness.lastSend().listener.onEndedByClose();
+        harness.lastSend().listener.onEnd();
+        crashEngines(1);
+        harness.request();
+        assertThat(harness.refusalStatus()).isEqualTo(Refusal.UNAVAILABLE);
+    }
 }
