Count the return grace of upstreams from the platform's return, not from its notice

Cause: removed entries were kept for 2 s from the moment at which the router noticed the return. The notice took up to 2.7 s, as no new poll was sent while an ignored one was open, and the same grace began after any single failed poll and after the loss of the router through which the store is read.

Now the grace counts from when the store was last known to be unavailable, which cannot lie after its return; an outage of under two registration intervals, in which no entry of a running upstream can expire, gives none; the store is probed every 0.4 to 0.7 s without waiting for ignored probes; and the loss of a reader is followed by a direct read.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PeerPublishedSource.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PeerPublishedSource.java
@@ -85,16 +85,19 @@
                         request.build().toByteArray(),
                         PEER_WAIT_MILLIS + PEER_CALL_MARGIN_MILLIS)
                 .map(this::decode)
-                .doOnError(error -> handlePeerFailure(peer.get(), error));
+                .onErrorResumeNext(error -> Single.error(handlePeerFailure(peer.get(), error)));
     }
 
-    private void handlePeerFailure(String peer, Throwable error) {
-        if (!(error instanceof HistoryLostException)) {
-            logger.atInfo().log(
-                    "reading the platform through %s failed, reading it directly: %s",
-                    peer, error.getMessage());
-            loop.execute(() -> readDirectlyUntilMillis = loop.nowMillis() + DIRECT_READ_MILLIS);
+    /** Returns the error for the caller: the platform may be available where the peer is not. */
+    private Throwable handlePeerFailure(String peer, Throwable error) {
+        if (error instanceof HistoryLostException) {
+            return error;
         }
+        logger.atInfo().log(
+                "reading the platform through %s failed, reading it directly: %s",
+                peer, error.getMessage());
+        loop.execute(() -> readDirectlyUntilMillis = loop.nowMillis() + DIRECT_READ_MILLIS);
+        return new ReaderLostException(peer, error);
     }
 
     private PublishedBatch decode(byte[] bytes) throws InvalidProtocolBufferException {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.published;
 
 import com.google.common.flogger.FluentLogger;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,7 +27,8 @@
  *
  * <p>Each response confirms that the catalog was current when the request was sent. Long polls are
  * short because a connection may stall silently, and a pending poll confirms nothing until it
- * returns.
+ * returns. After a failure the platform is probed at short intervals, without waiting for earlier
+ * probes, so that its return is noticed soon whether it rejects requests or ignores them.
  */
 public final class PublishedFollower implements Service {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -36,7 +38,7 @@
     /** Delay after a change, because changes come in bursts and a burst is read by one request. */
     private static final long BATCHING_DELAY_MILLIS = 250;
 
-    private static final long MAX_BACKOFF_MILLIS = 700;
+    private static final long MAX_BACKOFF_MILLIS = 550;
 
     /**
      * The maximum delay of the snapshot after a return, so that routers do not read all at once.
@@ -58,6 +60,7 @@
     private final ReturnSettlement settlement = new ReturnSettlement();
     private final UnreadableLog unreadableLog = new UnreadableLog();
     private Disposable pending = Disposable.disposed();
+    private CompositeDisposable probes = new CompositeDisposable();
     private PublishedPosition position = PublishedPosition.START;
     private Optional<ClockReading> evidence = Optional.empty();
     private Disposable peerWait = Disposable.disposed();
@@ -104,6 +107,7 @@
     public void stop() {
         stopped = true;
         pending.dispose();
+        probes.dispose();
         peerWait.dispose();
     }
 
@@ -161,16 +165,50 @@
         }
         ClockReading sentAt = loop.now();
         boolean snapshot = needsSnapshot;
-        pending =
+        boolean probe = disconnected && !snapshot;
+        CompositeDisposable round = probes;
+        round.add(
                 (snapshot ? source.snapshot() : source.changes(position, pollTimeoutMillis()))
                         .subscribe(
-                                batch -> loop.execute(() -> applySafely(batch, snapshot, sentAt)),
-                                error -> loop.execute(() -> handleFailure(error)));
+                                batch ->
+                                        executeIn(
+                                                round, () -> applySafely(batch, snapshot, sentAt)),
+                                error ->
+                                        executeIn(
+                                                round, () -> handleFailure(error, probe, sentAt))));
+        if (probe) {
+            // A probe may never be answered, so the next one does not wait for its failure.
+            retryLater(() -> probeAgain(sentAt));
+        }
+    }
+
+    /** Probes the platform again, as it has not answered the previous probe for a while. */
+    private void probeAgain(ClockReading previousSentAt) {
+        upstreams.platformUnreachable(previousSentAt.steadyMillis());
+        poll();
+    }
+
+    /** Runs a task unless a later request to the platform has already been answered. */
+    private void executeIn(CompositeDisposable round, Runnable task) {
+        loop.execute(
+                () -> {
+                    if (round == probes) {
+                        task.run();
+                    }
+                });
+    }
+
+    /** Ignores the requests to the platform that are still open. */
+    private void endRound() {
+        pending.dispose();
+        probes.dispose();
+        probes = new CompositeDisposable();
     }
 
     /**
-     * Returns the time to wait for changes. The poll that ends the settling time is cut short and
-     * the one after it is brief, so that confirmations resume at once.
+     * Returns the time to wait for changes. It is brief while the platform is probed, as a return
+     * would go unnoticed for that time. The poll that ends the settling time is cut short and the
+     * one after it is brief, so that confirmations resume at once.
      */
     private long pollTimeoutMillis() {
         long settlingMillis = settlement.leftMillis(loop.nowMillis());
@@ -178,7 +216,7 @@
         long timeoutMillis =
                 isCut ? settlingMillis : isBriefPollDue ? BRIEF_POLL_MILLIS : POLL_TIMEOUT_MILLIS;
         isBriefPollDue = isCut;
-        return timeoutMillis;
+        return disconnected ? Math.min(timeoutMillis, BRIEF_POLL_MILLIS) : timeoutMillis;
     }
 
     /**
@@ -201,11 +239,7 @@
             return;
         }
         long nowMillis = loop.nowMillis();
-        if (disconnected) {
-            disconnected = false;
-            logger.atInfo().log("platform regained");
-        }
-        upstreams.platformAnswered(nowMillis);
+        platformAnswered(nowMillis);
         observeEpoch(nowMillis);
         // A lagging replica must not revert changes already read from another replica.
         if (batch.position().epoch() < epoch() || batch.position().compareTo(position) < 0) {
@@ -239,6 +273,15 @@
         }
     }
 
+    private void platformAnswered(long nowMillis) {
+        endRound();
+        if (disconnected) {
+            disconnected = false;
+            logger.atInfo().log("platform regained");
+        }
+        upstreams.platformAnswered(nowMillis);
+    }
+
     /**
      * Begins a new epoch if a response has told one: the state read so far may be from its future.
      */
@@ -312,7 +355,7 @@
         }
     }
 
-    private void handleFailure(Throwable error) {
+    private void handleFailure(Throwable error, boolean probe, ClockReading sentAt) {
         if (stopped) {
             return;
         }
@@ -322,16 +365,29 @@
             logger.atInfo().log(
                     "change history after position %s is no longer available, reading a snapshot",
                     position);
+            platformAnswered(nowMillis);
             readSnapshotNext();
             return;
         }
+        if (error instanceof ReaderLostException && !disconnected) {
+            poll();
+            return;
+        }
+        if (!(error instanceof ReaderLostException)) {
+            markUnreachable(error, sentAt);
+        }
+        if (!probe) {
+            retryLater();
+        }
+    }
+
+    private void markUnreachable(Throwable error, ClockReading sentAt) {
         if (!disconnected) {
             disconnected = true;
             logger.atWarning().log("platform lost: %s", error.getMessage());
         }
-        upstreams.platformUnreachable();
+        upstreams.platformUnreachable(sentAt.steadyMillis());
         relay.markUnavailable();
-        retryLater();
     }
 
     /** Reads a snapshot soon, or after a backoff if no poll has succeeded since the last ones. */
@@ -347,7 +403,12 @@
     }
 
     private void retryLater() {
-        pending = loop.after(backoffMillis / 2 + random.nextLong(backoffMillis), this::poll);
+        retryLater(this::poll);
+    }
+
+    private void retryLater(Runnable retry) {
+        long delayMillis = backoffMillis * 3 / 4 + random.nextLong(backoffMillis / 2);
+        pending = loop.after(delayMillis, retry);
         backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedSource.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedSource.java
@@ -17,6 +17,7 @@
      * @param after the last position that the caller has
      * @param waitMillis the maximum wait, in milliseconds; the batch is then empty
      * @return the changes, or an error {@link HistoryLostException} if they are no longer available
+     *     or {@link ReaderLostException} if the platform itself was not asked
      */
     Single<PublishedBatch> changes(PublishedPosition after, long waitMillis);
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
@@ -16,9 +16,9 @@
 /**
  * The table of the published upstreams.
  *
- * <p>A removed entry is dropped at once, except entries that expired while the platform was
- * unreachable: their upstreams may still run, so they are kept until they have had time to register
- * again.
+ * <p>A removed entry is dropped at once, except entries that may have expired because the platform
+ * was unreachable: their upstreams may still run, so they are kept until they have had time to
+ * register again.
  */
 public final class UpstreamTable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -30,18 +30,31 @@
     private final Set<Runnable> listeners = new HashSet<>();
     private final Announcements announcements = new Announcements();
     private final ClosedLives closedLives = new ClosedLives();
+    private final PlatformOutage outage;
     private boolean loaded;
-    private long outageEndMillis = Long.MIN_VALUE / 2;
-    private boolean outage;
+    private long graceStartMillis = Long.MIN_VALUE / 2;
 
     /**
-     * Creates an empty table.
+     * Creates an empty table that expects entries to expire in any outage of the platform.
      *
      * @param returnGraceMillis the time that upstreams have to register again after an outage of
      *     the platform, in milliseconds
      */
     public UpstreamTable(long returnGraceMillis) {
+        this(returnGraceMillis, 0);
+    }
+
+    /**
+     * Creates an empty table.
+     *
+     * @param returnGraceMillis the time that upstreams have to register again after an outage of
+     *     the platform, in milliseconds
+     * @param expiryMillis the shortest outage in which the entry of a running upstream can expire,
+     *     in milliseconds
+     */
+    public UpstreamTable(long returnGraceMillis, long expiryMillis) {
         this.returnGraceMillis = returnGraceMillis;
+        this.outage = new PlatformOutage(expiryMillis);
         announcements.onLeaving(this::changed);
     }
 
@@ -84,9 +97,13 @@
         return open.isEmpty() ? OptionalDouble.empty() : OptionalDouble.of(sum);
     }
 
-    /** Records that the platform is unreachable. */
-    public void platformUnreachable() {
-        outage = true;
+    /**
+     * Records that the platform did not answer a request.
+     *
+     * @param sentMillis when the request was sent, in milliseconds of the steady clock
+     */
+    public void platformUnreachable(long sentMillis) {
+        outage.failed(sentMillis);
     }
 
     /**
@@ -95,15 +112,14 @@
      * @param nowMillis the time, in milliseconds of the steady clock
      */
     public void platformAnswered(long nowMillis) {
-        if (outage) {
-            outage = false;
-            restartGrace(nowMillis);
+        if (outage.answered(nowMillis)) {
+            restartGrace(outage.unavailableMillis());
         }
     }
 
-    private void restartGrace(long nowMillis) {
-        outageEndMillis = nowMillis;
-        graceUntilMillis.replaceAll((id, until) -> nowMillis + returnGraceMillis);
+    private void restartGrace(long startMillis) {
+        graceStartMillis = startMillis;
+        graceUntilMillis.replaceAll((id, until) -> startMillis + returnGraceMillis);
     }
 
     /**
@@ -188,7 +204,7 @@
         for (Iterator<Map.Entry<String, Long>> it = graceUntilMillis.entrySet().iterator();
                 it.hasNext(); ) {
             Map.Entry<String, Long> expiring = it.next();
-            if (!outage && nowMillis >= expiring.getValue()) {
+            if (!outage.isOngoing() && nowMillis >= expiring.getValue()) {
                 it.remove();
                 drop(expiring.getKey(), nowMillis);
                 dropped = true;
@@ -271,7 +287,7 @@
         if (!byId.containsKey(id)) {
             return;
         }
-        long keepUntilMillis = outageEndMillis + returnGraceMillis;
+        long keepUntilMillis = graceStartMillis + returnGraceMillis;
         if (nowMillis < keepUntilMillis && !byId.get(id).entry().leaving()) {
             graceUntilMillis.putIfAbsent(id, keepUntilMillis);
             return;
