Run the idle timeout of a connection only between its requests

Cause: the idle timeout of the HTTP server counts bytes, and none pass while a request is at its upstream. The same held for calls between routers: the called router closed a connection that carried nothing but an open call for 90 s.

Now a connection is idle only while no request waits for its response. Both front doors share the server. A connection between routers stays open while a call is.

--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/FrameHandler.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/FrameHandler.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.bronzewheel.wire.PeerFrame;
 
 /** The last handler of a pipeline: dispatches incoming frames and answers pings. */
@@ -15,6 +16,7 @@
     private final Peer self;
     private final FrameDispatcher dispatcher;
     private final TransportMeter meter;
+    private final AtomicInteger openCalls = new AtomicInteger();
 
     FrameHandler(Peer self, FrameDispatcher dispatcher, TransportMeter meter) {
         this.self = self;
@@ -36,14 +38,25 @@
         } else if (frame.getReply()) {
             receiveReply(frame);
         } else if (frame.getCallId() != 0) {
+            openCalls.incrementAndGet();
             dispatcher.serveCall(
-                    self, frame, reply -> NettyChannels.write(context.channel(), reply));
+                    self,
+                    frame,
+                    reply -> {
+                        openCalls.decrementAndGet();
+                        NettyChannels.write(context.channel(), reply);
+                    });
         } else {
             Peer from = new Peer(frame.getFromVmId(), frame.getFromIncarnation());
             dispatcher.dispatchMessage(from, frame.getChannel(), frame.getPayload().toByteArray());
         }
     }
 
+    /** Returns whether the peer waits for the reply to a call. */
+    boolean hasOpenCalls() {
+        return openCalls.get() > 0;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         logger.atFine().withCause(cause).log("closing peer connection after an error");
--- a/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/InboundHandler.java
+++ b/bronzewheel-fleet/src/main/java/org/bronzewheel/transport/InboundHandler.java
@@ -44,7 +44,7 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent) {
+        if (event instanceof IdleStateEvent && !hasOpenCalls()) {
             NettyChannels.close(context.channel());
         }
     }
--- a/bronzewheel-fleet/src/test/java/org/bronzewheel/transport/PeerTransportContractTest.java
+++ b/bronzewheel-fleet/src/test/java/org/bronzewheel/transport/PeerTransportContractTest.java
@@ -175,6 +175,21 @@
                 .isEqualTo(a.self() + "x");
     }
 
+    // LOST: the called router closed the connection of a call that took longer than the idle time.
+    @Test
+    void aCallThatTakesLongerThanTheIdleTimeIsAnswered() {
+        TransportSettings soonIdle =
+                new TransportSettings(64 << 10, 256 << 10, 1_000, 10, 50, 60_000, 50, 1);
+        NettyPeerTransport a = start(create("a", 1, soonIdle));
+        NettyPeerTransport b = create("b", 1, soonIdle);
+        b.serve(
+                Channel.CLAIM,
+                (from, payload) -> Single.just(payload).delay(1_000, TimeUnit.MILLISECONDS));
+        start(b);
+
+        assertThat(text(call(a, "b", "x", LONG_CALL_MILLIS).blockingGet())).isEqualTo("x");
+    }
+
     @Test
     void handlerExceptionFailsOnlyItsOwnCall() {
         NettyPeerTransport a = start("a", 1);
@@ -316,9 +331,13 @@
     }
 
     private NettyPeerTransport create(String vmId, long incarnation) {
+        return create(vmId, incarnation, SETTINGS);
+    }
+
+    private NettyPeerTransport create(String vmId, long incarnation, TransportSettings settings) {
         InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
         PeerDirectory peers = id -> Optional.ofNullable(directory.get(id));
-        return new NettyPeerTransport(new Peer(vmId, incarnation), any, peers, SETTINGS);
+        return new NettyPeerTransport(new Peer(vmId, incarnation), any, peers, settings);
     }
 
     private NettyPeerTransport start(String vmId, long incarnation) {
--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/StrictHttpServerTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/StrictHttpServerTest.java
@@ -25,6 +25,8 @@
     private static final String SMUGGLED =
             "POST /hidden HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     private static final int READ_MILLIS = 10_000;
+    private static final long IDLE_MILLIS = 200;
+    private static final long SLOW_MILLIS = 2_500;
 
     private final List<String> handledPaths = new CopyOnWriteArrayList<>();
     private Vertx vertx;
@@ -36,12 +38,18 @@
         server =
                 StrictHttpServer.create(
                                 vertx,
-                                new HttpServerOptions(),
+                                new HttpServerOptions().setIdleTimeout(1),
+                                () -> IDLE_MILLIS,
                                 request -> {
                                     handledPaths.add(request.path());
                                     if (request.path().equals("/closing")) {
                                         request.response().putHeader("Connection", "close");
                                     }
+                                    if (request.path().equals("/slow")) {
+                                        vertx.setTimer(
+                                                SLOW_MILLIS, t -> request.response().end("taken"));
+                                        return;
+                                    }
                                     request.response().end("taken");
                                 })
                         .listen(0, "127.0.0.1")
@@ -89,6 +97,25 @@
         assertThat(handledPaths).containsExactly("/closing");
     }
 
+    // LOST: requests that took longer than the idle timeout were cut off without an answer.
+    @Test
+    void aRequestThatTakesLongerThanTheIdleTimeoutIsAnswered() throws IOException {
+        String responses = exchange("POST /slow HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+        assertThat(responses).startsWith("HTTP/1.1 200");
+        assertThat(responses).endsWith("taken");
+    }
+
+    @Test
+    void aConnectionThatIsIdleAfterAResponseIsClosed() throws IOException {
+        String responses = exchange("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+        assertThat(responses).endsWith("taken");
+    }
+
+    @Test
+    void aConnectionWithoutAWholeRequestHeadIsClosed() throws IOException {
+        assertThat(exchange("POST /x HTTP/1.1\r\nHost:")).isEmpty();
+    }
+
     private String exchange(String bytes) throws IOException {
         StringBuilder received = new StringBuilder();
         try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.actualPort())) {
--- a/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/FrontDoor.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/frontdoor/FrontDoor.java
@@ -27,7 +27,7 @@
 
     private static final int MAX_HEADER_BYTES = 16 << 10;
     private static final int MAX_REQUEST_LINE_BYTES = 4 << 10;
-    private static final int IDLE_SECONDS = 120;
+    private static final long IDLE_MILLIS = 120_000;
     private static final long SHUTDOWN_SECONDS = 5;
 
     private final Vertx vertx;
@@ -89,9 +89,8 @@
                         .setHost(host)
                         .setPort(port)
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                        .setIdleTimeout(IDLE_SECONDS);
-        server = StrictHttpServer.create(vertx, options, router);
+                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES);
+        server = StrictHttpServer.create(vertx, options, () -> IDLE_MILLIS, router);
         try {
             server.listen().toCompletionStage().toCompletableFuture().join();
         } catch (CompletionException e) {
