Bound the memory of all answers in progress, not only of each one

An upstream that sends without end on many connections made a router run out of memory; requests of other callers ended with it (report of another operator).

Cause: an answer is kept up to 8 MiB, and nothing bounded the sum in a heap of 160 MB.

Past it, the largest answer of the upstream that occupies most is given up (ResponseMemory), so that callers of other upstreams keep their answers.

Costs one small record a request in progress.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -31,6 +31,7 @@
 import org.bronzewheel.serving.Refusal;
 import org.bronzewheel.serving.RequestObserver;
 import org.bronzewheel.serving.RequestOutcome;
+import org.bronzewheel.serving.ResponseMemory;
 import org.bronzewheel.serving.RunningRequest;
 import org.bronzewheel.serving.ServingContext;
 import org.bronzewheel.serving.ServingEngine;
@@ -284,7 +285,8 @@
                                     failureDomain(index),
                                     loop,
                                     random.split(),
-                                    new SilentObserver()));
+                                    new SilentObserver()),
+                            new ResponseMemory(64 << 20));
         }
 
         void start() {
--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EngineState.java
@@ -0,0 +1,13 @@
+package org.bronzewheel.serving;
+
+import org.bronzewheel.loop.ReceiveClock;
+
+/**
+ * The state that all requests of one serving engine share.
+ *
+ * @param engineWaits the waits for the first event at model engines
+ * @param receiveClock the time during which the loop could receive data
+ * @param responseMemory the memory that responses in progress occupy
+ */
+record EngineState(
+        FirstEventWaits engineWaits, ReceiveClock receiveClock, ResponseMemory responseMemory) {}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -10,7 +10,6 @@
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
-import org.bronzewheel.loop.ReceiveClock;
 import org.bronzewheel.permits.PermitDecision;
 import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.quarantine.Quarantine;
@@ -46,8 +45,7 @@
     static final int NOT_SENT = 0;
 
     private final ServingContext context;
-    private final FirstEventWaits engineWaits;
-    private final ReceiveClock receiveClock;
+    private final EngineState shared;
     private final Loop loop;
     private final CallerRequest request;
     private final ServiceRoute route;
@@ -79,8 +77,7 @@
 
     RequestExecution(
             ServingContext context,
-            FirstEventWaits engineWaits,
-            ReceiveClock receiveClock,
+            EngineState shared,
             CallerRequest request,
             ServiceRoute route,
             Optional<WorkspaceEntry> workspace,
@@ -88,8 +85,7 @@
             long arrivedMillis,
             Consumer<RequestExecution> onEnd) {
         this.context = context;
-        this.engineWaits = engineWaits;
-        this.receiveClock = receiveClock;
+        this.shared = shared;
         this.loop = context.loop();
         this.request = request;
         this.route = route;
@@ -240,15 +236,11 @@
      */
     private long expectedMillis() {
         return stages.expectedMillis()
-                + engineWaits.expectedMillis(service(), rank(), loop.nowMillis());
+                + shared.engineWaits().expectedMillis(service(), rank(), loop.nowMillis());
     }
 
-    FirstEventWaits engineWaits() {
-        return engineWaits;
-    }
-
-    ReceiveClock receiveClock() {
-        return receiveClock;
+    EngineState shared() {
+        return shared;
     }
 
     CallerRequest request() {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
@@ -98,6 +98,11 @@
                 || exchange.unsentBytes() > MAX_BUFFERED_BYTES;
     }
 
+    /** Returns the memory that the response occupies, in bytes. Buffers grow by doubling. */
+    long occupiedBytes() {
+        return 2L * (body.size() + events.pendingBytes()) + exchange.unsentBytes();
+    }
+
     /** Returns whether a resumed response has sent an event that has no place in the stream. */
     boolean isDiscontinuous() {
         return discontinuous;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -20,8 +20,7 @@
     private static final long STOPPING_RETRY_MILLIS = 50;
 
     private final ServingContext context;
-    private final FirstEventWaits engineWaits = new FirstEventWaits();
-    private final ReceiveClock receiveClock;
+    private final EngineState shared;
     private final Set<RequestExecution> running = new HashSet<>();
     private boolean stopping;
 
@@ -29,10 +28,13 @@
      * Creates an engine.
      *
      * @param context its dependencies
+     * @param responseMemory the memory that its responses may occupy
      */
-    public ServingEngine(ServingContext context) {
+    public ServingEngine(ServingContext context, ResponseMemory responseMemory) {
         this.context = context;
-        this.receiveClock = new ReceiveClock(context.loop());
+        this.shared =
+                new EngineState(
+                        new FirstEventWaits(), new ReceiveClock(context.loop()), responseMemory);
         context.quarantine().onQuarantine(() -> context.loop().execute(this::endQuarantined));
     }
 
@@ -110,8 +112,7 @@
         RequestExecution execution =
                 new RequestExecution(
                         context,
-                        engineWaits,
-                        receiveClock,
+                        shared,
                         request,
                         route.get(),
                         workspace,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -46,6 +46,7 @@
     private boolean silenceReported;
     private boolean endedByClose;
     private boolean ended;
+    private Runnable forgetMemory = () -> {};
     private Disposable call = Disposable.disposed();
     private Disposable check = Disposable.disposed();
 
@@ -60,7 +61,7 @@
         this.trial =
                 new PromptTrial(context.quarantine(), upstream, execution.request().promptParts());
         this.sentMillis = loop.nowMillis();
-        this.receiveClock = execution.receiveClock();
+        this.receiveClock = execution.shared().receiveClock();
         this.sentReceiveMillis = receiveClock.nowMillis();
         this.lastHeardMillis = sentReceiveMillis;
         this.lastCheckMillis = sentMillis;
@@ -70,8 +71,19 @@
     void start(UpstreamCall request) {
         upstream.callStarted(promptTokens);
         upstream.requestSent(sentMillis);
+        forgetMemory =
+                execution
+                        .shared()
+                        .responseMemory()
+                        .add(
+                                upstream.entry().id(),
+                                execution.relay()::occupiedBytes,
+                                () -> execution.guard(this::giveUp));
         if (engine) {
-            execution.engineWaits().sent(service, execution.route().priority(), sentMillis);
+            execution
+                    .shared()
+                    .engineWaits()
+                    .sent(service, execution.route().priority(), sentMillis);
         }
         try {
             call = context.upstreamClient().send(request, this);
@@ -100,9 +112,11 @@
         }
         ended = true;
         check.dispose();
+        forgetMemory.run();
         upstream.callEnded(promptRead ? 0 : promptTokens);
         if (engine && !promptRead) {
             execution
+                    .shared()
                     .engineWaits()
                     .ended(service, execution.route().priority(), false, loop.nowMillis());
         }
@@ -186,6 +200,12 @@
         abandon(reason);
     }
 
+    private void giveUp() {
+        if (!ended) {
+            reject("the answers occupy too much memory");
+        }
+    }
+
     private void abandon(String reason) {
         cancel();
         execution.reportFailure(upstream, service, true);
@@ -205,7 +225,15 @@
         }
         upstream.bytesReceived(receiveClock.nowMillis());
         long forwardedBefore = execution.relay().forwardedEvents();
+        long occupiedBefore = execution.relay().occupiedBytes();
         boolean first = execution.relay().data(bytes);
+        execution
+                .shared()
+                .responseMemory()
+                .grown(Math.max(0, execution.relay().occupiedBytes() - occupiedBefore));
+        if (ended) {
+            return;
+        }
         // Bytes of a stream that complete no event do not count as progress.
         if (!execution.route().streaming()
                 || execution.relay().forwardedEvents() > forwardedBefore) {
@@ -230,6 +258,7 @@
         trial.began(loop.nowMillis());
         upstream.promptTokensRead(promptTokens);
         execution
+                .shared()
                 .engineWaits()
                 .ended(service, execution.route().priority(), true, loop.nowMillis());
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/EngineFleet.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/EngineFleet.java
@@ -279,7 +279,8 @@
                                     "d",
                                     loop,
                                     random.split(),
-                                    new ServingHarness()));
+                                    new ServingHarness()),
+                            new ResponseMemory(64 << 20));
             evidence.start();
             heartbeats.start();
         }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -40,6 +40,7 @@
 /** A serving engine in virtual time, with simulated upstreams, stages and caller. */
 final class ServingHarness implements StageService, CallerExchange, RequestObserver {
     static final long LEASE_MILLIS = 4_000;
+    static final long RESPONSE_BYTES = 1 << 20;
     static final long CALL_MILLIS = 330;
     static final long CALLER_SILENCE_MILLIS = 2_400;
 
@@ -129,7 +130,8 @@
                                 "d",
                                 loop,
                                 new SplittableRandom(1),
-                                this));
+                                this),
+                        new ResponseMemory(RESPONSE_BYTES));
     }
 
     ServingHarness() {
