Number the rounds of requests to the platform instead of keeping all of an outage; rename the state that requests share

The handles of failed probes stayed in a list until the platform answered, however long the outage was. EngineState is named ServingState, as engines are model engines elsewhere.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -1,7 +1,6 @@
 package org.bronzewheel.published;
 
 import com.google.common.flogger.FluentLogger;
-import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.ArrayList;
 import java.util.List;
@@ -60,7 +59,7 @@
     private final ReturnSettlement settlement = new ReturnSettlement();
     private final UnreadableLog unreadableLog = new UnreadableLog();
     private Disposable pending = Disposable.disposed();
-    private CompositeDisposable probes = new CompositeDisposable();
+    private long round;
     private PublishedPosition position = PublishedPosition.START;
     private Optional<ClockReading> evidence = Optional.empty();
     private Disposable peerWait = Disposable.disposed();
@@ -107,7 +106,6 @@
     public void stop() {
         stopped = true;
         pending.dispose();
-        probes.dispose();
         peerWait.dispose();
     }
 
@@ -166,16 +164,18 @@
         ClockReading sentAt = loop.now();
         boolean snapshot = needsSnapshot;
         boolean probe = disconnected && !snapshot;
-        CompositeDisposable round = probes;
-        round.add(
+        long sentInRound = round;
+        Disposable unused =
                 (snapshot ? source.snapshot() : source.changes(position, pollTimeoutMillis()))
                         .subscribe(
                                 batch ->
-                                        executeIn(
-                                                round, () -> applySafely(batch, snapshot, sentAt)),
+                                        executeInRound(
+                                                sentInRound,
+                                                () -> applySafely(batch, snapshot, sentAt)),
                                 error ->
-                                        executeIn(
-                                                round, () -> handleFailure(error, probe, sentAt))));
+                                        executeInRound(
+                                                sentInRound,
+                                                () -> handleFailure(error, probe, sentAt)));
         if (probe) {
             // A probe may never be answered, so the next one does not wait for its failure.
             retryLater(() -> probeAgain(sentAt));
@@ -188,23 +188,16 @@
         poll();
     }
 
-    /** Runs a task unless a later request to the platform has already been answered. */
-    private void executeIn(CompositeDisposable round, Runnable task) {
+    /** Runs a task unless the platform has answered another request of the same round. */
+    private void executeInRound(long sentInRound, Runnable task) {
         loop.execute(
                 () -> {
-                    if (round == probes) {
+                    if (sentInRound == round) {
                         task.run();
                     }
                 });
     }
 
-    /** Ignores the requests to the platform that are still open. */
-    private void endRound() {
-        pending.dispose();
-        probes.dispose();
-        probes = new CompositeDisposable();
-    }
-
     /**
      * Returns the time to wait for changes. It is brief while the platform is probed, as a return
      * would go unnoticed for that time. The poll that ends the settling time is cut short and the
@@ -274,7 +267,8 @@
     }
 
     private void platformAnswered(long nowMillis) {
-        endRound();
+        round++;
+        pending.dispose();
         if (disconnected) {
             disconnected = false;
             logger.atInfo().log("platform regained");
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -46,7 +46,7 @@
     static final int NOT_SENT = 0;
 
     private final ServingContext context;
-    private final EngineState shared;
+    private final ServingState shared;
     private final Loop loop;
     private final CallerRequest request;
     private final ServiceRoute route;
@@ -78,7 +78,7 @@
 
     RequestExecution(
             ServingContext context,
-            EngineState shared,
+            ServingState shared,
             CallerRequest request,
             ServiceRoute route,
             Optional<WorkspaceEntry> workspace,
@@ -244,7 +244,7 @@
                 + shared.engineWaits().expectedMillis(service(), rank(), loop.nowMillis());
     }
 
-    EngineState shared() {
+    ServingState shared() {
         return shared;
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -20,7 +20,7 @@
     private static final long STOPPING_RETRY_MILLIS = 50;
 
     private final ServingContext context;
-    private final EngineState shared;
+    private final ServingState shared;
     private final Set<RequestExecution> running = new HashSet<>();
     private boolean stopping;
 
@@ -33,7 +33,7 @@
     public ServingEngine(ServingContext context, ResponseMemory responseMemory) {
         this.context = context;
         this.shared =
-                new EngineState(
+                new ServingState(
                         new FirstEventWaits(),
                         new ReceiveClock(context.loop()),
                         new StopPlan(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/EngineState.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingState.java
@@ -10,7 +10,7 @@
  * @param stopPlan the planned stop of this router
  * @param responseMemory the memory that responses in progress occupy
  */
-record EngineState(
+record ServingState(
         FirstEventWaits engineWaits,
         ReceiveClock receiveClock,
         StopPlan stopPlan,
