Log each close of a caller's connection that leaves whole requests unanswered

The counts of requests and responses move to ConnectionProgress, which the idle timeout and the new line share; idle closes get a line at FINE.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
@@ -1,12 +1,9 @@
 package org.bronzewheel.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.Future;
@@ -23,6 +20,7 @@
  * server to decide.
  */
 final class IdleConnectionHandler extends IdleStateHandler {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final String VERTX_HANDLER = "handler";
 
     /** The time without progress after which a transfer is given up. */
@@ -32,14 +30,13 @@
 
     private final LongSupplier idleTimeoutMillis;
     private final long checkIntervalMillis;
+    private final ConnectionProgress progress;
     private long idleMillis;
-    private long receivedRequests;
-    private long writtenResponses;
-    private long flushedResponses;
-    private boolean receiving;
 
-    private IdleConnectionHandler(LongSupplier idleTimeoutMillis, long checkIntervalMillis) {
+    private IdleConnectionHandler(
+            LongSupplier idleTimeoutMillis, long checkIntervalMillis, ConnectionProgress progress) {
         super(true, 0, 0, checkIntervalMillis, TimeUnit.MILLISECONDS);
+        this.progress = progress;
         this.idleTimeoutMillis = idleTimeoutMillis;
         this.checkIntervalMillis = checkIntervalMillis;
     }
@@ -54,24 +51,18 @@
     static void install(HttpConnection connection, LongSupplier idleTimeoutMillis) {
         long checkIntervalMillis =
                 Math.min(STALL_MILLIS, Math.max(MIN_IDLE_MILLIS, idleTimeoutMillis.getAsLong()));
-        ((ConnectionBase) connection)
-                .channel()
-                .pipeline()
-                .addBefore(
-                        VERTX_HANDLER,
-                        "idleConnection",
-                        new IdleConnectionHandler(idleTimeoutMillis, checkIntervalMillis));
+        ConnectionProgress progress = new ConnectionProgress();
+        ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
+        pipeline.addBefore(VERTX_HANDLER, "closeLogger", new ConnectionCloseLogger(progress));
+        pipeline.addBefore(
+                VERTX_HANDLER,
+                "idleConnection",
+                new IdleConnectionHandler(idleTimeoutMillis, checkIntervalMillis, progress));
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-        if (message instanceof HttpRequest) {
-            receiving = true;
-        }
-        if (message instanceof LastHttpContent) {
-            receiving = false;
-            receivedRequests++;
-        }
+        progress.received(message);
         super.channelRead(context, message);
     }
 
@@ -79,26 +70,19 @@
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
             throws Exception {
         ChannelPromise written = promise.unvoid();
-        if (message instanceof LastHttpContent && !isInterim(message)) {
-            writtenResponses++;
-            written.addListener(done -> flushedResponses++);
-        }
+        progress.written(message, written);
         super.write(context, message, written);
     }
 
-    private static boolean isInterim(Object message) {
-        return message instanceof HttpResponse response
-                && response.status().codeClass() == HttpStatusClass.INFORMATIONAL
-                && !response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
-    }
-
     @Override
     protected void channelIdle(ChannelHandlerContext context, IdleStateEvent event) {
         idleMillis = event.isFirst() ? checkIntervalMillis : idleMillis + checkIntervalMillis;
-        boolean waiting = receivedRequests > writtenResponses;
-        boolean transferring = receiving || flushedResponses < writtenResponses;
-        long timeoutMillis = transferring ? STALL_MILLIS : idleTimeoutMillis.getAsLong();
-        if (!waiting && idleMillis >= timeoutMillis) {
+        long timeoutMillis =
+                progress.isTransferring() ? STALL_MILLIS : idleTimeoutMillis.getAsLong();
+        if (!progress.isWaiting() && idleMillis >= timeoutMillis) {
+            logger.atFine().log(
+                    "closing an idle connection: caller=%s idleMillis=%d transferring=%b",
+                    context.channel().remoteAddress(), idleMillis, progress.isTransferring());
             Future<?> unused = context.close();
         }
     }
