Do not close a connection whose request arrived while the event loop stalled

Callers that reused a kept connection got neither an answer nor a refusal if the event loop paused for a while just then, as it does when it parses a large configuration.

Cause: the idle timer of a connection was overdue after the pause and ran before the sockets were read, so that a connection with an unread request was closed as idle. Class of fault: missing evidence taken for evidence. An idle connection is now closed only if nothing is read from it in the next pass of the loop.

Evidence: aRequestThatArrivesWhileTheEventLoopStallsIsAnswered failed on: the connection was closed with an empty response.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
@@ -30,9 +30,16 @@
 
     private static final long MIN_IDLE_MILLIS = 100;
 
+    /**
+     * The delay before an idle connection is closed. After a pause of the event loop its timers may
+     * run before the sockets are read.
+     */
+    private static final long READ_MILLIS = 10;
+
     private final LongSupplier idleTimeoutMillis;
     private final long checkIntervalMillis;
     private long idleMillis;
+    private long reads;
     private long receivedRequests;
     private long writtenResponses;
     private long flushedResponses;
@@ -75,6 +82,12 @@
         super.channelRead(context, message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        reads++;
+        super.channelReadComplete(context);
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
             throws Exception {
@@ -95,10 +108,26 @@
     @Override
     protected void channelIdle(ChannelHandlerContext context, IdleStateEvent event) {
         idleMillis = event.isFirst() ? checkIntervalMillis : idleMillis + checkIntervalMillis;
+        if (isTimedOut()) {
+            long readsBefore = reads;
+            Future<?> unused =
+                    context.executor()
+                            .schedule(
+                                    () -> closeUnlessRead(context, readsBefore),
+                                    READ_MILLIS,
+                                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean isTimedOut() {
         boolean waiting = receivedRequests > writtenResponses;
         boolean transferring = receiving || flushedResponses < writtenResponses;
         long timeoutMillis = transferring ? STALL_MILLIS : idleTimeoutMillis.getAsLong();
-        if (!waiting && idleMillis >= timeoutMillis) {
+        return !waiting && idleMillis >= timeoutMillis;
+    }
+
+    private void closeUnlessRead(ChannelHandlerContext context, long readsBefore) {
+        if (reads == readsBefore) {
             Future<?> unused = context.close();
         }
     }
