Keep connections open for the idle timeout under which they became idle

A configuration that shortened the idle timeout closed kept connections at their next check. Their callers knew the longer timeout and lost the request that they sent next.

Cause: the check compared the whole idle time with the newest timeout. Class of fault: the newest catalog applied to what began under an older one. A connection now keeps the timeout that was in force when it became idle; a longer one applies at once.

Evidence: aConnectionStaysOpenForTheIdleTimeoutThatWasInForceWhenItBecameIdle failed on: the connection was closed with an empty response.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
@@ -19,7 +19,8 @@
  * Closes connections that are idle between two requests, or that stall while a request or a
  * response is transferred.
  *
- * <p>No timeout runs while a request waits for its response: how long that may take is for the
+ * <p>A shorter idle timeout does not apply to connections that are already idle, as their callers may
+ * rely on the longer one. No timeout runs while a request waits for its response: how long that may take is for the
  * server to decide.
  */
 final class IdleConnectionHandler extends IdleStateHandler {
@@ -39,6 +40,7 @@
     private final LongSupplier idleTimeoutMillis;
     private final long checkIntervalMillis;
     private long idleMillis;
+    private long idleLimitMillis;
     private long reads;
     private long receivedRequests;
     private long writtenResponses;
@@ -49,6 +51,7 @@
         super(true, 0, 0, checkIntervalMillis, TimeUnit.MILLISECONDS);
         this.idleTimeoutMillis = idleTimeoutMillis;
         this.checkIntervalMillis = checkIntervalMillis;
+        this.idleLimitMillis = idleTimeoutMillis.getAsLong();
     }
 
     /**
@@ -94,6 +97,7 @@
         ChannelPromise written = promise.unvoid();
         if (message instanceof LastHttpContent && !isInterim(message)) {
             writtenResponses++;
+            idleLimitMillis = idleTimeoutMillis.getAsLong();
             written.addListener(done -> flushedResponses++);
         }
         super.write(context, message, written);
@@ -122,7 +126,8 @@
     private boolean isTimedOut() {
         boolean waiting = receivedRequests > writtenResponses;
         boolean transferring = receiving || flushedResponses < writtenResponses;
-        long timeoutMillis = transferring ? STALL_MILLIS : idleTimeoutMillis.getAsLong();
+        idleLimitMillis = Math.max(idleLimitMillis, idleTimeoutMillis.getAsLong());
+        long timeoutMillis = transferring ? STALL_MILLIS : idleLimitMillis;
         return !waiting && idleMillis >= timeoutMillis;
     }
 
--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/IdleConnectionTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/IdleConnectionTest.java
@@ -24,6 +24,7 @@
     private static final String BODY = "taken";
     private static final int READ_MILLIS = 10_000;
     private static final long SHORT_MILLIS = 200;
+    private static final long LONG_MILLIS = 60_000;
 
     private final AtomicLong idleTimeoutMillis = new AtomicLong(SHORT_MILLIS);
     private final CountDownLatch stalled = new CountDownLatch(1);
@@ -103,4 +104,18 @@
             assertThat(receive(kept)).endsWith(BODY);
         }
     }
+
+    // LOST: a shorter idle timeout closed connections whose callers knew the longer one.
+    @Test
+    void aConnectionStaysOpenForTheIdleTimeoutThatWasInForceWhenItBecameIdle() throws Exception {
+        send(kept, REQUEST + NO_BODY);
+        assertThat(receive(kept)).endsWith(BODY);
+        idleTimeoutMillis.set(LONG_MILLIS);
+        send(kept, REQUEST + NO_BODY);
+        assertThat(receive(kept)).endsWith(BODY);
+        idleTimeoutMillis.set(SHORT_MILLIS);
+        sleep(4 * SHORT_MILLIS);
+        send(kept, REQUEST + NO_BODY);
+        assertThat(receive(kept)).endsWith(BODY);
+    }
 }
