Fail the jobs of a stage service that the configuration has dropped

Requests with a stage whose service a configuration dropped were held until their deadline, so that their callers had left before the refusal came. The same held for a service that the owner did not know yet.

Cause: the dispatcher did nothing for a service without limits, not even fail what was late. Class of fault: no owner for what a newer configuration leaves behind. Waiting jobs of a dropped service now fail at once, which refuses their requests; those of a service that the owner does not know yet wait as long as their requests can still be answered. Calls that run are completed.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -70,6 +70,7 @@
     private final Map<String, StagePermit> freePermits = new HashMap<>();
     private Disposable nextPoll = Disposable.disposed();
     private boolean freeScheduled;
+    private boolean configured;
 
     StageDispatcher(
             String service,
@@ -410,10 +411,13 @@
     /** Fails tasks that cannot be served in time and sends batches to idle upstreams. */
     void pump() {
         Optional<StagePool> limits = pool();
+        long nowMillis = loop.nowMillis();
         if (limits.isEmpty()) {
+            failUnconfigured(nowMillis);
+            schedulePoll();
             return;
         }
-        long nowMillis = loop.nowMillis();
+        configured = true;
         refreshWorkers();
         failLate(limits.get(), nowMillis);
         for (StageWorker worker : idle(limits.get(), nowMillis)) {
@@ -423,6 +427,24 @@
         schedulePoll();
     }
 
+    /**
+     * Fails the tasks of a service that the configuration no longer contains. If it does not
+     * contain the service yet, they wait while their requests could still be answered.
+     */
+    private void failUnconfigured(long nowMillis) {
+        for (StageTask task : List.copyOf(tasks)) {
+            int waiting = task.waiting().size();
+            long latest = task.job().deadlineAtMillis() - task.job().leastLaterMillis();
+            if (waiting > 0 && configured) {
+                counters.count(PieceCounters.Event.FAILED, waiting);
+                fail(task, StageFailure.UPSTREAM_FAILED);
+            } else if (waiting > 0 && nowMillis > latest) {
+                counters.count(PieceCounters.Event.LATE, task.job().rank(), waiting);
+                fail(task, StageFailure.LATE);
+            }
+        }
+    }
+
     /** Fails the tasks that cannot meet their deadline given the tasks ahead of them. */
     private void failLate(StagePool limits, long nowMillis) {
         double pieceMillis = millisPerPiece(limits);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -34,10 +34,11 @@
     private final List<String> freed = new ArrayList<>();
     private final List<StageResult> inputsReleased = new ArrayList<>();
     private boolean first;
+    private Optional<StagePool> pool = Optional.of(POOL);
     private final StageDispatcher dispatcher =
             new StageDispatcher(
                     "s",
-                    service -> Optional.of(POOL),
+                    service -> pool,
                     upstreams,
                     permits,
                     new Port(),
@@ -644,4 +645,45 @@
         calls.get(0).done();
         assertThat(outcome.results).hasSize(1);
     }
+
+    // LOST: jobs of a service that a configuration dropped were held until their callers had left.
+    @Test
+    void jobsOfADroppedServiceAreFailedAtOnce() {
+        upstreams("u");
+        Outcome running = submit("running", 4, 0, 10, 9_000);
+        advance(10);
+        Outcome waiting = submit("waiting", 1, 0, 10, 9_000);
+        pool = Optional.empty();
+        Outcome submitted = submit("submitted", 1, 0, 10, 9_000);
+        advance(60);
+        assertThat(waiting.failure).isEqualTo(StageFailure.UPSTREAM_FAILED);
+        assertThat(submitted.failure).isEqualTo(StageFailure.UPSTREAM_FAILED);
+        calls.get(0).done();
+        assertThat(running.results).hasSize(4);
+        assertThat(dispatcher.openJobs()).isEqualTo(0);
+    }
+
+    // LOST: a job of a service that its owner did not know yet was held until its caller had left.
+    @Test
+    void aJobOfAnUnknownServiceFailsWhileItsRequestCanStillBeAnswered() {
+        upstreams("u");
+        pool = Optional.empty();
+        Outcome outcome = submit("a", 1, 0, 10, 1_000);
+        advance(800);
+        assertThat(outcome.failure).isNull();
+        advance(180);
+        assertThat(outcome.failure).isEqualTo(StageFailure.LATE);
+    }
+
+    @Test
+    void aJobThatArrivesBeforeTheConfigurationOfItsServiceIsRun() {
+        upstreams("u");
+        pool = Optional.empty();
+        Outcome outcome = submit("a", 1, 0, 10, 9_000);
+        advance(500);
+        pool = Optional.of(POOL);
+        advance(100);
+        calls.get(0).done();
+        assertThat(outcome.results).hasSize(1);
+    }
 }
