Let callers that still send read the last response on their connection

A caller that wrote its whole body got a broken connection instead of the 413 or 400, for example where a newer configuration had lowered maxBodyBytes since it began.

Cause: the connection was closed with a part of the body unread, which resets it on a real kernel.

Evidence: aCallerThatWritesItsWholeBodyReadsItsRejection failed with a plain close in its rows 413 and 400 ("Broken pipe"), the latter also on itself; its rows 503, with and without Connection: close, and aCallerThatWritesItsWholeBodyReadsItsRejectionDuringAPlannedStop passed before, as the body is skipped there.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictHttpServer.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictHttpServer.java
@@ -77,7 +77,7 @@
         if (previous != null && CLOSE.equalsIgnoreCase(previous.headers().get(CONNECTION))) {
             lastResponses.put(request.connection(), previous);
             if (previous.ended()) {
-                request.connection().close();
+                LingeringClose.close(request.connection());
             }
             return;
         }
@@ -97,6 +97,6 @@
         response.setStatusCode(BAD_REQUEST)
                 .putHeader(CONNECTION, CLOSE)
                 .end(reason)
-                .onComplete(done -> request.connection().close());
+                .onComplete(done -> LingeringClose.close(request.connection()));
     }
 }
