--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionProgress.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionProgress.java
@@ -53,6 +53,11 @@
         return Math.max(0, receivedRequests - writtenResponses);
     }
 
+    /** Returns whether the head of a request was received, but not yet all of its body. */
+    boolean isReceiving() {
+        return receiving;
+    }
+
     /** Returns whether a request is being received or a response is being sent. */
     boolean isTransferring() {
         return receiving || flushedResponses < writtenResponses;
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
@@ -4,20 +4,22 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.Future;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 /**
  * Closes connections that are idle between two requests, or that stall while a request or a
  * response is transferred.
  *
- * <p>No timeout runs while a request waits for its response: how long that may take is for the
- * server to decide.
+ * <p>A shorter idle timeout does not apply to connections that are already idle, as their callers
+ * may rely on the longer one. No timeout runs while a request waits for its response: how long that
+ * may take is for the server to decide.
  */
 final class IdleConnectionHandler extends IdleStateHandler {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -28,58 +30,110 @@
 
     private static final long MIN_IDLE_MILLIS = 100;
 
-    private final LongSupplier idleTimeoutMillis;
+    /**
+     * The delay before an idle connection is closed. After a pause of the event loop its timers may
+     * run before the sockets are read.
+     */
+    private static final long READ_MILLIS = 10;
+
+    private final Supplier<ConnectionTimeouts> timeouts;
     private final long checkIntervalMillis;
     private final ConnectionProgress progress;
     private long idleMillis;
+    private long idleLimitMillis;
+    private long reads;
+    private boolean decoded;
+    private boolean receivingHead;
+    private long headStartNanos;
+    private long headLimitMillis;
 
     private IdleConnectionHandler(
-            LongSupplier idleTimeoutMillis, long checkIntervalMillis, ConnectionProgress progress) {
+            Supplier<ConnectionTimeouts> timeouts,
+            long checkIntervalMillis,
+            ConnectionProgress progress) {
         super(true, 0, 0, checkIntervalMillis, TimeUnit.MILLISECONDS);
-        this.progress = progress;
-        this.idleTimeoutMillis = idleTimeoutMillis;
+        this.timeouts = timeouts;
         this.checkIntervalMillis = checkIntervalMillis;
+        this.progress = progress;
+        this.idleLimitMillis = timeouts.get().idleMillis();
     }
 
     /**
      * Adds a handler to a connection; called before the first byte is read.
      *
      * @param connection the connection
-     * @param idleTimeoutMillis supplies the time that a connection may be idle between two
-     *     requests, in milliseconds
+     * @param timeouts supplies its timeouts
      */
-    static void install(HttpConnection connection, LongSupplier idleTimeoutMillis) {
+    static void install(HttpConnection connection, Supplier<ConnectionTimeouts> timeouts) {
         long checkIntervalMillis =
-                Math.min(STALL_MILLIS, Math.max(MIN_IDLE_MILLIS, idleTimeoutMillis.getAsLong()));
+                Math.min(STALL_MILLIS, Math.max(MIN_IDLE_MILLIS, timeouts.get().idleMillis()));
         ConnectionProgress progress = new ConnectionProgress();
         ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
         pipeline.addBefore(VERTX_HANDLER, "closeLogger", new ConnectionCloseLogger(progress));
         pipeline.addBefore(
                 VERTX_HANDLER,
                 "idleConnection",
-                new IdleConnectionHandler(idleTimeoutMillis, checkIntervalMillis, progress));
+                new IdleConnectionHandler(timeouts, checkIntervalMillis, progress));
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         progress.received(message);
+        decoded = true;
+        receivingHead = false;
         super.channelRead(context, message);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        reads++;
+        if (!decoded && !progress.isReceiving() && !receivingHead) {
+            receivingHead = true;
+            headStartNanos = System.nanoTime();
+            headLimitMillis = timeouts.get().headMillis();
+        }
+        decoded = false;
+        super.channelReadComplete(context);
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
             throws Exception {
         ChannelPromise written = promise.unvoid();
         progress.written(message, written);
+        if (message instanceof LastHttpContent) {
+            idleLimitMillis = timeouts.get().idleMillis();
+        }
         super.write(context, message, written);
     }
 
     @Override
     protected void channelIdle(ChannelHandlerContext context, IdleStateEvent event) {
         idleMillis = event.isFirst() ? checkIntervalMillis : idleMillis + checkIntervalMillis;
-        long timeoutMillis =
-                progress.isTransferring() ? STALL_MILLIS : idleTimeoutMillis.getAsLong();
-        if (!progress.isWaiting() && idleMillis >= timeoutMillis) {
+        if (isTimedOut()) {
+            long readsBefore = reads;
+            Future<?> unused =
+                    context.executor()
+                            .schedule(
+                                    () -> closeUnlessRead(context, readsBefore),
+                                    READ_MILLIS,
+                                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private boolean isTimedOut() {
+        idleLimitMillis = Math.max(idleLimitMillis, timeouts.get().idleMillis());
+        long timeoutMillis = progress.isTransferring() ? STALL_MILLIS : idleLimitMillis;
+        return !progress.isWaiting() && !mayReceiveHead() && idleMillis >= timeoutMillis;
+    }
+
+    private boolean mayReceiveHead() {
+        long headMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - headStartNanos);
+        return receivingHead && headMillis < headLimitMillis;
+    }
+
+    private void closeUnlessRead(ChannelHandlerContext context, long readsBefore) {
+        if (reads == readsBefore) {
             logger.atFine().log(
                     "closing an idle connection: caller=%s idleMillis=%d transferring=%b",
                     context.channel().remoteAddress(), idleMillis, progress.isTransferring());
