Give the rest of a piece of text the number of its first token

What callers could see: a stream that ends with its whole answer, the last tokens of which never came as pieces, or came under the number of tokens before them. Seen in a test only.

Cause: a further attempt of a stage repeats what readers have seen. Where one of its pieces begins before that and ends behind it, the rest of the piece was kept under the number of the whole piece. A reader asks for the numbers behind its last piece, so that the rest was left out; at the end of the text no gap shows it. Engines send pieces of different lengths as their batches differ, and an attempt is given up for another one once it took its part of the deadline.

Now upstream clients tell the tokens of each piece, and the rest begins at the token that follows the text. Numbers in the log only grow.

Evidence: aFurtherAttemptInLongerPiecesLosesNoTokens failed on ("missing (1): TokenPiece[offset=2, text=c]"). Adds one number for each request held.

--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptRun.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptRun.java
@@ -103,7 +103,7 @@
 
     private void begin(SingleEmitter<StageAnswer> emitter, TokenListener text) {
         Disposable subscription =
-                client.call(call, (offset, piece) -> pass(text, offset, piece))
+                client.call(call, (offset, tokens, piece) -> pass(text, offset, tokens, piece))
                         .map(this::checkEcho)
                         .subscribe(
                                 answer -> succeed(emitter, answer), error -> fail(emitter, error));
@@ -117,13 +117,13 @@
         }
     }
 
-    private void pass(TokenListener text, long offset, String piece) {
+    private void pass(TokenListener text, long offset, long tokens, String piece) {
         synchronized (this) {
             if (superseded) {
                 return;
             }
         }
-        text.token(offset, piece);
+        text.token(offset, tokens, piece);
     }
 
     /** Checks immediately before the bytes leave that the attempt may still be sent. */
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptText.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptText.java
@@ -19,8 +19,8 @@
     }
 
     @Override
-    public void token(long offset, String text) {
-        if (!held.append(position, offset, text)) {
+    public void token(long offset, long tokens, String text) {
+        if (!held.append(position, offset, tokens, text)) {
             throw new BronzewheelException(
                     ErrorCode.UPSTREAM_ANSWER_INVALID,
                     Outcome.UNKNOWN,
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/HeldRequest.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/HeldRequest.java
@@ -95,7 +95,7 @@
      *
      * @return false where it contradicts what readers have seen
      */
-    boolean append(int position, long offset, String piece) {
+    boolean append(int position, long offset, long count, String piece) {
         List<Reader> woken;
         synchronized (this) {
             if (!tokens.agrees(position, piece)) {
@@ -105,7 +105,7 @@
             if (known >= piece.length()) {
                 return true;
             }
-            tokens.append(offset, piece.substring(Math.max(0, known)));
+            tokens.append(offset, count, piece.substring(Math.max(0, known)));
             woken = takeReaders(false);
         }
         wake(woken);
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/TokenLog.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/TokenLog.java
@@ -10,11 +10,18 @@
 final class TokenLog {
     private final List<TokenPiece> pieces = new ArrayList<>();
     private final StringBuilder text = new StringBuilder();
+    private long nextOffset;
     private boolean read;
 
-    void append(long offset, String piece) {
-        pieces.add(new TokenPiece(offset, piece));
-        text.append(piece);
+    /**
+     * Appends a piece, or the rest of one whose begin is already there; the rest begins at the
+     * token that follows the text.
+     */
+    void append(long offset, long tokens, String rest) {
+        long begin = Math.max(offset, nextOffset);
+        pieces.add(new TokenPiece(begin, rest));
+        text.append(rest);
+        nextOffset = Math.max(begin + 1, offset + tokens);
     }
 
     /** Returns the pieces from an offset on. */
@@ -35,6 +42,7 @@
         if (!read) {
             pieces.clear();
             text.setLength(0);
+            nextOffset = 0;
         }
     }
 
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.subscribers.TestSubscriber;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -186,6 +187,26 @@
         assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
     }
 
+    @Test
+    void aFurtherAttemptInLongerPiecesLosesNoTokens() {
+        TestSubscriber<ReadResult> reading = fixture.run(request("briefing", "", true));
+        client.last().answer("encoded");
+        client.last().token(0, "a");
+        client.last().token(1, "b");
+        client.last().fail(ErrorCode.UPSTREAM_BROKEN, Outcome.UNKNOWN);
+        fixture.advanceMillis(100);
+        client.last().token(0, "abc");
+        client.last().answer("abc");
+
+        List<TokenPiece> pieces = new ArrayList<>();
+        reading.values().forEach(r -> pieces.addAll(r.pieces()));
+        assertThat(pieces)
+                .containsExactly(
+                        new TokenPiece(0, "a"), new TokenPiece(1, "b"), new TokenPiece(2, "c"))
+                .inOrder();
+        assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
+    }
+
     @Test
     void aFurtherAttemptThatContradictsItsReadersIsNotAccepted() {
         TestSubscriber<ReadResult> reading = fixture.run(request("briefing", "", true));
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/FakeStageClient.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/FakeStageClient.java
@@ -43,9 +43,10 @@
             }
         }
 
+        /** Streams a piece, each character of which is a token. */
         void token(long offset, String text) {
             try {
-                tokens.token(offset, text);
+                tokens.token(offset, text.length(), text);
             } catch (BronzewheelException e) {
                 end.onError(e);
             }
--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/CompletionText.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/CompletionText.java
@@ -99,7 +99,7 @@
         text.append(piece);
         counted = tokens > 0;
         nextOffset = offset + Math.max(1, tokens);
-        listener.token(offset, piece);
+        listener.token(offset, nextOffset - offset, piece);
     }
 
     private JsonNode parse(String event) {
--- a/bronzewheel-upstream/src/test/java/org/bronzewheel/upstream/EngineClientContractTest.java
+++ b/bronzewheel-upstream/src/test/java/org/bronzewheel/upstream/EngineClientContractTest.java
@@ -236,7 +236,7 @@
         return Calls.call(server.address(), PoolKind.MODEL_ENGINE, false);
     }
 
-    private void token(long offset, String text) {
+    private void token(long offset, long count, String text) {
         tokens.add(text);
     }
 }
