End a stream with the rest of its text where its holder is lost

What callers saw: "the pieces don't join to the answer" (LOST): a repeated send, which streams a request that another router holds, can get the first pieces and then the whole answer, without the pieces between.

Cause: pieces are held only by the router that runs the request, answers also as copies. Where the holder is lost after it stored the answer and before its reader asked for the last pieces, the reader takes the copy, and a copy has no pieces. The numbers of the tokens have no gap, as it is the end that is missing.

Now a reader that follows the text from its begin gives at the end the part of the answer's text that it has not read, as one piece, unless the answer contradicts what it has read. Routers tell each other the tokens of a piece (field 3 of RequestPiece, 0 from routers that don't send it), so that this piece has the right number.

Adds the text read so far for each open stream, a number for each piece held and sent to a peer, and one reading of the answer's JSON at the end of a stream.

--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/Bodies.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/Bodies.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.execution;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -71,6 +72,18 @@
         return new StoredAnswer(id, Outcome.ANSWERED, OK, JSON, body.toString());
     }
 
+    /** Returns the generated text of an answer, empty where it has none. */
+    static String text(StoredAnswer answer) {
+        if (answer.outcome() != Outcome.ANSWERED) {
+            return "";
+        }
+        try {
+            return MAPPER.readTree(answer.body()).path("answer").path("text").asText("");
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("the body of an answer is not JSON", e);
+        }
+    }
+
     private static void add(ArrayNode stages, StageReport report) {
         ObjectNode stage = stages.addObject();
         stage.put("name", report.name());
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/PeerRequests.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/PeerRequests.java
@@ -100,7 +100,10 @@
         RequestReply.Builder reply = RequestReply.newBuilder().setKnown(true);
         for (TokenPiece piece : result.pieces()) {
             reply.addPieces(
-                    RequestPiece.newBuilder().setOffset(piece.offset()).setText(piece.text()));
+                    RequestPiece.newBuilder()
+                            .setOffset(piece.offset())
+                            .setTokens(piece.tokens())
+                            .setText(piece.text()));
         }
         if (result.ended()) {
             reply.setEnd(end(result.answer()));
@@ -121,14 +124,15 @@
         if (!reply.getKnown()) {
             return Optional.empty();
         }
-        var pieces =
-                reply.getPiecesList().stream()
-                        .map(piece -> new TokenPiece(piece.getOffset(), piece.getText()))
-                        .toList();
+        var pieces = reply.getPiecesList().stream().map(PeerRequests::piece).toList();
         StoredAnswer answer = reply.hasEnd() ? answer(id, reply.getEnd()) : null;
         return Optional.of(new ReadResult(pieces, answer));
     }
 
+    private static TokenPiece piece(RequestPiece piece) {
+        return new TokenPiece(piece.getOffset(), piece.getTokens(), piece.getText());
+    }
+
     private static StoredAnswer answer(RequestId id, RequestEnd end) {
         return new StoredAnswer(
                 id,
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/ReadResult.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/ReadResult.java
@@ -29,6 +29,10 @@
      * @return the offset after the last piece, or the same where there was none
      */
     public long nextOffset(long offset) {
-        return pieces.isEmpty() ? offset : pieces.get(pieces.size() - 1).offset() + 1;
+        if (pieces.isEmpty()) {
+            return offset;
+        }
+        TokenPiece last = pieces.get(pieces.size() - 1);
+        return last.offset() + Math.max(1, last.tokens());
     }
 }
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestReader.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/RequestReader.java
@@ -62,12 +62,16 @@
                 .onErrorResumeNext(error -> readCopyAfter(id, error));
     }
 
-    /** Reads on until the end; the last result has the answer. */
+    /**
+     * Reads on until the end; the last result has the answer and, for a reader of the text from its
+     * begin, what the text still lacks of it.
+     */
     Flowable<ReadResult> follow(RequestId id, long offset) {
         return Flowable.defer(
                 () -> {
                     AtomicLong next = new AtomicLong(offset);
                     AtomicInteger failures = new AtomicInteger();
+                    FollowedText text = new FollowedText();
                     return Single.defer(() -> read(id, next.get(), WAIT_MILLIS))
                             .doOnSuccess(
                                     result -> {
@@ -76,7 +80,8 @@
                                     })
                             .retryWhen(errors -> errors.flatMap(e -> pause(id, failures, e)))
                             .repeat()
-                            .takeUntil(ReadResult::ended);
+                            .takeUntil(ReadResult::ended)
+                            .map(result -> offset == 0 ? text.complete(result) : result);
                 });
     }
 
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/TokenLog.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/TokenLog.java
@@ -19,9 +19,9 @@
      */
     void append(long offset, long tokens, String rest) {
         long begin = Math.max(offset, nextOffset);
-        pieces.add(new TokenPiece(begin, rest));
-        text.append(rest);
         nextOffset = Math.max(begin + 1, offset + tokens);
+        pieces.add(new TokenPiece(begin, nextOffset - begin, rest));
+        text.append(rest);
     }
 
     /** Returns the pieces from an offset on. */
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/ExecutionTest.java
@@ -202,7 +202,9 @@
         reading.values().forEach(r -> pieces.addAll(r.pieces()));
         assertThat(pieces)
                 .containsExactly(
-                        new TokenPiece(0, "a"), new TokenPiece(1, "b"), new TokenPiece(2, "c"))
+                        new TokenPiece(0, 1, "a"),
+                        new TokenPiece(1, 1, "b"),
+                        new TokenPiece(2, 1, "c"))
                 .inOrder();
         assertThat(end(reading).outcome()).isEqualTo(Outcome.ANSWERED);
     }
@@ -219,7 +221,7 @@
         }
 
         assertThat(end(reading).outcome()).isEqualTo(Outcome.UNKNOWN);
-        assertThat(reading.values().get(0).pieces()).containsExactly(new TokenPiece(0, "a"));
+        assertThat(reading.values().get(0).pieces()).containsExactly(new TokenPiece(0, 1, "a"));
     }
 
     @Test
--- a/bronzewheel-router/src/test/java/org/bronzewheel/execution/KeyedRequestTest.java
+++ b/bronzewheel-router/src/test/java/org/bronzewheel/execution/KeyedRequestTest.java
@@ -5,15 +5,21 @@
 import static org.bronzewheel.execution.Fixture.end;
 import static org.bronzewheel.execution.Fixture.request;
 
+import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.observers.TestObserver;
 import io.reactivex.rxjava3.subjects.CompletableSubject;
 import io.reactivex.rxjava3.subscribers.TestSubscriber;
+import java.util.ArrayList;
+import java.util.List;
 import org.bronzewheel.answer.StoredAnswer;
 import org.bronzewheel.claim.ClaimDecision;
 import org.bronzewheel.error.BronzewheelException;
 import org.bronzewheel.error.ErrorCode;
 import org.bronzewheel.request.Outcome;
 import org.bronzewheel.request.RequestId;
+import org.bronzewheel.transport.CallHandler;
+import org.bronzewheel.wire.RequestPiece;
+import org.bronzewheel.wire.RequestReply;
 import org.junit.jupiter.api.Test;
 
 class KeyedRequestTest {
@@ -133,7 +139,7 @@
         client.last().answer("a");
         ReadResult last = peer.read(id, 1, 0).blockingGet().orElseThrow();
 
-        assertThat(first.pieces()).containsExactly(new TokenPiece(0, "a"));
+        assertThat(first.pieces()).containsExactly(new TokenPiece(0, 1, "a"));
         assertThat(first.ended()).isFalse();
         assertThat(last.pieces()).isEmpty();
         assertThat(last.answer()).isEqualTo(end(fixture.requests.follow(id, 0).test()));
@@ -158,6 +164,39 @@
         assertThat(end(reading)).isEqualTo(kept);
     }
 
+    @Test
+    void aStreamWhoseHolderIsLostEndsWithTheRestOfItsText() {
+        StoredAnswer kept =
+                new StoredAnswer(
+                        OTHER,
+                        Outcome.ANSWERED,
+                        200,
+                        "application/json",
+                        "{\"answer\":{\"text\":\"abc\"}}");
+        fixture.fleet.answers.kept.put(OTHER, kept);
+        RequestPiece piece = RequestPiece.newBuilder().setTokens(2).setText("ab").build();
+        CallHandler lost = fixture.fleet.transport.peer;
+        fixture.fleet.transport.peer =
+                (from, payload) -> {
+                    fixture.fleet.transport.peer = lost;
+                    return Single.just(
+                            RequestReply.newBuilder()
+                                    .setKnown(true)
+                                    .addPieces(piece)
+                                    .build()
+                                    .toByteArray());
+                };
+
+        TestSubscriber<ReadResult> reading = fixture.requests.follow(OTHER, 0).test();
+
+        List<TokenPiece> pieces = new ArrayList<>();
+        reading.values().forEach(r -> pieces.addAll(r.pieces()));
+        assertThat(pieces)
+                .containsExactly(new TokenPiece(0, 2, "ab"), new TokenPiece(2, 0, "c"))
+                .inOrder();
+        assertThat(end(reading)).isEqualTo(kept);
+    }
+
     @Test
     void aLostHolderWithoutCopyIsUnknown() {
         TestSubscriber<ReadResult> reading = fixture.requests.follow(OTHER, 0).test();
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Request.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Request.java
@@ -74,11 +74,12 @@
       "ncel\"\213\001\n\014RequestReply\022\r\n\005known\030\001 \001(\010\022.\n\006" +
       "pieces\030\002 \003(\0132\036.bronzewheel.wire.RequestP" +
       "iece\022)\n\003end\030\003 \001(\0132\034.bronzewheel.wire.Req" +
-      "uestEnd\022\021\n\tcancelled\030\004 \001(\010\",\n\014RequestPie" +
-      "ce\022\016\n\006offset\030\001 \001(\003\022\014\n\004text\030\002 \001(\t\"V\n\nRequ" +
-      "estEnd\022\017\n\007outcome\030\001 \001(\t\022\023\n\013http_status\030\002" +
-      " \001(\005\022\024\n\014content_type\030\003 \001(\t\022\014\n\004body\030\004 \001(\t" +
-      "B\030\n\024org.bronzewheel.wireP\001b\006proto3"
+      "uestEnd\022\021\n\tcancelled\030\004 \001(\010\"<\n\014RequestPie" +
+      "ce\022\016\n\006offset\030\001 \001(\003\022\014\n\004text\030\002 \001(\t\022\016\n\006toke" +
+      "ns\030\003 \001(\003\"V\n\nRequestEnd\022\017\n\007outcome\030\001 \001(\t\022" +
+      "\023\n\013http_status\030\002 \001(\005\022\024\n\014content_type\030\003 \001" +
+      "(\t\022\014\n\004body\030\004 \001(\tB\030\n\024org.bronzewheel.wire" +
+      "P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -113,7 +114,7 @@
     internal_static_bronzewheel_wire_RequestPiece_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_RequestPiece_descriptor,
-        new java.lang.String[] { "Offset", "Text", });
+        new java.lang.String[] { "Offset", "Text", "Tokens", });
     internal_static_bronzewheel_wire_RequestEnd_descriptor =
       getDescriptor().getMessageType(5);
     internal_static_bronzewheel_wire_RequestEnd_fieldAccessorTable = new
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/RequestPiece.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/RequestPiece.java
@@ -99,6 +99,21 @@
     }
   }
 
+  public static final int TOKENS_FIELD_NUMBER = 3;
+  private long tokens_ = 0L;
+  /**
+   * <pre>
+   * Tokens of this piece; 0 where they are not known.
+   * </pre>
+   *
+   * <code>int64 tokens = 3;</code>
+   * @return The tokens.
+   */
+  @java.lang.Override
+  public long getTokens() {
+    return tokens_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -119,6 +134,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(text_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, text_);
     }
+    if (tokens_ != 0L) {
+      output.writeInt64(3, tokens_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -130,6 +148,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(text_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, text_);
     }
+    if (tokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, tokens_);
+    }
     return size;
   }
   @java.lang.Override
@@ -158,6 +180,8 @@
         != other.getOffset()) return false;
     if (!getText()
         .equals(other.getText())) return false;
+    if (getTokens()
+        != other.getTokens()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -174,6 +198,9 @@
         getOffset());
     hash = (37 * hash) + TEXT_FIELD_NUMBER;
     hash = (53 * hash) + getText().hashCode();
+    hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTokens());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -307,6 +334,7 @@
       bitField0_ = 0;
       offset_ = 0L;
       text_ = "";
+      tokens_ = 0L;
       return this;
     }
 
@@ -346,6 +374,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.text_ = text_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.tokens_ = tokens_;
+      }
     }
 
     @java.lang.Override
@@ -368,6 +399,9 @@
         bitField0_ |= 0x00000002;
         onChanged();
       }
+      if (other.getTokens() != 0L) {
+        setTokens(other.getTokens());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -402,6 +436,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 24: {
+              tokens_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -523,6 +562,50 @@
       return this;
     }
 
+    private long tokens_ ;
+    /**
+     * <pre>
+     * Tokens of this piece; 0 where they are not known.
+     * </pre>
+     *
+     * <code>int64 tokens = 3;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+    /**
+     * <pre>
+     * Tokens of this piece; 0 where they are not known.
+     * </pre>
+     *
+     * <code>int64 tokens = 3;</code>
+     * @param value The tokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTokens(long value) {
+
+      tokens_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens of this piece; 0 where they are not known.
+     * </pre>
+     *
+     * <code>int64 tokens = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTokens() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      tokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.RequestPiece)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/RequestPieceOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/RequestPieceOrBuilder.java
@@ -27,4 +27,14 @@
    */
   com.google.protobuf.ByteString
       getTextBytes();
+
+  /**
+   * <pre>
+   * Tokens of this piece; 0 where they are not known.
+   * </pre>
+   *
+   * <code>int64 tokens = 3;</code>
+   * @return The tokens.
+   */
+  long getTokens();
 }
