Keep late pieces of a superseded attempt out of the text of the next one

What callers saw: a request that failed with UPSTREAM_ANSWER_INVALID ("a further attempt generated another text than its readers have seen"), or a stream that began in the middle. Seen in a test only.

Cause: an attempt looks whether it is superseded and then passes its piece on, without a lock over both. A piece that is on its way while the next attempt begins came into the emptied text at the wrong place.

Now the text belongs to one attempt at a time, and pieces of an earlier one are left out under the lock of the text.

--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptText.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/AttemptText.java
@@ -15,12 +15,12 @@
 
     AttemptText(HeldRequest held) {
         this.held = held;
-        held.restartText();
+        held.restartText(this);
     }
 
     @Override
     public void token(long offset, long tokens, String text) {
-        if (!held.append(position, offset, tokens, text)) {
+        if (!held.append(this, position, offset, tokens, text)) {
             throw new BronzewheelException(
                     ErrorCode.UPSTREAM_ANSWER_INVALID,
                     Outcome.UNKNOWN,
--- a/bronzewheel-router/src/main/java/org/bronzewheel/execution/HeldRequest.java
+++ b/bronzewheel-router/src/main/java/org/bronzewheel/execution/HeldRequest.java
@@ -15,6 +15,7 @@
     private final RequestId id;
     private final TokenLog tokens = new TokenLog();
     private final List<Reader> readers = new ArrayList<>();
+    private AttemptText current;
     private StoredAnswer answer;
     private Runnable cancellation = () -> {};
 
@@ -80,24 +81,24 @@
         readers.remove(reader);
     }
 
-    /**
-     * Begins the text of a further attempt.
-     *
-     * @return the number of characters that readers have seen, which the attempt must repeat
-     */
-    synchronized int restartText() {
+    /** Begins the text of a further attempt, which must repeat what readers have seen. */
+    synchronized void restartText(AttemptText next) {
         tokens.restart();
-        return tokens.length();
+        current = next;
     }
 
     /**
-     * Takes a piece of text that begins at a position in characters.
+     * Takes a piece of text that begins at a position in characters; a piece of an attempt before
+     * the current one is left out.
      *
      * @return false where it contradicts what readers have seen
      */
-    boolean append(int position, long offset, long count, String piece) {
+    boolean append(AttemptText from, int position, long offset, long count, String piece) {
         List<Reader> woken;
         synchronized (this) {
+            if (from != current) {
+                return true;
+            }
             if (!tokens.agrees(position, piece)) {
                 return false;
             }
