Tell pieces that are cut short from pieces of another text in the verdict

"the pieces don't join to the answer" said nothing of how they differ, and a stream without its end was taken for one of two runs. The check is the same.

--- a/bronzewheel-ctl/src/main/java/org/bronzewheel/judge/RequestJudgement.java
+++ b/bronzewheel-ctl/src/main/java/org/bronzewheel/judge/RequestJudgement.java
@@ -159,8 +159,23 @@
         }
         // Pieces may be of an earlier generating stage; then the answer has no text to compare.
         if (!text.isEmpty() && !joined.toString().equals(text)) {
-            found(Finding.LOST, "the pieces don't join to the answer");
+            found(
+                    Finding.LOST,
+                    "the pieces don't join to the answer: "
+                            + difference(joined.toString(), text, tokens));
+        }
+    }
+
+    /** Tells pieces that are cut short from pieces of another text. */
+    private static String difference(String joined, String text, long tokens) {
+        if (text.startsWith(joined)) {
+            return "they end after " + tokens + " tokens";
+        }
+        int same = 0;
+        while (same < text.length() && joined.charAt(same) == text.charAt(same)) {
+            same++;
         }
+        return "they differ from character " + same + " on";
     }
 
     /** Counts the tokens of the stand-in engines, of which each but the first begins by a space. */
--- a/bronzewheel-ctl/src/test/java/org/bronzewheel/judge/JudgeTest.java
+++ b/bronzewheel-ctl/src/test/java/org/bronzewheel/judge/JudgeTest.java
@@ -256,4 +256,20 @@
         assertThat(judge(request, line(1, answered("r", answer, first))).total().lost())
                 .isEqualTo(1);
     }
+
+    @Test
+    void piecesThatAreCutShortAreToldFromPiecesOfAnotherText() {
+        PlannedRequest request = request("briefing", "");
+        JsonNode answer = expected(request);
+        List<String> parts = List.of(answer.path("text").asText().split("(?= )", -1));
+        TokenPiece first = new TokenPiece(0, parts.get(0) + parts.get(1));
+        TokenPiece other = new TokenPiece(2, " other");
+        String cut = judge(request, line(1, answered("r", answer, first))).violations().toString();
+        String mixed =
+                judge(request, line(1, answered("r", answer, first, other)))
+                        .violations()
+                        .toString();
+        assertThat(cut).contains("they end after 2 tokens");
+        assertThat(mixed).contains("they differ from character");
+    }
 }
