--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
@@ -30,11 +30,11 @@
 
     private static final long MIN_IDLE_MILLIS = 100;
 
-    /**
-     * The delay before an idle connection is closed. After a pause of the event loop its timers may
-     * run before the sockets are read.
-     */
-    private static final long READ_MILLIS = 10;
+    /** The delay before an idle connection is closed, in which its socket is read once more. */
+    private static final long READ_MILLIS = 1;
+
+    /** A longer turn of the event loop may have left bytes that arrived during it unread. */
+    private static final long MAX_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
     private final Supplier<ConnectionTimeouts> timeouts;
     private final long checkIntervalMillis;
@@ -111,13 +111,7 @@
     protected void channelIdle(ChannelHandlerContext context, IdleStateEvent event) {
         idleMillis = event.isFirst() ? checkIntervalMillis : idleMillis + checkIntervalMillis;
         if (isTimedOut()) {
-            long readsBefore = reads;
-            Future<?> unused =
-                    context.executor()
-                            .schedule(
-                                    () -> closeUnlessRead(context, readsBefore),
-                                    READ_MILLIS,
-                                    TimeUnit.MILLISECONDS);
+            closeUnlessRead(context, reads);
         }
     }
 
@@ -132,12 +126,28 @@
         return receivingHead && headMillis < headLimitMillis;
     }
 
+    /**
+     * Closes the connection once its socket has been read. After a stall of the event loop, overdue
+     * timers run before the sockets are read.
+     */
     private void closeUnlessRead(ChannelHandlerContext context, long readsBefore) {
-        if (reads == readsBefore) {
-            logger.atFine().log(
-                    "closing an idle connection: caller=%s idleMillis=%d transferring=%b",
-                    context.channel().remoteAddress(), idleMillis, progress.isTransferring());
-            Future<?> unused = context.close();
-        }
+        long startNanos = System.nanoTime();
+        Runnable check =
+                () -> {
+                    boolean stalled = System.nanoTime() - startNanos > MAX_TURN_NANOS;
+                    if (reads == readsBefore && stalled) {
+                        closeUnlessRead(context, readsBefore);
+                    } else if (reads == readsBefore) {
+                        close(context);
+                    }
+                };
+        Future<?> unused = context.executor().schedule(check, READ_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void close(ChannelHandlerContext context) {
+        logger.atFine().log(
+                "closing an idle connection: caller=%s idleMillis=%d transferring=%b",
+                context.channel().remoteAddress(), idleMillis, progress.isTransferring());
+        Future<?> unused = context.close();
     }
 }
