--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
@@ -31,7 +31,7 @@
     private static final long MIN_IDLE_MILLIS = 100;
 
     /** The delay before an idle connection is closed, in which its socket is read once more. */
-    private static final long READ_MILLIS = 1;
+    private static final long READ_DELAY_MILLIS = 1;
 
     /** A longer turn of the event loop may have left bytes that arrived during it unread. */
     private static final long MAX_TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
@@ -41,8 +41,8 @@
     private final ConnectionProgress progress;
     private long idleMillis;
     private long idleLimitMillis;
-    private long reads;
-    private boolean decoded;
+    private long messages;
+    private boolean decodedInRead;
     private boolean receivingHead;
     private long headStartNanos;
     private long headLimitMillis;
@@ -79,20 +79,20 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         progress.received(message);
-        decoded = true;
+        messages++;
+        decodedInRead = true;
         receivingHead = false;
         super.channelRead(context, message);
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
-        reads++;
-        if (!decoded && !progress.isReceiving() && !receivingHead) {
+        if (!decodedInRead && !progress.isReceiving() && !receivingHead) {
             receivingHead = true;
             headStartNanos = System.nanoTime();
             headLimitMillis = timeouts.get().headMillis();
         }
-        decoded = false;
+        decodedInRead = false;
         super.channelReadComplete(context);
     }
 
@@ -111,7 +111,7 @@
     protected void channelIdle(ChannelHandlerContext context, IdleStateEvent event) {
         idleMillis = event.isFirst() ? checkIntervalMillis : idleMillis + checkIntervalMillis;
         if (isTimedOut()) {
-            closeUnlessRead(context, reads);
+            closeUnlessRead(context, messages);
         }
     }
 
@@ -130,18 +130,20 @@
      * Closes the connection once its socket has been read. After a stall of the event loop, overdue
      * timers run before the sockets are read.
      */
-    private void closeUnlessRead(ChannelHandlerContext context, long readsBefore) {
+    private void closeUnlessRead(ChannelHandlerContext context, long messagesBefore) {
         long startNanos = System.nanoTime();
         Runnable check =
                 () -> {
+                    boolean timedOut = messages == messagesBefore && isTimedOut();
                     boolean stalled = System.nanoTime() - startNanos > MAX_TURN_NANOS;
-                    if (reads == readsBefore && stalled) {
-                        closeUnlessRead(context, readsBefore);
-                    } else if (reads == readsBefore) {
+                    if (timedOut && stalled) {
+                        closeUnlessRead(context, messagesBefore);
+                    } else if (timedOut) {
                         close(context);
                     }
                 };
-        Future<?> unused = context.executor().schedule(check, READ_MILLIS, TimeUnit.MILLISECONDS);
+        Future<?> unused =
+                context.executor().schedule(check, READ_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void close(ChannelHandlerContext context) {
--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/IdleConnectionTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/IdleConnectionTest.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -12,10 +13,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Reuses a kept connection shortly before and after its idle timeout changes or is due. */
 class IdleConnectionTest {
@@ -27,6 +31,7 @@
     private static final long LONG_MILLIS = 60_000;
 
     private final AtomicLong idleTimeoutMillis = new AtomicLong(SHORT_MILLIS);
+    private volatile long headMillis = LONG_MILLIS;
     private final CountDownLatch stalled = new CountDownLatch(1);
     private Vertx vertx;
     private HttpServer server;
@@ -39,7 +44,7 @@
                 StrictHttpServer.create(
                                 vertx,
                                 new HttpServerOptions(),
-                                () -> new ConnectionTimeouts(idleTimeoutMillis.get(), LONG_MILLIS),
+                                () -> new ConnectionTimeouts(idleTimeoutMillis.get(), headMillis),
                                 this::handle)
                         .listen(0, "127.0.0.1")
                         .toCompletionStage()
@@ -129,4 +134,21 @@
         send(kept, NO_BODY);
         assertThat(receive(kept)).endsWith(BODY);
     }
+
+    // A caller kept its connection, and the memory of it, with a head that never ended.
+    @ParameterizedTest
+    @ValueSource(strings = {REQUEST + "A: ", ""})
+    void aHeadThatNeverEndsIsCutOffAfterItsTimeout(String start) throws Exception {
+        headMillis = SHORT_MILLIS;
+        send(kept, start);
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READ_MILLIS);
+        assertThrows(
+                IOException.class,
+                () -> {
+                    while (System.nanoTime() < untilNanos) {
+                        send(kept, start.isEmpty() ? "\r\n" : "x");
+                        sleep(5);
+                    }
+                });
+    }
 }
