Answer a request even if its end cannot be reported

An error in the observer or in the engine's book of running requests left a request without its refusal: it was marked as ended before, so that the guard could not answer it either. Class of fault: no owner for errors.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -767,9 +767,12 @@
         permit.dispose();
         cleanUp(this::cancelAttempt);
         cleanUp(stages::end);
-        onEnd.accept(this);
-        context.observer()
-                .ended(request.id(), route.name(), end, detail, loop.nowMillis() - arrivedMillis);
+        cleanUp(() -> onEnd.accept(this));
+        long elapsedMillis = loop.nowMillis() - arrivedMillis;
+        cleanUp(
+                () ->
+                        context.observer()
+                                .ended(request.id(), route.name(), end, detail, elapsedMillis));
         return true;
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -55,6 +55,7 @@
     final List<Submitted> jobs = new ArrayList<>();
     final List<StageResult> released = new ArrayList<>();
     final Map<String, Integer> unmetPieces = new HashMap<>();
+    boolean failsAtEnd;
     final List<Refusal> refusals = new ArrayList<>();
     final StringBuilder body = new StringBuilder();
     final ServingEngine engine;
@@ -332,5 +333,8 @@
             String detail,
             long elapsedMillis) {
         this.outcome = outcome;
+        if (failsAtEnd) {
+            throw new IllegalStateException("unexpected");
+        }
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
@@ -89,4 +89,15 @@
         assertThat(harness.refusals).hasSize(1);
         assertThat(harness.engine.runningRequests()).isEqualTo(0);
     }
+
+    // LOST: an error after a request had been marked as ended left it without its refusal.
+    @Test
+    void aRequestIsRefusedEvenIfItsEndCannotBeReported() {
+        ServingHarness harness =
+                new ServingHarness().with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2));
+        harness.request("key", List.of(1));
+        harness.failsAtEnd = true;
+        harness.advance(5_000);
+        assertThat(harness.refusals).hasSize(1);
+    }
 }
