--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -685,9 +685,9 @@
                 upstream, context.upstreams().serving(service), broken, loop.nowMillis());
     }
 
-    void answered(int status, long upstreamMillis) {
+    void answered(long upstreamMillis) {
         shared.stopPlan().completed(route, upstreamMillis);
-        end(RequestOutcome.ANSWERED, "status " + status);
+        end(RequestOutcome.ANSWERED, relay.describeForwarded());
     }
 
     private void timedOut() {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestObserver.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestObserver.java
@@ -33,6 +33,10 @@
         STAGE_FAILED,
         /** The request was sent to an upstream. */
         SENT,
+        /** An attempt ended with a complete success of its upstream. */
+        ATTEMPT_SUCCEEDED,
+        /** An attempt ended with a failure, without a complete response or was cancelled. */
+        ATTEMPT_FAILED,
         /** The request is retried. */
         REPEATED,
         /** A response was discarded. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ResponseRelay.java
@@ -147,6 +147,11 @@
                         && !events.isWithinEvent());
     }
 
+    /** Returns the status and origin of the head that was forwarded, for log lines. */
+    String describeForwarded() {
+        return "status " + head.status() + " " + head.describeOrigin();
+    }
+
     /** Completes the response. */
     void finish() {
         if (isStreaming()) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -41,6 +41,7 @@
     private long lastHeardMillis;
     private long patienceMillis;
     private long lastCheckMillis;
+    private ConnectionUse connection;
     private UpstreamHead head;
     private boolean promptRead;
     private boolean silenceReported;
@@ -57,6 +58,7 @@
         this.service = service;
         this.upstream = upstream;
         this.engine = engine;
+        this.connection = ConnectionUse.none(upstream.entry().id());
         this.promptTokens = execution.request().promptTokens();
         this.trial =
                 new PromptTrial(context.quarantine(), upstream, execution.request().promptParts());
@@ -101,12 +103,12 @@
 
     /** Cancels the attempt at the upstream. */
     void cancel() {
-        if (end()) {
+        if (end(Decision.ATTEMPT_FAILED)) {
             call.dispose();
         }
     }
 
-    private boolean end() {
+    private boolean end(Decision result) {
         if (ended) {
             return false;
         }
@@ -121,9 +123,17 @@
                     .ended(service, execution.route().priority(), false, loop.nowMillis());
         }
         execution.attemptEnded();
+        context.observer().decided(execution.request().id(), result, describe());
         return true;
     }
 
+    private String describe() {
+        String millis = " millis=" + (loop.nowMillis() - sentMillis);
+        return head == null
+                ? "status=none " + connection + millis
+                : "status=" + head.status() + " " + head.describeOrigin() + millis;
+    }
+
     /** Returns whether an engine has begun to respond. */
     boolean hasBegun() {
         return trial.hasBegun();
@@ -139,6 +149,11 @@
         upstream.bytesReceived(lastHeardMillis);
     }
 
+    @Override
+    public void onConnected(ConnectionUse use) {
+        connection = use;
+    }
+
     @Override
     public void onHead(UpstreamHead next) {
         execution.guard(() -> receiveHead(next));
@@ -299,8 +314,8 @@
         if (answered && head.isSuccess() && !endedByClose) {
             trial.completed(loop.nowMillis());
         }
-        end();
-        execution.answered(head.status(), loop.nowMillis() - sentMillis);
+        end(head.isSuccess() ? Decision.ATTEMPT_SUCCEEDED : Decision.ATTEMPT_FAILED);
+        execution.answered(loop.nowMillis() - sentMillis);
     }
 
     @Override
@@ -319,7 +334,7 @@
         if (ended) {
             return;
         }
-        end();
+        end(Decision.ATTEMPT_FAILED);
         switch (failure) {
             case NOT_SENT -> {
                 execution.reportFailure(upstream, service, true);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamListener.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamListener.java
@@ -2,6 +2,13 @@
 
 /** Receives the response to one attempt. No call follows {@link #onEnd} or {@link #onFailure}. */
 public interface UpstreamListener {
+    /**
+     * Called when the request is written to a connection.
+     *
+     * @param use the use of the connection
+     */
+    default void onConnected(ConnectionUse use) {}
+
     /**
      * Called with the head of the response.
      *
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -64,6 +64,8 @@
     boolean finished;
     boolean aborted;
     RequestOutcome outcome;
+    String outcomeDetail;
+    final List<String> decisions = new ArrayList<>();
     boolean sendThrows;
     boolean submitThrows;
     boolean cancelThrows;
@@ -323,7 +325,9 @@
     }
 
     @Override
-    public void decided(String requestId, Decision decision, String detail) {}
+    public void decided(String requestId, Decision decision, String detail) {
+        decisions.add(decision + " " + detail);
+    }
 
     @Override
     public void ended(
@@ -333,6 +337,7 @@
             String detail,
             long elapsedMillis) {
         this.outcome = outcome;
+        this.outcomeDetail = detail;
         if (failsAtEnd) {
             throw new IllegalStateException("unexpected");
         }
