Do not take a stall of this router for the silence of its peers

After a stall of the event loop of 1.4 s, stage jobs at other owners failed with OWNER_LOST, or were submitted again where the retry budget allowed it: their requests were refused though the owner was sound.

SeedMembership measured silence on the steady clock. The first timer after a stall found every peer silent for longer than 1,300 ms, as their heartbeats still waited unread. Now at most the interval between messages (350 ms) is counted between two calls of the membership, which is called at least that often; the rest of a longer time is a stall. A dead peer is noticed after the same time as before while this router runs; heartbeats are sent on the steady clock as before.

SharedStagesTest.aStallOfTheEventLoopDoesNotFailTheJobsOfOtherOwners (all routers stalled) and aStallOfTheSubmitterAloneDoesNotFailItsJobs failed before, the first with OWNER_LOST; so did SeedMembershipTest.aRouterThatAloneStalledStillHoldsTheOthersForLive (1 live router instead of 9 and 81).

That it is what the users saw is not shown.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
@@ -19,6 +19,9 @@
  * that are new to it. The interval between heartbeats grows with the size of the fleet, so that the
  * traffic per router stays constant. Safety does not depend on membership: if two routers
  * temporarily own the same key, the cost is duplicate work, not incorrect results.
+ *
+ * <p>Silence is measured without the stalls of this router, during which heartbeats wait unread in
+ * its sockets: between two calls at most the interval between messages is counted.
  */
 public final class SeedMembership {
     /** The number of routers from which gossip is used. */
@@ -66,6 +69,8 @@
     private boolean usesGossip;
     private int largestCount = 1;
     private long largestCountMillis;
+    private long calledAtMillis;
+    private long elapsedMillis;
 
     /**
      * Creates a membership that contains only this router.
@@ -91,6 +96,14 @@
         this.random = random;
         this.startedMillis = nowMillis;
         this.beatMillis = nowMillis;
+        this.calledAtMillis = nowMillis;
+    }
+
+    /** Returns the time without stalls of this router, in milliseconds. */
+    private long receiveMillis(long nowMillis) {
+        elapsedMillis += Math.min(nowMillis - calledAtMillis, BEAT_MILLIS);
+        calledAtMillis = nowMillis;
+        return elapsedMillis;
     }
 
     /**
@@ -134,7 +147,8 @@
      * @return the heartbeats of the message
      */
     public HeartbeatMessage nextMessage(long nowMillis) {
-        forget(nowMillis);
+        long receiveMillis = receiveMillis(nowMillis);
+        forget(receiveMillis);
         if (!usesGossip || nowMillis - beatMillis >= beatPeriodMillis()) {
             beat++;
             beatMillis = nowMillis;
@@ -144,7 +158,7 @@
                 (vmId, peer) -> {
                     if (!usesGossip
                             && peer.wasHeard()
-                            && peer.silentMillis(nowMillis) < FORGET_MILLIS) {
+                            && peer.silentMillis(receiveMillis) < FORGET_MILLIS) {
                         others.add(peer.presenceOnly(vmId));
                     } else if (usesGossip && peer.needsForwarding()) {
                         others.add(peer.heartbeat(vmId));
@@ -162,8 +176,9 @@
      * @param nowMillis the time, in milliseconds of the steady clock
      */
     public void receive(HeartbeatMessage heartbeats, long nowMillis) {
-        hear(heartbeats.sender(), nowMillis);
-        heartbeats.others().forEach(heartbeat -> hear(heartbeat, nowMillis));
+        long receiveMillis = receiveMillis(nowMillis);
+        hear(heartbeats.sender(), receiveMillis);
+        heartbeats.others().forEach(heartbeat -> hear(heartbeat, receiveMillis));
         int count = live(nowMillis).size();
         if (count >= largestCount || nowMillis - largestCountMillis > COUNT_WINDOW_MILLIS) {
             largestCount = count;
@@ -171,34 +186,35 @@
         }
     }
 
-    private void hear(Heartbeat heartbeat, long nowMillis) {
+    private void hear(Heartbeat heartbeat, long receiveMillis) {
         if (heartbeat.vmId().equals(self)) {
             return;
         }
         PeerState peer = known.get(heartbeat.vmId());
         if (peer == null) {
-            peer = new PeerState(nowMillis);
+            peer = new PeerState(receiveMillis);
             known.put(heartbeat.vmId(), peer);
-            count(nowMillis);
+            count(receiveMillis);
         }
         if (heartbeat.beat() > 0) {
-            peer.hear(heartbeat, nowMillis, silenceMillis());
+            peer.hear(heartbeat, receiveMillis, silenceMillis());
         }
     }
 
     /** Removes routers that were listed but never heard, and those lost for a long time. */
-    private void forget(long nowMillis) {
+    private void forget(long receiveMillis) {
         known.values()
                 .removeIf(
                         peer ->
-                                peer.silentMillis(nowMillis)
+                                peer.silentMillis(receiveMillis)
                                         > (peer.wasHeard() ? LOST_MILLIS : FORGET_MILLIS));
-        count(nowMillis);
+        count(receiveMillis);
     }
 
-    private void count(long nowMillis) {
+    private void count(long receiveMillis) {
         long forgetMillis = forgetMillis();
-        presentRouters = idsMatching(peer -> peer.silentMillis(nowMillis) < forgetMillis).size();
+        presentRouters =
+                idsMatching(peer -> peer.silentMillis(receiveMillis) < forgetMillis).size();
         usesGossip = presentRouters >= MIN_GOSSIP_ROUTERS;
     }
 
@@ -212,8 +228,9 @@
      */
     public Set<String> targets(long nowMillis) {
         Set<String> targets = new LinkedHashSet<>();
+        long receiveMillis = receiveMillis(nowMillis);
         long forgetMillis = forgetMillis();
-        List<String> lost = idsMatching(peer -> peer.silentMillis(nowMillis) >= forgetMillis);
+        List<String> lost = idsMatching(peer -> peer.silentMillis(receiveMillis) >= forgetMillis);
         if (usesGossip) {
             List<String> live = live(nowMillis);
             seeds.stream().filter(seed -> !live.contains(seed)).forEach(lost::add);
@@ -223,7 +240,7 @@
             }
         } else {
             targets.addAll(seeds);
-            targets.addAll(idsMatching(peer -> peer.silentMillis(nowMillis) < FORGET_MILLIS));
+            targets.addAll(idsMatching(peer -> peer.silentMillis(receiveMillis) < FORGET_MILLIS));
         }
         if (!lost.isEmpty() && random.nextInt(TICKS_PER_LOST_TARGET) == 0) {
             targets.add(lost.get(random.nextInt(lost.size())));
@@ -250,8 +267,9 @@
      * @return their VMs, including this router and leaving ones
      */
     public List<String> live(long nowMillis) {
+        long receiveMillis = receiveMillis(nowMillis);
         long silenceMillis = silenceMillis();
-        List<String> live = idsMatching(peer -> peer.isLive(nowMillis, silenceMillis));
+        List<String> live = idsMatching(peer -> peer.isLive(receiveMillis, silenceMillis));
         live.add(0, self);
         return live;
     }
@@ -265,7 +283,7 @@
     public void suspect(String vmId, long nowMillis) {
         PeerState peer = known.get(vmId);
         if (peer != null) {
-            peer.suspect(nowMillis);
+            peer.suspect(receiveMillis(nowMillis));
         }
     }
 
@@ -279,11 +297,12 @@
      * @return the VM of the owner; this router if no other is eligible
      */
     public String ownerOf(String key, Set<String> excluded, long nowMillis) {
+        long receiveMillis = receiveMillis(nowMillis);
         long silenceMillis = silenceMillis();
         int largest = leaving ? 0 : capacity;
         for (Map.Entry<String, PeerState> entry : known.entrySet()) {
             PeerState peer = entry.getValue();
-            if (isEligibleOwner(peer, nowMillis, silenceMillis)
+            if (isEligibleOwner(peer, receiveMillis, silenceMillis)
                     && !excluded.contains(entry.getKey())) {
                 largest = Math.max(largest, peer.capacity());
             }
@@ -295,7 +314,7 @@
         for (Map.Entry<String, PeerState> entry : known.entrySet()) {
             PeerState peer = entry.getValue();
             if (peer.capacity() < minCapacity
-                    || !isEligibleOwner(peer, nowMillis, silenceMillis)
+                    || !isEligibleOwner(peer, receiveMillis, silenceMillis)
                     || excluded.contains(entry.getKey())) {
                 continue;
             }
@@ -317,12 +336,15 @@
      *     router
      */
     public int eligibleOwners(long nowMillis) {
+        long receiveMillis = receiveMillis(nowMillis);
         long silenceMillis = silenceMillis();
-        return 1 + idsMatching(peer -> isEligibleOwner(peer, nowMillis, silenceMillis)).size();
+        return 1 + idsMatching(peer -> isEligibleOwner(peer, receiveMillis, silenceMillis)).size();
     }
 
-    private static boolean isEligibleOwner(PeerState peer, long nowMillis, long silenceMillis) {
-        return peer.isLive(nowMillis, silenceMillis) && !peer.isSuspected() && !peer.isLeaving();
+    private static boolean isEligibleOwner(PeerState peer, long receiveMillis, long silenceMillis) {
+        return peer.isLive(receiveMillis, silenceMillis)
+                && !peer.isSuspected()
+                && !peer.isLeaving();
     }
 
     /**
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/peering/SeedMembershipTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/peering/SeedMembershipTest.java
@@ -146,6 +146,32 @@
         }
     }
 
+    // Guards against a stall of a router that makes all others seem silent to it.
+    @ParameterizedTest
+    @CsvSource({"9, 4", "81, 60"})
+    void aRouterThatAloneStalledStillHoldsTheOthersForLive(int count, int stalledSteps) {
+        create(count);
+        steps(60, SeedMembershipTest::always);
+        SeedMembership stalled = routers.get(5);
+        String owner = stalled.ownerOf("s", Set.of(), nowMillis);
+        dead.add(5);
+        steps(stalledSteps, SeedMembershipTest::always);
+        assertThat(stalled.live(nowMillis)).hasSize(count);
+        assertThat(stalled.ownerOf("s", Set.of(), nowMillis)).isEqualTo(owner);
+    }
+
+    @Test
+    void aRouterThatDiedDuringAStallIsDetectedOnceTheStallIsOver() {
+        create(ROUTERS);
+        steps(20, SeedMembershipTest::always);
+        dead.addAll(Set.of(4, 5));
+        steps(4, SeedMembershipTest::always);
+        dead.remove(5);
+        steps((int) (1_300 / STEP_MILLIS) + 1, SeedMembershipTest::always);
+        assertThat(routers.get(5).live(nowMillis)).doesNotContain(vm(4));
+        assertThat(routers.get(5).live(nowMillis)).hasSize(ROUTERS - 1);
+    }
+
     @Test
     void eachSideOfAPartitionHasAnOwnerAndCountsAllRoutersForSharedLimits() {
         create(ROUTERS);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
@@ -1,7 +1,6 @@
 package org.bronzewheel.stages;
 
 import io.reactivex.rxjava3.disposables.Disposable;
-import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -14,6 +13,7 @@
 import org.bronzewheel.catalog.ServiceEntry;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.loop.StallingScheduler;
 import org.bronzewheel.peering.HeartbeatService;
 import org.bronzewheel.peering.ProgressExchange;
 import org.bronzewheel.peering.SeedMembership;
@@ -30,7 +30,7 @@
     static final long CALL_MILLIS = 200;
     static final StagePool POOL = new StagePool(1, 2, 8, 180, 10, 100_000, 4_000);
 
-    final TestScheduler scheduler = new TestScheduler();
+    final StallingScheduler scheduler = new StallingScheduler();
     final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
     final VirtualPeers peers = new VirtualPeers(scheduler);
     final List<Router> routers = new ArrayList<>();
@@ -43,13 +43,19 @@
         final List<List<StageItem>> calls = new ArrayList<>();
         final List<String> freed = new ArrayList<>();
         final HeartbeatService network;
+        private final Loop ownLoop;
 
         Router(String vmId, double repeatSlack) {
             this(vmId, 1, repeatSlack);
         }
 
         Router(String vmId, long incarnation, double repeatSlack) {
+            this(vmId, incarnation, repeatSlack, loop);
+        }
+
+        Router(String vmId, long incarnation, double repeatSlack, Loop ownLoop) {
             this.vmId = vmId;
+            this.ownLoop = ownLoop;
             PeerTransport transport = peers.add(vmId);
             membership =
                     new SeedMembership(
@@ -58,7 +64,7 @@
                             List.of("vm-0", "vm-1"),
                             3,
                             new SplittableRandom(1),
-                            loop.nowMillis());
+                            ownLoop.nowMillis());
             UpstreamTable upstreams = new UpstreamTable(2_000);
             upstreams.replaceAll(
                     List.of(new UpstreamEntry("u", SERVICE, "10.0.0.1:80", "d", 1, 0, false)), 0);
@@ -82,13 +88,13 @@
                                     transport,
                                     membership,
                                     budget,
-                                    loop)
+                                    ownLoop)
                             .build();
             network =
                     new HeartbeatService(
                             transport,
                             membership,
-                            loop,
+                            ownLoop,
                             stages::ownBacklogs,
                             stages::submitters,
                             stages::receiveBacklog,
@@ -102,7 +108,7 @@
                 UpstreamEntry target, List<StageItem> items, StageCallListener listener) {
             calls.add(items);
             int call = calls.size();
-            return loop.after(
+            return ownLoop.after(
                     CALL_MILLIS,
                     () ->
                             listener.onOutcomes(
@@ -131,8 +137,8 @@
                             List.of(),
                             10,
                             0,
-                            loop.nowMillis() + 3_000,
-                            loop.nowMillis() + 9_000,
+                            ownLoop.nowMillis() + 3_000,
+                            ownLoop.nowMillis() + 9_000,
                             0,
                             0,
                             "d",
@@ -174,7 +180,7 @@
     }
 
     void advance(long millis) {
-        scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        scheduler.advance(millis);
     }
 
     Router owner() {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
@@ -4,7 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import java.util.stream.IntStream;
+import org.bronzewheel.loop.Loop;
+import org.bronzewheel.loop.StallingScheduler;
 import org.bronzewheel.membership.RendezvousHash;
 import org.bronzewheel.peering.Backlog;
 import org.junit.jupiter.api.Test;
@@ -55,6 +59,50 @@
         assertThat(outcome.failure).hasValue(StageFailure.OWNER_LOST);
     }
 
+    // Guards against a stall of this router that is taken for the silence of the owner.
+    @Test
+    void aStallOfTheEventLoopDoesNotFailTheJobsOfOtherOwners() {
+        routers(0);
+        Outcome outcome = submitters().get(0).submit("a", 1);
+        advance(50);
+        scheduler.stall(1_400);
+        advance(3_000);
+        assertThat(outcome.failure).isEmpty();
+        assertThat(outcome.handles).hasSize(1);
+    }
+
+    // Guards against overdue timers that run before the heartbeats in the sockets are read.
+    @Test
+    void aStallOfTheSubmitterAloneDoesNotFailItsJobs() {
+        routers(0);
+        StallingScheduler stalling = new StallingScheduler();
+        Loop loop = new Loop(stalling, () -> stalling.now(TimeUnit.MILLISECONDS));
+        String vmId = vmId(score -> Long.compareUnsigned(score, score(owner())) < 0);
+        Router submitter = new Router(vmId, 1, 0, loop);
+        loop.every(100, submitter.stages::tick);
+        advanceBoth(stalling, 2_000);
+        for (int i = 0; i < MANY; i++) {
+            owner().submit("r" + i, POOL.batch());
+        }
+        Outcome outcome = submitter.submit("a", 1);
+        advanceBoth(stalling, 50);
+        peers.silence(vmId);
+        advance(1_400);
+        peers.heal(vmId);
+        stalling.stall(1_400);
+        assertThat(outcome.ends).isEqualTo(0);
+        advanceBoth(stalling, 6_000);
+        assertThat(outcome.failure).isEmpty();
+        assertThat(outcome.handles).hasSize(1);
+    }
+
+    private void advanceBoth(StallingScheduler other, long millis) {
+        for (long passed = 0; passed < millis; passed++) {
+            advance(1);
+            other.advance(1);
+        }
+    }
+
     @Test
     void aCancelledJobIsRemovedByItsOwnerAndItsResultsAreFreed() {
         routers(10);
@@ -112,7 +160,8 @@
         routers(0);
         Router former = owner();
         List<Outcome> outcomes = submitMany(submitters().get(0), former);
-        routers.add(new Router(vmIdAbove(former), 0));
+        String above = vmId(score -> Long.compareUnsigned(score, score(former)) > 0);
+        routers.add(new Router(above, 0));
         assertHandedOver(former, outcomes);
     }
 
@@ -155,12 +204,15 @@
         assertThat(former.stages.openJobs()).isEqualTo(0);
     }
 
-    /** Returns the id of a VM whose hash score makes it the owner instead of the given one. */
-    private static String vmIdAbove(Router owner) {
-        long score = RendezvousHash.score(SERVICE, owner.vmId);
+    private static long score(Router router) {
+        return RendezvousHash.score(SERVICE, router.vmId);
+    }
+
+    /** Returns the id of a further VM whose hash score for the service satisfies a condition. */
+    private static String vmId(LongPredicate condition) {
         return IntStream.range(3, 1_000)
                 .mapToObj(i -> "vm-" + i)
-                .filter(vm -> Long.compareUnsigned(RendezvousHash.score(SERVICE, vm), score) > 0)
+                .filter(vm -> condition.test(RendezvousHash.score(SERVICE, vm)))
                 .findFirst()
                 .orElseThrow();
     }
