Let a router that stalls at its start hear its peers before it confirms a configuration

A router that has just started confirms no configuration for 400 ms, so that it can hear whether its peers act on a newer one than the platform's copy that it may have read. A stall let that time pass: the overdue timer ended the wait before the heartbeats in the sockets were read, and the router accepted keys that its peers knew to be taken away. A timer that fires late now waits 100 ms more, as that of a stage call does.

PublishedFollowerTest.routerThatStallsAtItsStartConfirmsNothingBeforeItCouldHearAPeer (stall of 600 ms) failed before and passes now; routerThatStallsAtItsStartAndHearsNoPeerConfirmsAMomentLater bounds the wait. Shown in virtual time only.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -50,6 +50,12 @@
     private static final long BRIEF_POLL_MILLIS = 50;
     private static final long PEER_WAIT_MILLIS = 400;
 
+    /** The lateness of a timer that shows that the loop has stalled. */
+    private static final long MAX_LATE_MILLIS = 100;
+
+    /** The time for reading the sockets after a stall. */
+    private static final long READ_MILLIS = 100;
+
     private final PublishedSource source;
     private final CatalogState catalog;
     private final UpstreamTable upstreams;
@@ -63,6 +69,7 @@
     private PublishedPosition position = PublishedPosition.START;
     private Optional<ClockReading> evidence = Optional.empty();
     private Disposable peerWait = Disposable.disposed();
+    private long peerWaitUntilMillis;
     private boolean isPeerWaitOver;
     private boolean needsSnapshot = true;
     private long backoffMillis = MIN_BACKOFF_MILLIS;
@@ -99,7 +106,7 @@
     @Override
     public void start() {
         loop.execute(this::poll);
-        peerWait = loop.after(PEER_WAIT_MILLIS, this::endPeerWait);
+        awaitPeer(PEER_WAIT_MILLIS);
     }
 
     @Override
@@ -150,6 +157,23 @@
         }
     }
 
+    private void awaitPeer(long waitMillis) {
+        peerWaitUntilMillis = loop.nowMillis() + waitMillis;
+        peerWait = loop.after(waitMillis, this::checkPeerWait);
+    }
+
+    /** A timer that fires late comes after a stall: a heartbeat may wait unread in its socket. */
+    private void checkPeerWait() {
+        long nowMillis = loop.nowMillis();
+        if (nowMillis > peerWaitUntilMillis + MAX_LATE_MILLIS) {
+            awaitPeer(READ_MILLIS);
+        } else if (nowMillis < peerWaitUntilMillis) {
+            awaitPeer(peerWaitUntilMillis - nowMillis);
+        } else {
+            endPeerWait();
+        }
+    }
+
     private void endPeerWait() {
         if (!isPeerWaitOver) {
             isPeerWaitOver = true;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -3,7 +3,6 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.reactivex.rxjava3.core.Single;
-import io.reactivex.rxjava3.schedulers.TestScheduler;
 import io.reactivex.rxjava3.subjects.SingleSubject;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +17,7 @@
 import org.bronzewheel.catalog.CatalogProgress;
 import org.bronzewheel.catalog.CatalogState;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.loop.StallingScheduler;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
 import org.bronzewheel.published.PublishedChange.Unreadable;
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.Test;
 
 class PublishedFollowerTest {
-    private final TestScheduler scheduler = new TestScheduler();
+    private final StallingScheduler scheduler = new StallingScheduler();
     private final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
     private final CatalogState catalog = new CatalogState(4_000);
     private final UpstreamTable upstreams = new UpstreamTable(2_000);
@@ -73,7 +73,7 @@
     }
 
     private void advance(long millis) {
-        scheduler.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        scheduler.advance(millis);
     }
 
     private void answer(
@@ -311,6 +311,25 @@
         assertThat(catalog.acceptsKeys(loop.now())).isTrue();
     }
 
+    // Guards against a wait that ends before the heartbeats in the sockets are read.
+    @Test
+    void routerThatStallsAtItsStartConfirmsNothingBeforeItCouldHearAPeer() {
+        answer(snapshots, 5, version(1));
+        scheduler.stall(600);
+        assertThat(catalog.acceptsKeys(loop.now())).isFalse();
+        follower.peerReported(new CatalogProgress(1, 2, 0));
+        advance(1_000);
+        assertThat(catalog.acceptsKeys(loop.now())).isFalse();
+    }
+
+    @Test
+    void routerThatStallsAtItsStartAndHearsNoPeerConfirmsAMomentLater() {
+        answer(snapshots, 5, version(1));
+        scheduler.stall(600);
+        advance(100);
+        assertThat(catalog.acceptsKeys(loop.now())).isTrue();
+    }
+
     @Test
     void routerThatHasJustStartedConfirmsOnceItIsAsNewAsThePeerThatItHeard() {
         answer(snapshots, 5, version(1));
