Go on with a periodic task after an Error in one of its turns

A stack overflow or a recoverable OutOfMemoryError in one turn of a periodic task ended the task for good: heartbeats, stages, silence checks, the expiry of upstreams. The scheduler cancels a task at the first Throwable, and Loop caught exceptions only.

LoopTest.periodicTaskContinuesAfterAStackOverflow failed before (injected error; none has been seen in a log). The next turn begins with a fresh stack, so going on is as safe as after an exception.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/loop/Loop.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/loop/Loop.java
@@ -67,7 +67,7 @@
     private static void runSafely(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             logger.atSevere().withCause(e).log(
                     "periodic task failed, will run again at the next period");
         }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/loop/LoopTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/loop/LoopTest.java
@@ -25,15 +25,30 @@
         RxJavaPlugins.reset();
     }
 
+    private void runAndThrow(Runnable fault) {
+        runs++;
+        fault.run();
+    }
+
     @Test
-    void periodicTaskContinuesAfterAnError() {
-        Disposable task =
-                loop.every(
-                        100,
-                        () -> {
-                            runs++;
-                            throw new IllegalStateException("unexpected");
-                        });
+    void periodicTaskContinuesAfterAnException() {
+        assertContinuesAfter(
+                () -> {
+                    throw new IllegalStateException("unexpected");
+                });
+    }
+
+    // An error in one turn ended heartbeats, stages and the expiry of upstreams for good.
+    @Test
+    void periodicTaskContinuesAfterAStackOverflow() {
+        assertContinuesAfter(
+                () -> {
+                    throw new StackOverflowError();
+                });
+    }
+
+    private void assertContinuesAfter(Runnable fault) {
+        Disposable task = loop.every(100, () -> runAndThrow(fault));
         scheduler.advanceTimeBy(350, TimeUnit.MILLISECONDS);
         assertThat(runs).isEqualTo(3);
         task.dispose();
