--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -243,7 +243,7 @@
     private void applySafely(PublishedBatch batch, boolean snapshot, ClockReading sentAt) {
         try {
             apply(batch, snapshot, sentAt);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             logger.atSevere().withCause(e).log(
                     "failed to apply a platform response, reading a snapshot next");
             needsSnapshot = true;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -27,6 +27,8 @@
 import org.bronzewheel.upstreams.UpstreamTable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PublishedFollowerTest {
     private final StallingScheduler scheduler = new StallingScheduler();
@@ -179,12 +181,16 @@
         assertThat(catalog.acceptsKeys(loop.now())).isTrue();
     }
 
-    @Test
-    void unexpectedErrorWhileApplyingAResponseDoesNotStopTheFollower() {
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void unexpectedErrorWhileApplyingAResponseDoesNotStopTheFollower(boolean overflow) {
         answer(snapshots, 5, version(1));
         boolean[] fails = {true};
         upstreams.onChange(
                 () -> {
+                    if (fails[0] && overflow) {
+                        throw new StackOverflowError();
+                    }
                     if (fails[0]) {
                         throw new IllegalStateException("unexpected");
                     }
