Answer a request in which an Error is thrown

What callers would see: a whole request with neither an answer nor a refusal. Cause: RequestExecution.guard and the steps of its end caught exceptions only, so that an Error went to the event loop's error handler and the request had no owner: before admission for good, later until its deadline, and at its end without its refusal.

UnexpectedErrorTest runs each case with an exception and with a StackOverflowError; the six of the latter failed before (injected; no log shows one in the field). The stack is unwound at the guard, so that the answer can be written there; it promises nothing, as the request may have run.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -125,7 +125,7 @@
     void guard(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             logger.atSevere().withCause(e).log("request %s failed unexpectedly", request.id());
             // The request may have run.
             mayHaveRun = true;
@@ -786,7 +786,7 @@
     private void cleanUp(Runnable step) {
         try {
             step.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             logger.atSevere().withCause(e).log("request %s not cleaned up", request.id());
         }
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -66,11 +66,25 @@
     RequestOutcome outcome;
     String outcomeDetail;
     final List<String> decisions = new ArrayList<>();
+    Fault fault = Fault.EXCEPTION;
     boolean sendThrows;
     boolean submitThrows;
     boolean cancelThrows;
     RunningRequest running;
 
+    /** What a failing dependency throws. */
+    enum Fault {
+        EXCEPTION,
+        ERROR;
+
+        void raise() {
+            if (this == ERROR) {
+                throw new StackOverflowError();
+            }
+            throw new IllegalStateException("unexpected");
+        }
+    }
+
     /** One attempt at an upstream. */
     static final class Sent {
         final UpstreamCall call;
@@ -142,9 +156,7 @@
     }
 
     private Disposable send(UpstreamCall call, UpstreamListener listener) {
-        if (sendThrows) {
-            throw new IllegalArgumentException("port out of range");
-        }
+        throwIf(sendThrows);
         if (failsNextSend) {
             failsNextSend = false;
             throw new IllegalArgumentException("unexpected");
@@ -278,9 +290,9 @@
         throwIf(cancelThrows);
     }
 
-    private static void throwIf(boolean fails) {
+    private void throwIf(boolean fails) {
         if (fails) {
-            throw new IllegalStateException("no owner");
+            fault.raise();
         }
     }
 
@@ -338,8 +350,6 @@
             long elapsedMillis) {
         this.outcome = outcome;
         this.outcomeDetail = detail;
-        if (failsAtEnd) {
-            throw new IllegalStateException("unexpected");
-        }
+        throwIf(failsAtEnd);
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/UnexpectedErrorTest.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.catalog.StageStep;
-import org.junit.jupiter.api.Test;
+import org.bronzewheel.serving.ServingHarness.Fault;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Checks that errors in a dependency leave no request without an answer. */
 class UnexpectedErrorTest {
@@ -14,20 +16,23 @@
         assertThat(harness.engine.runningRequests()).isEqualTo(0);
     }
 
-    @Test
-    void aRequestWhoseRetryThrowsIsAnsweredAtOnce() {
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aRequestWhoseRetryThrowsIsAnsweredAtOnce(Fault fault) {
         ServingHarness harness =
                 new ServingHarness()
                         .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2))
                         .request();
         harness.lastSend().listener.onFailure(CallFailure.BROKEN, "reset");
+        harness.fault = fault;
         harness.sendThrows = true;
         harness.advance(10);
         assertFailed(harness);
     }
 
-    @Test
-    void aRequestThatCannotBeSentAfterItsStagesDoesNotFailTheirCall() {
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aRequestThatCannotBeSentAfterItsStagesDoesNotFailTheirCall(Fault fault) {
         ServingHarness harness =
                 new ServingHarness()
                         .with(
@@ -37,26 +42,30 @@
                                         2,
                                         List.of(new StageStep("t", List.of(), 10))));
         harness.request("key", List.of(1));
+        harness.fault = fault;
         harness.sendThrows = true;
         harness.jobs.get(0).done();
         harness.advance(10);
         assertFailed(harness);
     }
 
-    @Test
-    void aRejectedRequestWhoseNextSendThrowsIsAnsweredAtOnce() {
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aRejectedRequestWhoseNextSendThrowsIsAnsweredAtOnce(Fault fault) {
         ServingHarness harness =
                 new ServingHarness()
                         .with(ServingHarness.route(RetryRule.AT_MOST_ONCE, false, 1))
                         .request();
+        harness.fault = fault;
         harness.sendThrows = true;
         harness.sends.get(0).listener.onFailure(CallFailure.NOT_SENT, "refused");
         harness.advance(10);
         assertFailed(harness);
     }
 
-    @Test
-    void anErrorInTheNextStageDoesNotFailTheCallThatBroughtItsInputs() {
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void anErrorInTheNextStageDoesNotFailTheCallThatBroughtItsInputs(Fault fault) {
         ServingHarness harness =
                 new ServingHarness()
                         .with(
@@ -68,13 +77,15 @@
                                                 new StageStep("t", List.of(), 10),
                                                 new StageStep("t", List.of(0), 10))));
         harness.request("key", List.of(1, 1));
+        harness.fault = fault;
         harness.submitThrows = true;
         harness.jobs.get(0).done();
         assertFailed(harness);
     }
 
-    @Test
-    void aRequestIsAnsweredEvenIfItsStagesCannotBeCancelled() {
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aRequestIsAnsweredEvenIfItsStagesCannotBeCancelled(Fault fault) {
         ServingHarness harness =
                 new ServingHarness()
                         .with(
@@ -84,6 +95,7 @@
                                         2,
                                         List.of(new StageStep("t", List.of(), 10))));
         harness.request("key", List.of(1));
+        harness.fault = fault;
         harness.cancelThrows = true;
         harness.advance(5_000);
         assertThat(harness.refusals).hasSize(1);
@@ -91,11 +103,13 @@
     }
 
     // LOST: an error after a request had been marked as ended left it without its refusal.
-    @Test
-    void aRequestIsRefusedEvenIfItsEndCannotBeReported() {
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void aRequestIsRefusedEvenIfItsEndCannotBeReported(Fault fault) {
         ServingHarness harness =
                 new ServingHarness().with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2));
         harness.request("key", List.of(1));
+        harness.fault = fault;
         harness.failsAtEnd = true;
         harness.advance(5_000);
         assertThat(harness.refusals).hasSize(1);
