Do not send a request again to an upstream where it may have run

Cause: an attempt at a silent upstream A is cancelled and replaced at B. If B says that it did not run the request and no other upstream is left, the request is retried a little later with all upstreams allowed again, A among them, on the ground that it "never ran anywhere". A sound upstream that was silent goes on and runs it, whatever became of its connection; it then runs one id twice and may answer first with its failure and then with a success, which the caller gets. A stage conflict (409) allowed all upstreams in the same way.

Class: missing evidence (an answer that did not come) taken for evidence (it did not run).

Evidence: the new test failed before (sends after the silent u1: u2, u1).

Why it works: upstreams are allowed again only where the request certainly did not run. A started stream may go back to any: its events have ids, and it keeps what was mended for silent upstreams.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -299,7 +299,7 @@
         if (upstream.isEmpty()) {
             endOrRetryLater(
                     "no upstream of " + service + " can take the request",
-                    this::dispatchToAnyUpstream);
+                    this::dispatchToTriedUpstream);
         } else if (targets.needsPermit(upstream.get())) {
             takePermit(service, upstream.get(), nowMillis);
         } else {
@@ -472,7 +472,8 @@
     }
 
     /** Called when the request did not run at the upstream. */
-    void rejected(int status) {
+    void rejected(Upstream upstream, int status) {
+        targets.markNeverRan(upstream);
         attempts--;
         rejections++;
         if (status != CONFLICT || route.stages().isEmpty()) {
@@ -480,7 +481,7 @@
         } else if (relay.hasStarted()) {
             rerunStages();
         } else {
-            targets.clearTried();
+            targets.allowWhereNeverRan();
             stages.rerunAfterLoss();
         }
     }
@@ -518,8 +519,13 @@
                         < firstAnswerDeadlineMillis - REFUSAL_MARGIN_MILLIS;
     }
 
-    private void dispatchToAnyUpstream() {
-        targets.clearTried();
+    /** Retries at upstreams that were tried before; the events of a started stream have ids. */
+    private void dispatchToTriedUpstream() {
+        if (relay.hasStarted()) {
+            targets.allowAll();
+        } else {
+            targets.allowWhereNeverRan();
+        }
         dispatch();
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
@@ -19,6 +19,7 @@
 
     private final ServingContext context;
     private final Set<String> tried = new HashSet<>();
+    private final Set<String> neverRan = new HashSet<>();
 
     RequestTargets(ServingContext context) {
         this.context = context;
@@ -29,9 +30,24 @@
         tried.add(upstream.entry().id());
     }
 
-    /** Allows all upstreams again, because the request never ran anywhere. */
-    void clearTried() {
+    /** Records that the request certainly did not run at an upstream it was sent to. */
+    void markNeverRan(Upstream upstream) {
+        neverRan.add(upstream.entry().id());
+    }
+
+    /** Allows all upstreams again. */
+    void allowAll() {
         tried.clear();
+        neverRan.clear();
+    }
+
+    /**
+     * Allows the upstreams again at which the request certainly did not run. Two runs at one
+     * upstream would have the same id, so that their answers could not be told apart.
+     */
+    void allowWhereNeverRan() {
+        tried.removeAll(neverRan);
+        neverRan.clear();
     }
 
     /** Chooses among the available upstreams of a service. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -171,7 +171,7 @@
         }
         if (next.neverRan()) {
             cancel();
-            execution.rejected(next.status());
+            execution.rejected(upstream, next.status());
         } else if (next.isSuccess() && (!next.signed() || next.encoded())) {
             reject("a success without the upstream's signature");
         } else if (!execution.relay().canContinueWith(next)) {
@@ -338,9 +338,9 @@
         switch (failure) {
             case NOT_SENT -> {
                 execution.reportFailure(upstream, service, true);
-                execution.rejected(RequestExecution.NOT_SENT);
+                execution.rejected(upstream, RequestExecution.NOT_SENT);
             }
-            case WITHHELD -> execution.rejected(RequestExecution.NOT_SENT);
+            case WITHHELD -> execution.rejected(upstream, RequestExecution.NOT_SENT);
             case BROKEN -> abandon(reason);
         }
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -286,4 +286,23 @@
         harness.advance(100);
         assertThat(harness.aborted).isFalse();
     }
+
+    // MIXED: callers got a success although the upstream had answered their request with a failure.
+    @Test
+    void aRequestIsNotSentAgainToAnUpstreamWhereItMayHaveRun() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2));
+        harness.upstreams.replaceAll(
+                List.of(ServingHarness.upstream("u1"), ServingHarness.upstream("u2")), 0);
+        harness.request();
+        String silent = harness.lastSend().call.target().id();
+        harness.advance(600);
+        reject(harness.lastSend());
+        harness.advance(300);
+        harness.lastSend().answer(200);
+        assertThat(harness.finished).isTrue();
+        assertThat(harness.sends.stream().map(sent -> sent.call.target().id()).skip(1))
+                .doesNotContain(silent);
+    }
 }
