Do not hold back a request that may have run at every upstream

Since upstreams at which a request may have run are not tried again, a request whose other attempts failed too was retried in vain until its caller stopped waiting. It is answered at once now, if it has not begun and no upstream is left at which it cannot have run.

The new test failed before (no answer 10 ms after the last attempt broke).

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -297,9 +297,12 @@
         Optional<Upstream> upstream =
                 choose(service, nowMillis).or(() -> availableInTime(service, nowMillis));
         if (upstream.isEmpty()) {
-            endOrRetryLater(
-                    "no upstream of " + service + " can take the request",
-                    this::dispatchToTriedUpstream);
+            String reason = "no upstream of " + service + " can take the request";
+            if (relay.hasStarted() || targets.hasOtherThanTried(service)) {
+                endOrRetryLater(reason, this::dispatchToTriedUpstream);
+            } else {
+                endWithoutAnswer(reason);
+            }
         } else if (targets.needsPermit(upstream.get())) {
             takePermit(service, upstream.get(), nowMillis);
         } else {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
@@ -50,6 +50,13 @@
         neverRan.clear();
     }
 
+    /** Returns whether the service has an upstream at which the request has not run so far. */
+    boolean hasOtherThanTried(String service) {
+        return context.upstreams().serving(service).stream()
+                .map(upstream -> upstream.entry().id())
+                .anyMatch(id -> !tried.contains(id) || neverRan.contains(id));
+    }
+
     /** Chooses among the available upstreams of a service. */
     Optional<Upstream> choose(String service, Prompt prompt, long nowMillis) {
         return choose(service, available(service), prompt, nowMillis);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -305,4 +305,18 @@
         assertThat(harness.sends.stream().map(sent -> sent.call.target().id()).skip(1))
                 .doesNotContain(silent);
     }
+
+    @Test
+    void aRequestThatMayHaveRunAtEveryUpstreamIsNotHeldBack() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 3));
+        harness.upstreams.replaceAll(
+                List.of(ServingHarness.upstream("u1"), ServingHarness.upstream("u2")), 0);
+        harness.request();
+        harness.advance(600);
+        harness.lastSend().listener.onFailure(CallFailure.BROKEN, "reset");
+        harness.advance(10);
+        assertThat(harness.refusalStatus()).isEqualTo(Refusal.BAD_GATEWAY);
+    }
 }
