End the wait for a peer after a few stalls

A router whose timers stayed late at its start waited for its peers without a bound and refused all requests with a key. The wait ends after five stalls; the new test failed before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -56,6 +56,9 @@
     /** The time for reading the sockets after a stall. */
     private static final long READ_MILLIS = 100;
 
+    /** The number of stalls after which the wait for a peer ends at the latest. */
+    private static final int MAX_STALLS = 5;
+
     private final PublishedSource source;
     private final CatalogState catalog;
     private final UpstreamTable upstreams;
@@ -70,6 +73,7 @@
     private Optional<ClockReading> evidence = Optional.empty();
     private Disposable peerWait = Disposable.disposed();
     private long peerWaitUntilMillis;
+    private int stallsInPeerWait;
     private boolean isPeerWaitOver;
     private boolean needsSnapshot = true;
     private long backoffMillis = MIN_BACKOFF_MILLIS;
@@ -165,7 +169,8 @@
     /** A timer that fires late comes after a stall: a heartbeat may wait unread in its socket. */
     private void checkPeerWait() {
         long nowMillis = loop.nowMillis();
-        if (nowMillis > peerWaitUntilMillis + MAX_LATE_MILLIS) {
+        boolean stalled = nowMillis > peerWaitUntilMillis + MAX_LATE_MILLIS;
+        if (stalled && ++stallsInPeerWait < MAX_STALLS) {
             awaitPeer(READ_MILLIS);
         } else if (nowMillis < peerWaitUntilMillis) {
             awaitPeer(peerWaitUntilMillis - nowMillis);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -336,6 +336,15 @@
         assertThat(catalog.acceptsKeys(loop.now())).isTrue();
     }
 
+    @Test
+    void routerThatStallsAgainAndAgainAtItsStartConfirmsAfterAFewStalls() {
+        answer(snapshots, 5, version(1));
+        for (int stalls = 0; stalls < 5; stalls++) {
+            scheduler.stall(600);
+        }
+        assertThat(catalog.acceptsKeys(loop.now())).isTrue();
+    }
+
     @Test
     void routerThatHasJustStartedConfirmsOnceItIsAsNewAsThePeerThatItHeard() {
         answer(snapshots, 5, version(1));
