--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -103,12 +103,13 @@
 
     /** Cancels the attempt at the upstream. */
     void cancel() {
-        if (end(Decision.ATTEMPT_FAILED)) {
+        if (end()) {
             call.dispose();
+            report(Decision.ATTEMPT_FAILED);
         }
     }
 
-    private boolean end(Decision result) {
+    private boolean end() {
         if (ended) {
             return false;
         }
@@ -123,15 +124,16 @@
                     .ended(service, execution.route().priority(), false, loop.nowMillis());
         }
         execution.attemptEnded();
-        context.observer().decided(execution.request().id(), result, describe());
         return true;
     }
 
-    private String describe() {
+    private void report(Decision result) {
         String millis = " millis=" + (loop.nowMillis() - sentMillis);
-        return head == null
-                ? "status=none " + connection + millis
-                : "status=" + head.status() + " " + head.describeOrigin() + millis;
+        String detail =
+                head == null
+                        ? "status=none " + connection + millis
+                        : "status=" + head.status() + " " + head.describeOrigin() + millis;
+        context.observer().decided(execution.request().id(), result, detail);
     }
 
     /** Returns whether an engine has begun to respond. */
@@ -314,7 +316,8 @@
         if (answered && head.isSuccess() && !endedByClose) {
             trial.completed(loop.nowMillis());
         }
-        end(head.isSuccess() ? Decision.ATTEMPT_SUCCEEDED : Decision.ATTEMPT_FAILED);
+        end();
+        report(head.isSuccess() ? Decision.ATTEMPT_SUCCEEDED : Decision.ATTEMPT_FAILED);
         execution.answered(loop.nowMillis() - sentMillis);
     }
 
@@ -334,7 +337,8 @@
         if (ended) {
             return;
         }
-        end(Decision.ATTEMPT_FAILED);
+        end();
+        report(Decision.ATTEMPT_FAILED);
         switch (failure) {
             case NOT_SENT -> {
                 execution.reportFailure(upstream, service, true);
