Give a request without a deadline the time of its route

Cause: the default timeout of 30 s applied before that of the route, and the shorter one won. Why this works: the default now applies only where neither caller nor route names a time.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/ServiceRoute.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/ServiceRoute.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.catalog;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A rule that routes requests for a host and path prefix to services.
@@ -36,6 +37,22 @@
         List<ServiceShare> shares,
         List<StageStep> stages,
         boolean open) {
+    /** The timeout where neither the caller nor the route specifies one. */
+    private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
+
+    /**
+     * Returns the timeout of a request: the shorter of the caller's and the route's.
+     *
+     * @param callerMillis the caller's timeout, in milliseconds; empty if it specified none
+     * @return the time from the arrival to the complete response, in milliseconds
+     */
+    public long timeoutMillis(Optional<Long> callerMillis) {
+        if (timeoutMillis <= 0) {
+            return callerMillis.orElse(DEFAULT_TIMEOUT_MILLIS);
+        }
+        return Math.min(callerMillis.orElse(timeoutMillis), timeoutMillis);
+    }
+
     /**
      * Returns how long a caller waits for the first part of the response.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -23,7 +23,6 @@
  */
 final class RequestExecution implements RunningRequest {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long DEFAULT_TIMEOUT_MILLIS = 30_000;
     private static final long MIN_SEND_MILLIS = 5;
     private static final double MAX_WAIT_SHARE = 0.6;
     private static final double MAX_PERMIT_WAIT_SHARE = 0.5;
@@ -95,10 +94,7 @@
         this.arrivedMillis = arrivedMillis;
         this.onEnd = onEnd;
         this.serviceSplitPoint = context.random().nextDouble();
-        long timeoutMillis = request.timeoutMillis().orElse(DEFAULT_TIMEOUT_MILLIS);
-        if (route.timeoutMillis() > 0) {
-            timeoutMillis = Math.min(timeoutMillis, route.timeoutMillis());
-        }
+        long timeoutMillis = route.timeoutMillis(request.timeoutMillis());
         this.deadlineAtMillis = arrivedMillis + timeoutMillis;
         this.firstAnswerDeadlineMillis =
                 arrivedMillis + route.firstResponseTimeoutMillis(timeoutMillis);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -224,6 +224,10 @@
     }
 
     ServingHarness request(String key, List<Integer> pieces) {
+        return request(key, pieces, Optional.of(5_000L));
+    }
+
+    ServingHarness request(String key, List<Integer> pieces, Optional<Long> timeoutMillis) {
         running =
                 engine.run(
                         new CallerRequest(
@@ -234,7 +238,7 @@
                                 "/r/x",
                                 List.of(),
                                 new byte[0],
-                                Optional.of(5_000L),
+                                timeoutMillis,
                                 Optional.of(key),
                                 Optional.empty(),
                                 100,
