Do not spend retries on stage calls that reached no upstream, and probe it with one task

Callers saw: after a stage upstream had crashed, requests were refused for seconds though the other upstreams of the service were sound. Cause: until its entry goes, an upstream that refuses connections counts as idle. It was sent a whole batch every 120 ms, and each of the batch's requests spent one retry of the service's budget, although no byte had been sent. Once the budget was used up, each further failed call failed all of its requests. Evidence: three tests of StageDispatcherTest fail with the old behaviour (8 of 8 jobs failed; whole batches each time) and pass now. Why this works: pieces that reached no upstream are queued again without a retry, as requests are; the upstream is paused for 120 ms, doubled up to 960 ms, and its next call holds one task.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageUpstreams.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageUpstreams.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
+import org.bronzewheel.stages.StageCallFailure;
 import org.bronzewheel.stages.StageCallListener;
 import org.bronzewheel.stages.StageItem;
 import org.bronzewheel.stages.StageItemOutcome;
@@ -136,7 +137,7 @@
 
         void offer(Call call) {
             if (running >= limits.slots() && queue.size() >= limits.queue()) {
-                loop.after(1, () -> call.listener.onFailure(true, "full"));
+                loop.after(1, () -> call.listener.onFailure(StageCallFailure.REJECTED, "full"));
                 return;
             }
             queue.add(call);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -11,8 +11,6 @@
 /** A call in progress at a stage upstream; passes its outcomes to the dispatcher. */
 final class StageCall implements StageCallListener {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long NOT_RUN_PAUSE_MILLIS = 120;
-    private static final long FAILURE_PAUSE_MILLIS = 600;
 
     /** The lateness of a timer that shows that the loop has stalled. */
     private static final long MAX_LATE_MILLIS = 100;
@@ -137,18 +135,23 @@
     }
 
     @Override
-    public void onFailure(boolean neverRan, String reason) {
+    public void onFailure(StageCallFailure failure, String reason) {
         if (!end()) {
             return;
         }
         logger.atInfo().log(
-                "stage call failed: service=%s upstream=%s pieces=%d neverRan=%s reason=%s",
-                service, worker.upstream().entry().id(), batch.entries().size(), neverRan, reason);
+                "stage call failed: service=%s upstream=%s pieces=%d failure=%s reason=%s",
+                service, worker.upstream().entry().id(), batch.entries().size(), failure, reason);
         counters.count(PieceCounters.Event.FAILED, batch.entries().size());
-        worker.pause(loop.nowMillis() + (neverRan ? NOT_RUN_PAUSE_MILLIS : FAILURE_PAUSE_MILLIS));
+        worker.recordFailure(failure, loop.nowMillis());
         Map<StageTask, List<Integer>> pieces = new LinkedHashMap<>();
         batch.entries().forEach(entry -> add(pieces, entry));
-        pieces.forEach((task, again) -> dispatcher.requeue(task, again, true));
+        if (failure == StageCallFailure.NOT_SENT) {
+            // No upstream received the pieces, so that sending them again spends no retry.
+            pieces.forEach((task, unsent) -> task.waiting().addAll(unsent));
+        } else {
+            pieces.forEach((task, again) -> dispatcher.requeue(task, again, true));
+        }
         dispatcher.pump();
     }
 
@@ -189,6 +192,6 @@
     private void onTimeout() {
         call.dispose();
         recordDuration();
-        onFailure(false, "call timed out");
+        onFailure(StageCallFailure.BROKEN, "call timed out");
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCallListener.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCallListener.java
@@ -14,8 +14,8 @@
     /**
      * Called when the whole call has failed; nothing follows.
      *
-     * @param neverRan whether the upstream is known to have done no work on the call
+     * @param failure whether the upstream received the call and may have worked on it
      * @param reason a description for the log
      */
-    void onFailure(boolean neverRan, String reason);
+    void onFailure(StageCallFailure failure, String reason);
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -30,7 +30,6 @@
     private static final int MAX_FAILURES = 4;
     private static final double MIN_TOTAL_SPEED = 0.2;
     private static final double USABLE_SPACE_SHARE = 0.95;
-    private static final double SLOWNESS_THRESHOLD = 1.8;
     private static final long SLOW_PROBE_INTERVAL_MILLIS = 2_500;
     private static final double TIMEOUT_FACTOR = 2.5;
     private static final long TIMEOUT_FLOOR_MILLIS = 700;
@@ -398,7 +397,7 @@
      * predict the next one.
      */
     void recordCallDuration(StageWorker worker, double elapsedMillis) {
-        if (worker.slowness() < SLOWNESS_THRESHOLD) {
+        if (!worker.isSlow()) {
             callTime.sample(elapsedMillis);
         }
     }
@@ -554,17 +553,16 @@
      * its speed again.
      */
     private boolean isTooSlow(StageWorker worker, long nowMillis) {
-        if (worker.slowness() < SLOWNESS_THRESHOLD
-                || nowMillis - worker.lastCallMillis() > SLOW_PROBE_INTERVAL_MILLIS) {
+        if (!worker.isSlow() || nowMillis - worker.lastCallMillis() > SLOW_PROBE_INTERVAL_MILLIS) {
             return false;
         }
-        return workers.values().stream().anyMatch(other -> other.slowness() < SLOWNESS_THRESHOLD);
+        return workers.values().stream().anyMatch(other -> !other.isSlow());
     }
 
     private void fill(StageWorker worker, StagePool limits, long nowMillis) {
         StageBatch batch =
                 new StageBatch(limits, usableSpace(limits) - worker.usedBytes(nowMillis));
-        boolean probe = worker.slowness() >= SLOWNESS_THRESHOLD;
+        boolean probe = worker.needsProbe();
         String failureDomain = worker.upstream().entry().failureDomain();
         List<StageTask> eligible =
                 tasks.stream()
@@ -609,8 +607,7 @@
                 batch.entries().stream().map(entry -> item(entry, nowMillis)).toList();
         worker.begin(batch.bytes(), nowMillis);
         worker.permit().use();
-        double factor =
-                worker.slowness() >= SLOWNESS_THRESHOLD ? SLOW_TIMEOUT_FACTOR : TIMEOUT_FACTOR;
+        double factor = worker.isSlow() ? SLOW_TIMEOUT_FACTOR : TIMEOUT_FACTOR;
         long timeoutMillis = Math.round(TIMEOUT_FLOOR_MILLIS + factor * batch.expectedMillis());
         new StageCall(
                         this,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -11,6 +11,13 @@
 final class StageWorker {
     private static final double SMOOTHING = 0.4;
     private static final int MAX_FREED_HANDLES = 2_000;
+    private static final double SLOWNESS_THRESHOLD = 1.8;
+    private static final long NOT_RUN_PAUSE_MILLIS = 120;
+    private static final long BROKEN_PAUSE_MILLIS = 600;
+
+    /** The longest pause of an upstream that cannot be reached; its entry may last for seconds. */
+    private static final long MAX_UNREACHABLE_PAUSE_MILLIS = 960;
+
     private static final long NO_ROOM_BACKOFF_MILLIS = 150;
     private static final long MAX_NO_ROOM_BACKOFF_MILLIS = 800;
 
@@ -27,6 +34,7 @@
     private long noRoomBackoffMillis = NO_ROOM_BACKOFF_MILLIS;
     private long noRoomUntilMillis = Long.MIN_VALUE / 2;
     private long noRoomForBytes;
+    private long unreachablePauseMillis;
 
     private record StoredResult(long bytes, long untilMillis) {}
 
@@ -80,6 +88,7 @@
     }
 
     void recordDuration(double elapsedMillis, double expectedMillis) {
+        unreachablePauseMillis = 0;
         slowness += SMOOTHING * (elapsedMillis / expectedMillis - slowness);
     }
 
@@ -92,8 +101,34 @@
         return lastCallMillis;
     }
 
-    void pause(long untilMillis) {
-        pausedUntilMillis = Math.max(pausedUntilMillis, untilMillis);
+    /** Pauses the upstream after a failed call, longer each time that it cannot be reached. */
+    void recordFailure(StageCallFailure failure, long nowMillis) {
+        unreachablePauseMillis =
+                failure == StageCallFailure.NOT_SENT
+                        ? Math.min(
+                                MAX_UNREACHABLE_PAUSE_MILLIS,
+                                Math.max(NOT_RUN_PAUSE_MILLIS, 2 * unreachablePauseMillis))
+                        : 0;
+        long pauseMillis =
+                switch (failure) {
+                    case NOT_SENT -> unreachablePauseMillis;
+                    case REJECTED -> NOT_RUN_PAUSE_MILLIS;
+                    case BROKEN -> BROKEN_PAUSE_MILLIS;
+                };
+        pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + pauseMillis);
+    }
+
+    /** Returns whether calls take much longer than expected. */
+    boolean isSlow() {
+        return slowness >= SLOWNESS_THRESHOLD;
+    }
+
+    /**
+     * Returns whether the next call holds only one task, because the upstream is slow or the last
+     * call did not reach it.
+     */
+    boolean needsProbe() {
+        return isSlow() || unreachablePauseMillis > 0;
     }
 
     void store(String handle, long bytes, long untilMillis) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -5,6 +5,7 @@
 import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -35,16 +36,19 @@
     private final List<StageResult> inputsReleased = new ArrayList<>();
     private boolean first;
     private Optional<StagePool> pool = Optional.of(POOL);
-    private final StageDispatcher dispatcher =
-            new StageDispatcher(
-                    "s",
-                    service -> pool,
-                    upstreams,
-                    permits,
-                    new Port(),
-                    new SharedRetryBudget(0, 100, 10_000, 1),
-                    loop,
-                    inputsReleased::addAll);
+    private StageDispatcher dispatcher = dispatcher(100);
+
+    private StageDispatcher dispatcher(double retries) {
+        return new StageDispatcher(
+                "s",
+                service -> pool,
+                upstreams,
+                permits,
+                new Port(),
+                new SharedRetryBudget(0, retries, 10_000, 1),
+                loop,
+                inputsReleased::addAll);
+    }
 
     /** A call in progress. */
     private record Call(UpstreamEntry target, List<StageItem> items, StageCallListener listener) {
@@ -388,13 +392,72 @@
         upstreams("u", "v");
         Outcome outcome = submit("a", 1, 0, 10, 9_000);
         advance(1);
-        calls.get(0).listener().onFailure(false, "reset");
+        calls.get(0).listener().onFailure(StageCallFailure.BROKEN, "reset");
         advance(100);
         assertThat(calls.get(1).target().id()).isNotEqualTo(calls.get(0).target().id());
         calls.get(1).done();
         assertThat(outcome.results).hasSize(1);
     }
 
+    /** Lets each call to an upstream fail without being sent, as long as there are new ones. */
+    private void refuseCallsTo(String id, long forMillis) {
+        int seen = 0;
+        for (long elapsed = 0; elapsed < forMillis; elapsed += 10) {
+            for (; seen < calls.size(); seen++) {
+                if (calls.get(seen).target().id().equals(id)) {
+                    calls.get(seen)
+                            .listener()
+                            .onFailure(StageCallFailure.NOT_SENT, "connection refused");
+                }
+            }
+            advance(10);
+        }
+    }
+
+    // Guards against an upstream that is gone, but still listed, using up the retry budget.
+    @Test
+    void anUpstreamThatRefusesConnectionsFailsNoJobForLackOfRetries() {
+        dispatcher = dispatcher(0);
+        upstreams("u");
+        List<Outcome> outcomes = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            outcomes.add(submit("a" + i, 2, 0, 10, 9_000));
+        }
+        refuseCallsTo("u", 2_000);
+
+        assertThat(outcomes.stream().map(outcome -> outcome.failure).toList())
+                .containsExactlyElementsIn(Collections.nCopies(8, null));
+    }
+
+    // Guards against whole batches that wait for an upstream which cannot be reached.
+    @Test
+    void anUpstreamThatRefusesConnectionsIsProbedWithOneTaskEachSecond() {
+        upstreams("u");
+        for (int i = 0; i < 4; i++) {
+            submit("a" + i, 1, 0, 10, 9_000);
+        }
+        refuseCallsTo("u", 4_000);
+
+        assertThat(calls.get(0).items()).hasSize(4);
+        assertThat(calls.stream().skip(1).map(call -> call.items().size()).distinct().toList())
+                .containsExactly(1);
+        assertThat(calls.size()).isAtMost(8);
+    }
+
+    @Test
+    void anUpstreamThatAcceptsConnectionsAgainGetsFullCalls() {
+        upstreams("u");
+        for (int i = 0; i < 6; i++) {
+            submit("a" + i, 1, 0, 10, 9_000);
+        }
+        refuseCallsTo("u", 100);
+        advance(100);
+        calls.get(1).done();
+        advance(10);
+
+        assertThat(calls.get(2).items()).hasSize(4);
+    }
+
     @Test
     void aCallWithoutAnswerTimesOut() {
         upstreams("u", "v");
