Send no more stage calls to an address that belongs to another upstream

Cause: a 421 to a stage call was taken for a rejection of that call alone, so that the old entry was used until it expired; requests already mark such an upstream as misdirected. Evidence: anUpstreamWhoseAddressBelongsToAnotherOneGetsNoMoreCalls (StageDispatcherTest); the fault is new to the interface, so the test does not compile before. Why this works: the dispatcher leaves a misdirected upstream out until a new entry replaces it.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCallFailure.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCallFailure.java
@@ -6,6 +6,8 @@
     NOT_SENT,
     /** The upstream received the call and stated that it did no work on it. */
     REJECTED,
+    /** Another upstream received the call and rejected it, as it now has the address. */
+    MISDIRECTED,
     /** The call may have been worked on. */
     BROKEN
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -109,10 +109,13 @@
                                 MAX_UNREACHABLE_PAUSE_MILLIS,
                                 Math.max(NOT_RUN_PAUSE_MILLIS, 2 * unreachablePauseMillis))
                         : 0;
+        if (failure == StageCallFailure.MISDIRECTED) {
+            upstream.markMisdirected();
+        }
         long pauseMillis =
                 switch (failure) {
                     case NOT_SENT -> unreachablePauseMillis;
-                    case REJECTED -> NOT_RUN_PAUSE_MILLIS;
+                    case REJECTED, MISDIRECTED -> NOT_RUN_PAUSE_MILLIS;
                     case BROKEN -> BROKEN_PAUSE_MILLIS;
                 };
         pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + pauseMillis);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -458,6 +458,27 @@
         assertThat(calls.get(2).items()).hasSize(4);
     }
 
+    // Guards against calls to a restarted process until the old entry goes; each spends retries.
+    @Test
+    void anUpstreamWhoseAddressBelongsToAnotherOneGetsNoMoreCalls() {
+        upstreams("u", "v");
+        Outcome outcome = submit("a", 1, 0, 10, 9_000);
+        advance(1);
+        String replaced = calls.get(0).target().id();
+        calls.get(0).listener().onFailure(StageCallFailure.MISDIRECTED, "status 421");
+        advance(100);
+        calls.get(1).done();
+        for (int i = 0; i < 3; i++) {
+            submit("b" + i, 1, 0, 10, 9_000);
+            advance(500);
+            calls.get(calls.size() - 1).done();
+        }
+
+        assertThat(outcome.results).hasSize(1);
+        assertThat(calls.stream().skip(1).map(call -> call.target().id()).toList())
+                .doesNotContain(replaced);
+    }
+
     @Test
     void aCallWithoutAnswerTimesOut() {
         upstreams("u", "v");
