Use slow stage upstreams while no faster one can be called

Cause: upstreams whose calls take 1.8 times as long as expected are left out while a faster one is listed. The faster one was gone: misdirected, paused or unreachable, so nothing was called but for a probe each 2.5 s. Why this works: only an upstream that could be called now, and was reached by its last call, lets the slow ones rest.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -556,7 +556,7 @@
         if (!worker.isSlow() || nowMillis - worker.lastCallMillis() > SLOW_PROBE_INTERVAL_MILLIS) {
             return false;
         }
-        return workers.values().stream().anyMatch(other -> !other.isSlow());
+        return workers.values().stream().anyMatch(other -> other.canReplaceSlow(nowMillis));
     }
 
     private void fill(StageWorker worker, StagePool limits, long nowMillis) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -65,12 +65,20 @@
     }
 
     boolean isIdle(long nowMillis, int slots) {
-        return running < slots
-                && nowMillis >= pausedUntilMillis
+        return running < slots && isCallable(nowMillis);
+    }
+
+    private boolean isCallable(long nowMillis) {
+        return nowMillis >= pausedUntilMillis
                 && upstream.blockedMillis(nowMillis) == 0
                 && !upstream.isMisdirected();
     }
 
+    /** Returns whether the upstream can do the work of a slow one. */
+    boolean canReplaceSlow(long nowMillis) {
+        return isCallable(nowMillis) && !needsProbe();
+    }
+
     long pausedUntilMillis() {
         return pausedUntilMillis;
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -6,9 +6,11 @@
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.loop.Loop;
@@ -21,6 +23,8 @@
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests the dispatcher of a stage service in virtual time. */
 class StageDispatcherTest {
@@ -32,6 +36,7 @@
     private final UpstreamTable upstreams = new UpstreamTable(2_000);
     private final FakePermits permits = new FakePermits();
     private final List<Call> calls = new ArrayList<>();
+    private final Set<Call> ended = new HashSet<>();
     private final List<String> freed = new ArrayList<>();
     private final List<StageResult> inputsReleased = new ArrayList<>();
     private boolean first;
@@ -458,6 +463,34 @@
         assertThat(calls.get(2).items()).hasSize(4);
     }
 
+    // Guards against a service that stands still because a fast upstream is listed, but gone.
+    @ParameterizedTest
+    @EnumSource(
+            value = StageCallFailure.class,
+            names = {"NOT_SENT", "MISDIRECTED"})
+    void slowUpstreamsAreUsedWhileNoFastOneCanBeCalled(StageCallFailure failure) {
+        upstreams("slow", "gone");
+        for (int i = 0; i < 6; i++) {
+            submit("first" + i, 4, 0, 10, 60_000, 60_000, List.of());
+        }
+        long goneCalls = 0;
+        for (int i = 0; i < 60; i++) {
+            advance(100);
+            for (Call call : List.copyOf(calls)) {
+                if (call.target().id().equals("gone") && ended.add(call)) {
+                    call.listener().onFailure(failure, "gone");
+                    goneCalls++;
+                } else if (i % 8 == 7 && ended.add(call)) {
+                    call.done();
+                }
+            }
+            submit("next" + i, 1, 0, 10, 60_000, 60_000, List.of());
+        }
+        long slowCalls = calls.size() - goneCalls;
+
+        assertThat(slowCalls).isAtLeast(6L);
+    }
+
     // Guards against calls to a restarted process until the old entry goes; each spends retries.
     @Test
     void anUpstreamWhoseAddressBelongsToAnotherOneGetsNoMoreCalls() {
