Evacuate failure domains on request of the operators

Cause: operators need to empty a failure domain before they work on it, and routers knew no way to stop sending to its upstreams.

A domain that is missing after a return from a copy stays evacuated for the return grace.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedChange.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedChange.java
@@ -26,6 +26,20 @@
      */
     record UpstreamRemoved(String id) implements PublishedChange {}
 
+    /**
+     * A request that nothing more is sent to the upstreams of a failure domain.
+     *
+     * @param domain the failure domain
+     */
+    record DomainEvacuated(String domain) implements PublishedChange {}
+
+    /**
+     * The end of the evacuation of a failure domain.
+     *
+     * @param domain the failure domain
+     */
+    record DomainReturned(String domain) implements PublishedChange {}
+
     /**
      * An entry that cannot be parsed. The previous configuration stays in use; the removal of an
      * upstream is a change of its own.
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedCodec.java
@@ -14,6 +14,8 @@
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
+import org.bronzewheel.published.PublishedChange.DomainEvacuated;
+import org.bronzewheel.published.PublishedChange.DomainReturned;
 import org.bronzewheel.published.PublishedChange.Unreadable;
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
 import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
@@ -43,6 +45,10 @@
             item.setUpstream(encode(put.entry()));
         } else if (change instanceof UpstreamRemoved removed) {
             item.setRemovedUpstream(removed.id());
+        } else if (change instanceof DomainEvacuated evacuated) {
+            item.setEvacuatedDomain(evacuated.domain());
+        } else if (change instanceof DomainReturned returned) {
+            item.setReturnedDomain(returned.domain());
         } else if (change instanceof Unreadable unreadable) {
             item.setUnreadable(
                     PublishedUnreadable.newBuilder()
@@ -58,6 +64,8 @@
             case CATALOG -> Optional.of(new CatalogPut(decode(item.getCatalog())));
             case UPSTREAM -> Optional.of(new UpstreamPut(decode(item.getUpstream())));
             case REMOVED_UPSTREAM -> Optional.of(new UpstreamRemoved(item.getRemovedUpstream()));
+            case EVACUATED_DOMAIN -> Optional.of(new DomainEvacuated(item.getEvacuatedDomain()));
+            case RETURNED_DOMAIN -> Optional.of(new DomainReturned(item.getReturnedDomain()));
             case UNREADABLE ->
                     Optional.of(
                             new Unreadable(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -3,8 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogProgress;
@@ -12,6 +14,8 @@
 import org.bronzewheel.catalog.ClockReading;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
+import org.bronzewheel.published.PublishedChange.DomainEvacuated;
+import org.bronzewheel.published.PublishedChange.DomainReturned;
 import org.bronzewheel.published.PublishedChange.Unreadable;
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
 import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
@@ -336,17 +340,21 @@
 
     private void applySnapshot(PublishedBatch batch, long nowMillis) {
         List<UpstreamEntry> entries = new ArrayList<>();
+        Set<String> evacuated = new HashSet<>();
         for (PublishedChange change : batch.changes()) {
             if (change instanceof UpstreamPut put) {
                 entries.add(put.entry());
                 unreadableLog.readable(put.entry().id());
+            } else if (change instanceof DomainEvacuated domain) {
+                evacuated.add(domain.domain());
             } else {
                 applyChange(change, nowMillis);
             }
         }
-        upstreams.replaceAll(entries, nowMillis);
+        upstreams.replaceAll(entries, evacuated, nowMillis);
         logger.atInfo().log(
-                "snapshot applied: position=%s upstreams=%d", batch.position(), entries.size());
+                "snapshot applied: position=%s upstreams=%d evacuated=%s",
+                batch.position(), entries.size(), evacuated);
         if (position.epoch() != PublishedPosition.UNKNOWN_EPOCH
                 && batch.position().epoch() > position.epoch()) {
             logger.atWarning().log(
@@ -373,6 +381,10 @@
             unreadableLog.readable(put.entry().id());
         } else if (change instanceof UpstreamRemoved removed) {
             upstreams.remove(removed.id(), nowMillis);
+        } else if (change instanceof DomainEvacuated evacuated) {
+            upstreams.evacuate(evacuated.domain());
+        } else if (change instanceof DomainReturned returned) {
+            upstreams.domainReturned(returned.domain());
         } else if (change instanceof Unreadable unreadable) {
             unreadableLog.report(unreadable);
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -284,8 +284,7 @@
     /** Frees results; their space counts as used until the upstream has had time to free it. */
     private void freeNow(String makerId, List<String> handles) {
         upstreams
-                .known(makerId)
-                .filter(upstream -> !upstream.isLeaving())
+                .find(makerId)
                 .ifPresent(
                         upstream -> {
                             upstream.requestSent(loop.nowMillis());
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
@@ -30,6 +30,7 @@
     private final Set<Runnable> listeners = new HashSet<>();
     private final Announcements announcements = new Announcements();
     private final ClosedLives closedLives = new ClosedLives();
+    private final EvacuatedDomains evacuated;
     private final PlatformOutage outage;
     private boolean loaded;
     private long graceStartMillis = Long.MIN_VALUE / 2;
@@ -54,6 +55,7 @@
      */
     public UpstreamTable(long returnGraceMillis, long expiryMillis) {
         this.returnGraceMillis = returnGraceMillis;
+        this.evacuated = new EvacuatedDomains(returnGraceMillis);
         this.outage = new PlatformOutage(expiryMillis);
         announcements.onLeaving(this::changed);
     }
@@ -130,6 +132,7 @@
      */
     public void platformReturned(long nowMillis) {
         restartGrace(nowMillis);
+        evacuated.platformReturned(nowMillis);
         closedLives.returned(byId.values(), nowMillis);
     }
 
@@ -152,12 +155,24 @@
     }
 
     /**
-     * Replaces the table by a complete list.
+     * Replaces the table by a complete list in which no failure domain is evacuated.
      *
      * @param entries all entries that the platform holds
      * @param nowMillis the time, in milliseconds of the steady clock
      */
     public void replaceAll(Collection<UpstreamEntry> entries, long nowMillis) {
+        replaceAll(entries, Set.of(), nowMillis);
+    }
+
+    /**
+     * Replaces the table by a complete list.
+     *
+     * @param entries all entries that the platform holds
+     * @param evacuatedDomains the failure domains that the platform lists as evacuated
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    public void replaceAll(
+            Collection<UpstreamEntry> entries, Set<String> evacuatedDomains, long nowMillis) {
         loaded = true;
         Set<String> listedIds = new HashSet<>();
         for (UpstreamEntry entry : entries) {
@@ -169,9 +184,61 @@
                 removeWithoutNotify(id, nowMillis);
             }
         }
+        evacuatedDomains.forEach(this::evacuateWithoutNotify);
+        evacuated.missing(evacuatedDomains, nowMillis).forEach(this::endEvacuation);
+        changed();
+    }
+
+    /**
+     * Excludes the upstreams of a failure domain from everything new.
+     *
+     * @param domain the failure domain
+     */
+    public void evacuate(String domain) {
+        evacuateWithoutNotify(domain);
         changed();
     }
 
+    /**
+     * Ends the evacuation of a failure domain.
+     *
+     * @param domain the failure domain
+     */
+    public void domainReturned(String domain) {
+        endEvacuation(domain);
+        changed();
+    }
+
+    private void evacuateWithoutNotify(String domain) {
+        if (evacuated.add(domain)) {
+            logger.atWarning().log(
+                    "failure domain evacuated: domain=%s upstreams=%d",
+                    domain, upstreamsIn(domain));
+        }
+    }
+
+    private void endEvacuation(String domain) {
+        if (evacuated.remove(domain)) {
+            logger.atWarning().log(
+                    "failure domain returned: domain=%s upstreams=%d", domain, upstreamsIn(domain));
+        }
+    }
+
+    private long upstreamsIn(String domain) {
+        return byId.values().stream()
+                .filter(upstream -> upstream.entry().failureDomain().equals(domain))
+                .count();
+    }
+
+    /**
+     * Returns the number of evacuated failure domains.
+     *
+     * @return the number
+     */
+    public int evacuatedDomains() {
+        return evacuated.size();
+    }
+
     /**
      * Adds or updates an entry.
      *
@@ -194,8 +261,9 @@
     }
 
     /**
-     * Drops entries whose grace period is over, and expired statements. No grace period ends while
-     * the platform is unreachable, as no upstream can register then.
+     * Drops entries whose grace period is over, and expired statements, and ends the evacuations
+     * that the platform lost. No grace period ends while the platform is unreachable, as nobody can
+     * write to it then.
      *
      * @param nowMillis the time, in milliseconds of the steady clock
      */
@@ -210,6 +278,11 @@
                 dropped = true;
             }
         }
+        if (!outage.isOngoing()) {
+            List<String> lost = evacuated.expired(nowMillis);
+            lost.forEach(this::endEvacuation);
+            dropped |= !lost.isEmpty();
+        }
         if (dropped) {
             changed();
         }
@@ -236,7 +309,7 @@
     }
 
     /**
-     * Returns the upstreams of a service that are not leaving.
+     * Returns the upstreams of a service that are neither leaving nor in an evacuated domain.
      *
      * @param service the name of the service
      * @return the upstreams, whatever their health
@@ -249,20 +322,35 @@
      * Finds a known upstream.
      *
      * @param id its id
-     * @return the upstream, even if it is leaving, or empty if it is unknown
+     * @return the upstream, even if it gets nothing new, or empty if it is unknown
      */
     public Optional<Upstream> known(String id) {
         return Optional.ofNullable(byId.get(id));
     }
 
     /**
-     * Finds an upstream that is not leaving.
+     * Finds an upstream that is neither leaving nor in an evacuated domain.
      *
      * @param id its id
-     * @return the upstream, or empty if it is unknown or leaving
+     * @return the upstream, or empty if it is unknown or gets nothing new
      */
     public Optional<Upstream> find(String id) {
-        return Optional.ofNullable(byId.get(id)).filter(u -> !u.isLeaving());
+        return known(id).filter(this::isServing);
+    }
+
+    /**
+     * Returns whether an upstream accepts a request now. Call this right before sending.
+     *
+     * @param to the upstream, with the start time of the process that is meant
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return whether it is not leaving, paused or in an evacuated domain
+     */
+    public boolean takesNew(UpstreamEntry to, long nowMillis) {
+        return !evacuated.contains(to.failureDomain()) && announcements.takesNew(to, nowMillis);
+    }
+
+    private boolean isServing(Upstream upstream) {
+        return !upstream.isLeaving() && !evacuated.contains(upstream.entry().failureDomain());
     }
 
     private void putWithoutNotify(UpstreamEntry published) {
@@ -303,7 +391,7 @@
     private void changed() {
         byService.clear();
         for (Upstream upstream : byId.values()) {
-            if (!upstream.isLeaving()) {
+            if (isServing(upstream)) {
                 byService
                         .computeIfAbsent(upstream.entry().service(), s -> new ArrayList<>())
                         .add(upstream);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -19,6 +19,8 @@
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.loop.StallingScheduler;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
+import org.bronzewheel.published.PublishedChange.DomainEvacuated;
+import org.bronzewheel.published.PublishedChange.DomainReturned;
 import org.bronzewheel.published.PublishedChange.Unreadable;
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
 import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
@@ -409,4 +411,52 @@
         @Override
         public void close() {}
     }
+
+    // EVAC: a router that starts or lost its history learns of an evacuation from the snapshot.
+    @Test
+    void evacuationsAreReadFromSnapshotsAndChanges() {
+        answer(snapshots, 5, version(1), new DomainEvacuated("d"), upstream("a"));
+        assertThat(upstreams.serving("s")).isEmpty();
+        answer(polls, 6, new DomainReturned("d"));
+        assertThat(upstreams.serving("s")).hasSize(1);
+        advance(250);
+        answer(polls, 7, new DomainEvacuated("d"));
+        assertThat(upstreams.serving("s")).isEmpty();
+        advance(250);
+        polls.get(polls.size() - 1).onError(new HistoryLostException());
+        advance(0);
+        answer(snapshots, 9, version(1), upstream("a"));
+        assertThat(upstreams.serving("s")).hasSize(1);
+    }
+
+    @Test
+    void evacuationStaysInForceWhileThePlatformIsUnavailable() {
+        answer(snapshots, 5, version(1), new DomainEvacuated("d"), upstream("a"));
+        for (int i = 0; i < 20; i++) {
+            polls.get(polls.size() - 1).onError(new IllegalStateException("down"));
+            advance(1_000);
+            upstreams.expire(scheduler.now(TimeUnit.MILLISECONDS));
+            assertThat(upstreams.serving("s")).isEmpty();
+        }
+    }
+
+    // EVAC: a copy may lack the key, which its writer needs a moment to write again.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void evacuationThatTheCopyLacksStaysInForceUntilItsWriterHadTimeToWriteItAgain(
+            boolean writtenAgain) {
+        answer(snapshots, 5, version(1), new DomainEvacuated("d"), upstream("a"));
+        epoch = 2;
+        polls.get(0).onError(new HistoryLostException());
+        advance(250);
+        answer(snapshots, 3, version(1), upstream("a"));
+        long returnedMillis = scheduler.now(TimeUnit.MILLISECONDS);
+        upstreams.expire(returnedMillis + 1_700);
+        assertThat(upstreams.serving("s")).isEmpty();
+        if (writtenAgain) {
+            answer(polls, 4, new DomainEvacuated("d"));
+        }
+        upstreams.expire(returnedMillis + 2_000);
+        assertThat(upstreams.serving("s")).hasSize(writtenAgain ? 0 : 1);
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
@@ -23,6 +23,8 @@
 import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
+import org.bronzewheel.published.PublishedChange.DomainEvacuated;
+import org.bronzewheel.published.PublishedChange.DomainReturned;
 import org.bronzewheel.published.PublishedChange.Unreadable;
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
 import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
@@ -327,4 +329,30 @@
         assertThat(reader.platformRequests + follower.platformRequests - before)
                 .isAtMost(inCalmTime + 8);
     }
+
+    // EVAC: in a large fleet most routers learn of an evacuation from the router that reads.
+    @Test
+    void evacuationsReachAFollowerThroughItsReader() {
+        int before = follower.platformRequests;
+        platform.publish(new DomainEvacuated("d"));
+        advance(1_500);
+        assertThat(follower.upstreams.serving("s")).isEmpty();
+        platform.publish(new DomainReturned("d"));
+        advance(1_500);
+        assertThat(follower.upstreams.serving("s")).hasSize(1);
+        assertThat(follower.platformRequests).isEqualTo(before);
+    }
+
+    @Test
+    void evacuationsSurviveEncodingAndDecoding() {
+        for (PublishedChange change :
+                List.of(
+                        new DomainEvacuated("d"),
+                        new DomainReturned("d"),
+                        new DomainEvacuated(""),
+                        new DomainReturned(""))) {
+            assertThat(PublishedCodec.decode(PublishedCodec.encode(change)).get())
+                    .isEqualTo(change);
+        }
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -704,4 +704,25 @@
         calls.get(0).done();
         assertThat(outcome.results).hasSize(1);
     }
+
+    // EVAC: neither a stage call nor the freeing of results may reach an evacuated upstream.
+    @Test
+    void anUpstreamInAnEvacuatedDomainGetsNoCallAndIsNotAskedToFreeResults() {
+        upstreams("u");
+        Outcome outcome = submit("a", 2, 0, 10, 5_000);
+        advance(10);
+        upstreams.evacuate("d");
+        calls.get(0).done();
+        assertThat(outcome.results).hasSize(2);
+        dispatcher.release(outcome.results);
+        submit("b", 1, 0, 10, 9_000);
+        advance(500);
+        assertThat(calls).hasSize(1);
+        assertThat(freed).isEmpty();
+
+        upstreams.domainReturned("d");
+        advance(500);
+        assertThat(calls).hasSize(2);
+        assertThat(freed).isEmpty();
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class UpstreamTableTest {
@@ -214,4 +215,80 @@
         table.replaceAll(List.of(entry("a", 1, false)), 1_010);
         assertThat(serving()).containsExactly("a");
     }
+
+    private static UpstreamEntry entryIn(String domain, String id) {
+        return new UpstreamEntry(id, "s", "10.0.0.1:80", domain, 1, 0, false);
+    }
+
+    // EVAC: nothing new may reach an upstream of the domain, whichever question leads there.
+    @Test
+    void anUpstreamInAnEvacuatedDomainGetsNothingNewUntilTheDomainReturns() {
+        table.replaceAll(List.of(entryIn("d", "a"), entryIn("e", "b")), 0);
+        int[] changes = new int[1];
+        table.onChange(() -> changes[0]++);
+        table.evacuate("d");
+        table.put(entryIn("d", "c"));
+        assertThat(serving()).containsExactly("b");
+        assertThat(table.find("a")).isEmpty();
+        assertThat(table.known("a")).isPresent();
+        assertThat(table.takesNew(entryIn("d", "a"), 0)).isFalse();
+        assertThat(table.takesNew(entryIn("e", "b"), 0)).isTrue();
+        assertThat(table.evacuatedDomains()).isEqualTo(1);
+
+        table.domainReturned("d");
+        assertThat(serving()).containsExactly("a", "b", "c");
+        assertThat(table.takesNew(entryIn("d", "a"), 0)).isTrue();
+        assertThat(table.evacuatedDomains()).isEqualTo(0);
+        assertThat(changes[0]).isEqualTo(3);
+    }
+
+    @Test
+    void aCompleteListReplacesTheSetOfEvacuatedDomains() {
+        table.replaceAll(List.of(entryIn("d", "a"), entryIn("e", "b")), Set.of("d", "f"), 0);
+        assertThat(serving()).containsExactly("b");
+        table.replaceAll(List.of(entryIn("d", "a"), entryIn("e", "b")), Set.of("e"), 10);
+        assertThat(serving()).containsExactly("a");
+        assertThat(table.evacuatedDomains()).isEqualTo(1);
+    }
+
+    // EVAC: the copy may lack the key, which the operator writes again within the return grace.
+    @Test
+    void aDomainThatACopyLacksStaysEvacuatedForTheReturnGrace() {
+        table.replaceAll(List.of(entryIn("d", "a"), entryIn("e", "b")), Set.of("d", "e"), 0);
+        table.platformReturned(1_000);
+        table.replaceAll(List.of(entryIn("d", "a"), entryIn("e", "b")), Set.of(), 1_100);
+        table.expire(2_000);
+        table.platformReturned(2_000);
+        table.replaceAll(List.of(entryIn("d", "a"), entryIn("e", "b")), Set.of(), 2_100);
+        table.expire(3_999);
+        assertThat(serving()).isEmpty();
+        table.evacuate("e");
+        table.expire(4_000);
+        assertThat(serving()).containsExactly("a");
+        table.expire(9_000);
+        assertThat(serving()).containsExactly("a");
+    }
+
+    @Test
+    void theReturnGraceOfAnEvacuationDoesNotEndWhileThePlatformIsUnreachable() {
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of("d"), 0);
+        table.platformReturned(1_000);
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of(), 1_100);
+        table.platformUnreachable(1_500);
+        table.expire(5_000);
+        assertThat(serving()).isEmpty();
+        table.platformAnswered(5_100);
+        table.expire(5_200);
+        assertThat(serving()).containsExactly("a");
+    }
+
+    // The removal of the key is a statement of the operator, unlike its absence in a copy.
+    @Test
+    void aRemovedKeyEndsTheEvacuationAlsoRightAfterAReturnFromACopy() {
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of("d"), 0);
+        table.platformReturned(1_000);
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of(), 1_100);
+        table.domainReturned("d");
+        assertThat(serving()).containsExactly("a");
+    }
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedItem.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedItem.java
@@ -58,6 +58,8 @@
     UPSTREAM(2),
     REMOVED_UPSTREAM(3),
     UNREADABLE(4),
+    EVACUATED_DOMAIN(5),
+    RETURNED_DOMAIN(6),
     KIND_NOT_SET(0);
     private final int value;
     private KindCase(int value) {
@@ -79,6 +81,8 @@
         case 2: return UPSTREAM;
         case 3: return REMOVED_UPSTREAM;
         case 4: return UNREADABLE;
+        case 5: return EVACUATED_DOMAIN;
+        case 6: return RETURNED_DOMAIN;
         case 0: return KIND_NOT_SET;
         default: return null;
       }
@@ -235,6 +239,126 @@
     return org.bronzewheel.wire.PublishedUnreadable.getDefaultInstance();
   }
 
+  public static final int EVACUATED_DOMAIN_FIELD_NUMBER = 5;
+  /**
+   * <pre>
+   * A failure domain to whose upstreams nothing more is sent.
+   * </pre>
+   *
+   * <code>string evacuated_domain = 5;</code>
+   * @return Whether the evacuatedDomain field is set.
+   */
+  public boolean hasEvacuatedDomain() {
+    return kindCase_ == 5;
+  }
+  /**
+   * <pre>
+   * A failure domain to whose upstreams nothing more is sent.
+   * </pre>
+   *
+   * <code>string evacuated_domain = 5;</code>
+   * @return The evacuatedDomain.
+   */
+  public java.lang.String getEvacuatedDomain() {
+    if (kindCase_ != 5) {
+      return "";
+    }
+    java.lang.Object ref = kind_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      kind_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * A failure domain to whose upstreams nothing more is sent.
+   * </pre>
+   *
+   * <code>string evacuated_domain = 5;</code>
+   * @return The bytes for evacuatedDomain.
+   */
+  public com.google.protobuf.ByteString
+      getEvacuatedDomainBytes() {
+    if (kindCase_ != 5) {
+      return com.google.protobuf.ByteString.copyFromUtf8("");
+    }
+    java.lang.Object ref = kind_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      kind_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int RETURNED_DOMAIN_FIELD_NUMBER = 6;
+  /**
+   * <pre>
+   * A failure domain that is no longer evacuated.
+   * </pre>
+   *
+   * <code>string returned_domain = 6;</code>
+   * @return Whether the returnedDomain field is set.
+   */
+  public boolean hasReturnedDomain() {
+    return kindCase_ == 6;
+  }
+  /**
+   * <pre>
+   * A failure domain that is no longer evacuated.
+   * </pre>
+   *
+   * <code>string returned_domain = 6;</code>
+   * @return The returnedDomain.
+   */
+  public java.lang.String getReturnedDomain() {
+    if (kindCase_ != 6) {
+      return "";
+    }
+    java.lang.Object ref = kind_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      kind_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * A failure domain that is no longer evacuated.
+   * </pre>
+   *
+   * <code>string returned_domain = 6;</code>
+   * @return The bytes for returnedDomain.
+   */
+  public com.google.protobuf.ByteString
+      getReturnedDomainBytes() {
+    if (kindCase_ != 6) {
+      return com.google.protobuf.ByteString.copyFromUtf8("");
+    }
+    java.lang.Object ref = kind_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      kind_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -261,6 +385,12 @@
     if (kindCase_ == 4) {
       output.writeMessage(4, (org.bronzewheel.wire.PublishedUnreadable) kind_);
     }
+    if (kindCase_ == 5) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, kind_);
+    }
+    if (kindCase_ == 6) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, kind_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -280,6 +410,12 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, (org.bronzewheel.wire.PublishedUnreadable) kind_);
     }
+    if (kindCase_ == 5) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, kind_);
+    }
+    if (kindCase_ == 6) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, kind_);
+    }
     return size;
   }
   @java.lang.Override
@@ -322,6 +458,14 @@
         if (!getUnreadable()
             .equals(other.getUnreadable())) return false;
         break;
+      case 5:
+        if (!getEvacuatedDomain()
+            .equals(other.getEvacuatedDomain())) return false;
+        break;
+      case 6:
+        if (!getReturnedDomain()
+            .equals(other.getReturnedDomain())) return false;
+        break;
       case 0:
       default:
     }
@@ -353,6 +497,14 @@
         hash = (37 * hash) + UNREADABLE_FIELD_NUMBER;
         hash = (53 * hash) + getUnreadable().hashCode();
         break;
+      case 5:
+        hash = (37 * hash) + EVACUATED_DOMAIN_FIELD_NUMBER;
+        hash = (53 * hash) + getEvacuatedDomain().hashCode();
+        break;
+      case 6:
+        hash = (37 * hash) + RETURNED_DOMAIN_FIELD_NUMBER;
+        hash = (53 * hash) + getReturnedDomain().hashCode();
+        break;
       case 0:
       default:
     }
@@ -582,6 +734,18 @@
           mergeUnreadable(other.getUnreadable());
           break;
         }
+        case EVACUATED_DOMAIN: {
+          kindCase_ = 5;
+          kind_ = other.kind_;
+          onChanged();
+          break;
+        }
+        case RETURNED_DOMAIN: {
+          kindCase_ = 6;
+          kind_ = other.kind_;
+          onChanged();
+          break;
+        }
         case KIND_NOT_SET: {
           break;
         }
@@ -636,6 +800,16 @@
               kindCase_ = 4;
               break;
             } // case 34
+            case 42: {
+              kindCase_ = 5;
+              kind_ = input.readStringRequireUtf8();
+              break;
+            } // case 42
+            case 50: {
+              kindCase_ = 6;
+              kind_ = input.readStringRequireUtf8();
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1177,6 +1351,232 @@
       return unreadableBuilder_;
     }
 
+    /**
+     * <pre>
+     * A failure domain to whose upstreams nothing more is sent.
+     * </pre>
+     *
+     * <code>string evacuated_domain = 5;</code>
+     * @return Whether the evacuatedDomain field is set.
+     */
+    @java.lang.Override
+    public boolean hasEvacuatedDomain() {
+      return kindCase_ == 5;
+    }
+    /**
+     * <pre>
+     * A failure domain to whose upstreams nothing more is sent.
+     * </pre>
+     *
+     * <code>string evacuated_domain = 5;</code>
+     * @return The evacuatedDomain.
+     */
+    @java.lang.Override
+    public java.lang.String getEvacuatedDomain() {
+      if (kindCase_ != 5) {
+        return "";
+      }
+      java.lang.Object ref = kind_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+          kind_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * A failure domain to whose upstreams nothing more is sent.
+     * </pre>
+     *
+     * <code>string evacuated_domain = 5;</code>
+     * @return The bytes for evacuatedDomain.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEvacuatedDomainBytes() {
+      if (kindCase_ != 5) {
+        return com.google.protobuf.ByteString.copyFromUtf8(        "");
+      }
+      java.lang.Object ref = kind_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        kind_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * A failure domain to whose upstreams nothing more is sent.
+     * </pre>
+     *
+     * <code>string evacuated_domain = 5;</code>
+     * @param value The evacuatedDomain to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuatedDomain(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      kindCase_ = 5;
+      kind_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * A failure domain to whose upstreams nothing more is sent.
+     * </pre>
+     *
+     * <code>string evacuated_domain = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvacuatedDomain() {
+      if (kindCase_ == 5) {
+        kindCase_ = 0;
+        kind_ = null;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * A failure domain to whose upstreams nothing more is sent.
+     * </pre>
+     *
+     * <code>string evacuated_domain = 5;</code>
+     * @param value The bytes for evacuatedDomain to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvacuatedDomainBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      kindCase_ = 5;
+      kind_ = value;
+      onChanged();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * A failure domain that is no longer evacuated.
+     * </pre>
+     *
+     * <code>string returned_domain = 6;</code>
+     * @return Whether the returnedDomain field is set.
+     */
+    @java.lang.Override
+    public boolean hasReturnedDomain() {
+      return kindCase_ == 6;
+    }
+    /**
+     * <pre>
+     * A failure domain that is no longer evacuated.
+     * </pre>
+     *
+     * <code>string returned_domain = 6;</code>
+     * @return The returnedDomain.
+     */
+    @java.lang.Override
+    public java.lang.String getReturnedDomain() {
+      if (kindCase_ != 6) {
+        return "";
+      }
+      java.lang.Object ref = kind_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+          kind_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * A failure domain that is no longer evacuated.
+     * </pre>
+     *
+     * <code>string returned_domain = 6;</code>
+     * @return The bytes for returnedDomain.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getReturnedDomainBytes() {
+      if (kindCase_ != 6) {
+        return com.google.protobuf.ByteString.copyFromUtf8(        "");
+      }
+      java.lang.Object ref = kind_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        kind_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * A failure domain that is no longer evacuated.
+     * </pre>
+     *
+     * <code>string returned_domain = 6;</code>
+     * @param value The returnedDomain to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReturnedDomain(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      kindCase_ = 6;
+      kind_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * A failure domain that is no longer evacuated.
+     * </pre>
+     *
+     * <code>string returned_domain = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReturnedDomain() {
+      if (kindCase_ == 6) {
+        kindCase_ = 0;
+        kind_ = null;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * A failure domain that is no longer evacuated.
+     * </pre>
+     *
+     * <code>string returned_domain = 6;</code>
+     * @param value The bytes for returnedDomain to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReturnedDomainBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      kindCase_ = 6;
+      kind_ = value;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PublishedItem)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedItemOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedItemOrBuilder.java
@@ -72,5 +72,63 @@
    */
   org.bronzewheel.wire.PublishedUnreadableOrBuilder getUnreadableOrBuilder();
 
+  /**
+   * <pre>
+   * A failure domain to whose upstreams nothing more is sent.
+   * </pre>
+   *
+   * <code>string evacuated_domain = 5;</code>
+   * @return Whether the evacuatedDomain field is set.
+   */
+  boolean hasEvacuatedDomain();
+  /**
+   * <pre>
+   * A failure domain to whose upstreams nothing more is sent.
+   * </pre>
+   *
+   * <code>string evacuated_domain = 5;</code>
+   * @return The evacuatedDomain.
+   */
+  java.lang.String getEvacuatedDomain();
+  /**
+   * <pre>
+   * A failure domain to whose upstreams nothing more is sent.
+   * </pre>
+   *
+   * <code>string evacuated_domain = 5;</code>
+   * @return The bytes for evacuatedDomain.
+   */
+  com.google.protobuf.ByteString
+      getEvacuatedDomainBytes();
+
+  /**
+   * <pre>
+   * A failure domain that is no longer evacuated.
+   * </pre>
+   *
+   * <code>string returned_domain = 6;</code>
+   * @return Whether the returnedDomain field is set.
+   */
+  boolean hasReturnedDomain();
+  /**
+   * <pre>
+   * A failure domain that is no longer evacuated.
+   * </pre>
+   *
+   * <code>string returned_domain = 6;</code>
+   * @return The returnedDomain.
+   */
+  java.lang.String getReturnedDomain();
+  /**
+   * <pre>
+   * A failure domain that is no longer evacuated.
+   * </pre>
+   *
+   * <code>string returned_domain = 6;</code>
+   * @return The bytes for returnedDomain.
+   */
+  com.google.protobuf.ByteString
+      getReturnedDomainBytes();
+
   org.bronzewheel.wire.PublishedItem.KindCase getKindCase();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -221,78 +221,79 @@
       "\022\022\n\nage_millis\030\003 \001(\003\0220\n\007changes\030\004 \003(\0132\037." +
       "bronzewheel.wire.PublishedItem\022\022\n\005epoch\030" +
       "\005 \001(\003H\000\210\001\001\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HI" +
-      "STORY_LOST\020\001\022\r\n\tNO_READER\020\002B\010\n\006_epoch\"\340\001" +
+      "STORY_LOST\020\001\022\r\n\tNO_READER\020\002B\010\n\006_epoch\"\227\002" +
       "\n\rPublishedItem\0225\n\007catalog\030\001 \001(\0132\".bronz" +
       "ewheel.wire.PublishedCatalogH\000\0227\n\010upstre" +
       "am\030\002 \001(\0132#.bronzewheel.wire.PublishedUps" +
       "treamH\000\022\032\n\020removed_upstream\030\003 \001(\tH\000\022;\n\nu" +
       "nreadable\030\004 \001(\0132%.bronzewheel.wire.Publi" +
-      "shedUnreadableH\000B\006\n\004kind\"3\n\023PublishedUnr" +
-      "eadable\022\014\n\004name\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\221\001" +
-      "\n\021PublishedUpstream\022\n\n\002id\030\001 \001(\t\022\017\n\007servi" +
-      "ce\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_dom" +
-      "ain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\026\n\016started_mill" +
-      "is\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010\"\370\001\n\020PublishedC" +
-      "atalog\022\017\n\007version\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132" +
-      " .bronzewheel.wire.PublishedRoute\0224\n\010ser" +
-      "vices\030\003 \003(\0132\".bronzewheel.wire.Published" +
-      "Service\0228\n\nworkspaces\030\004 \003(\0132$.bronzewhee" +
-      "l.wire.PublishedWorkspace\0221\n\006limits\030\005 \001(" +
-      "\0132!.bronzewheel.wire.PublishedLimits\"\355\002\n" +
-      "\016PublishedRoute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 " +
-      "\001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023" +
-      "\n\013repeat_rule\030\005 \001(\t\022\026\n\016timeout_millis\030\006 " +
-      "\001(\003\022\030\n\020objective_millis\030\007 \001(\003\022\034\n\024gap_obj" +
-      "ective_millis\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n" +
-      "\014max_attempts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .br" +
-      "onzewheel.wire.PublishedShare\0220\n\006stages\030" +
-      "\014 \003(\0132 .bronzewheel.wire.PublishedStage\022" +
-      "\014\n\004open\030\r \001(\010\022\035\n\025caller_silence_millis\030\016" +
-      " \001(\003\"1\n\016PublishedShare\022\017\n\007service\030\001 \001(\t\022" +
-      "\016\n\006weight\030\002 \001(\001\"F\n\016PublishedStage\022\017\n\007ser" +
-      "vice\030\001 \001(\t\022\r\n\005after\030\002 \003(\005\022\024\n\014result_byte" +
-      "s\030\003 \001(\003\"\257\001\n\020PublishedService\022\014\n\004name\030\001 \001" +
-      "(\t\022\027\n\017max_connections\030\002 \001(\005\0228\n\nstage_poo" +
-      "l\030\003 \001(\0132$.bronzewheel.wire.PublishedStag" +
-      "ePool\022:\n\013engine_pool\030\004 \001(\0132%.bronzewheel" +
-      ".wire.PublishedEnginePool\"\227\001\n\022PublishedS" +
-      "tagePool\022\r\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r" +
-      "\n\005batch\030\003 \001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014pi" +
-      "ece_millis\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\r" +
-      "result_millis\030\007 \001(\003\":\n\023PublishedEnginePo" +
-      "ol\022\r\n\005slots\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"" +
-      "T\n\022PublishedWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004k" +
-      "eys\030\002 \003(\t\022\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_pri" +
-      "ority\"\177\n\017PublishedLimits\022\030\n\020max_header_b" +
-      "ytes\030\001 \001(\005\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025he" +
-      "ader_timeout_millis\030\003 \001(\003\022\033\n\023idle_timeou" +
-      "t_millis\030\004 \001(\003\"I\n\014StageBacklog\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\022\023\n\013call_mil" +
-      "lis\030\003 \001(\003\"\247\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036." +
-      "bronzewheel.wire.StageJobCallH\000\0221\n\007relea" +
-      "se\030\002 \001(\0132\036.bronzewheel.wire.StageRelease" +
-      "H\000\022/\n\006cancel\030\003 \001(\0132\035.bronzewheel.wire.St" +
-      "ageCancelH\000B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\n" +
-      "request_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007servi" +
-      "ce\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n" +
-      "\006inputs\030\006 \003(\0132\035.bronzewheel.wire.StageHa" +
-      "ndle\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005" +
-      "\022\035\n\025objective_left_millis\030\t \001(\003\022\034\n\024deadl" +
-      "ine_left_millis\030\n \001(\003\022\024\n\014later_millis\030\013 " +
-      "\001(\003\022\026\n\016failure_domain\030\014 \001(\t\022\032\n\022least_lat" +
-      "er_millis\030\r \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/." +
-      "bronzewheel.wire.StageJobCall.UnmetPiece" +
-      "sEntry\022\r\n\005first\030\017 \001(\010\0322\n\020UnmetPiecesEntr" +
-      "y\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rSta" +
-      "geJobReply\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002" +
-      " \003(\0132\035.bronzewheel.wire.StageHandle\"e\n\013S" +
-      "tageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001" +
-      "(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(" +
-      "\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007se" +
-      "rvice\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewhe" +
-      "el.wire.StageHandle\"2\n\013StageCancel\022\022\n\nre" +
-      "quest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.b" +
-      "ronzewheel.wireP\001b\006proto3"
+      "shedUnreadableH\000\022\032\n\020evacuated_domain\030\005 \001" +
+      "(\tH\000\022\031\n\017returned_domain\030\006 \001(\tH\000B\006\n\004kind\"" +
+      "3\n\023PublishedUnreadable\022\014\n\004name\030\001 \001(\t\022\016\n\006" +
+      "reason\030\002 \001(\t\"\221\001\n\021PublishedUpstream\022\n\n\002id" +
+      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t" +
+      "\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022" +
+      "\026\n\016started_millis\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010" +
+      "\"\370\001\n\020PublishedCatalog\022\017\n\007version\030\001 \001(\003\0220" +
+      "\n\006routes\030\002 \003(\0132 .bronzewheel.wire.Publis" +
+      "hedRoute\0224\n\010services\030\003 \003(\0132\".bronzewheel" +
+      ".wire.PublishedService\0228\n\nworkspaces\030\004 \003" +
+      "(\0132$.bronzewheel.wire.PublishedWorkspace" +
+      "\0221\n\006limits\030\005 \001(\0132!.bronzewheel.wire.Publ" +
+      "ishedLimits\"\355\002\n\016PublishedRoute\022\014\n\004name\030\001" +
+      " \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tst" +
+      "reaming\030\004 \001(\010\022\023\n\013repeat_rule\030\005 \001(\t\022\026\n\016ti" +
+      "meout_millis\030\006 \001(\003\022\030\n\020objective_millis\030\007" +
+      " \001(\003\022\034\n\024gap_objective_millis\030\010 \001(\003\022\020\n\010pr" +
+      "iority\030\t \001(\005\022\024\n\014max_attempts\030\n \001(\005\0220\n\006sh" +
+      "ares\030\013 \003(\0132 .bronzewheel.wire.PublishedS" +
+      "hare\0220\n\006stages\030\014 \003(\0132 .bronzewheel.wire." +
+      "PublishedStage\022\014\n\004open\030\r \001(\010\022\035\n\025caller_s" +
+      "ilence_millis\030\016 \001(\003\"1\n\016PublishedShare\022\017\n" +
+      "\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"F\n\016Publis" +
+      "hedStage\022\017\n\007service\030\001 \001(\t\022\r\n\005after\030\002 \003(\005" +
+      "\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n\020PublishedServ" +
+      "ice\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connections\030\002 \001" +
+      "(\005\0228\n\nstage_pool\030\003 \001(\0132$.bronzewheel.wir" +
+      "e.PublishedStagePool\022:\n\013engine_pool\030\004 \001(" +
+      "\0132%.bronzewheel.wire.PublishedEnginePool" +
+      "\"\227\001\n\022PublishedStagePool\022\r\n\005slots\030\001 \001(\005\022\r" +
+      "\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005\022\023\n\013call_mil" +
+      "lis\030\004 \001(\001\022\024\n\014piece_millis\030\005 \001(\001\022\022\n\nroom_" +
+      "bytes\030\006 \001(\003\022\025\n\rresult_millis\030\007 \001(\003\":\n\023Pu" +
+      "blishedEnginePool\022\r\n\005slots\030\001 \001(\005\022\024\n\014cach" +
+      "e_tokens\030\002 \001(\003\"T\n\022PublishedWorkspace\022\014\n\004" +
+      "name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010priority\030\003 \001" +
+      "(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017PublishedLimits\022" +
+      "\030\n\020max_header_bytes\030\001 \001(\005\022\026\n\016max_body_by" +
+      "tes\030\002 \001(\005\022\035\n\025header_timeout_millis\030\003 \001(\003" +
+      "\022\033\n\023idle_timeout_millis\030\004 \001(\003\"I\n\014StageBa" +
+      "cklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wait_millis\030\002 " +
+      "\003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247\001\n\nStageFrame\022" +
+      "-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.StageJob" +
+      "CallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel.wi" +
+      "re.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.bron" +
+      "zewheel.wire.StageCancelH\000B\006\n\004body\"\303\003\n\014S" +
+      "tageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage" +
+      "\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022" +
+      "\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzewhe" +
+      "el.wire.StageHandle\022\024\n\014result_bytes\030\007 \001(" +
+      "\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_millis" +
+      "\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022\024\n\014" +
+      "later_millis\030\013 \001(\003\022\026\n\016failure_domain\030\014 \001" +
+      "(\t\022\032\n\022least_later_millis\030\r \001(\003\022E\n\014unmet_" +
+      "pieces\030\016 \003(\0132/.bronzewheel.wire.StageJob" +
+      "Call.UnmetPiecesEntry\022\r\n\005first\030\017 \001(\010\0322\n\020" +
+      "UnmetPiecesEntry\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002" +
+      " \001(\005:\0028\001\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001" +
+      "(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.S" +
+      "tageHandle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022" +
+      "\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(" +
+      "\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014Sta" +
+      "geRelease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 " +
+      "\003(\0132\035.bronzewheel.wire.StageHandle\"2\n\013St" +
+      "ageCancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -363,7 +364,7 @@
     internal_static_bronzewheel_wire_PublishedItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedItem_descriptor,
-        new java.lang.String[] { "Catalog", "Upstream", "RemovedUpstream", "Unreadable", "Kind", });
+        new java.lang.String[] { "Catalog", "Upstream", "RemovedUpstream", "Unreadable", "EvacuatedDomain", "ReturnedDomain", "Kind", });
     internal_static_bronzewheel_wire_PublishedUnreadable_descriptor =
       getDescriptor().getMessageType(11);
     internal_static_bronzewheel_wire_PublishedUnreadable_fieldAccessorTable = new
