Estimate the speed of model engines from their answers

Change: the time from sending a streamed request to its first event is compared with the usual time for prompts of similar length at all engines of the service. The estimate multiplies the time terms of the cost. Without samples, and where all engines are equally fast, the choice stays the same.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -36,6 +36,7 @@
     private final int promptTokens;
     private final ReceiveClock receiveClock;
     private final PromptTrial trial;
+    private final FirstEventTimer firstEvent;
     private final long sentMillis;
     private final long sentReceiveMillis;
     private long lastHeardMillis;
@@ -65,6 +66,7 @@
         this.sentMillis = loop.nowMillis();
         this.receiveClock = execution.shared().receiveClock();
         this.sentReceiveMillis = receiveClock.nowMillis();
+        this.firstEvent = new FirstEventTimer(context, upstream, execution.request());
         this.lastHeardMillis = sentReceiveMillis;
         this.lastCheckMillis = sentMillis;
         this.patienceMillis = execution.nextEventDeadlineMillis() - sentMillis;
@@ -259,6 +261,9 @@
         }
         if (!promptRead && engine && (first || execution.relay().hasStarted())) {
             onPromptRead();
+            if (execution.route().streaming()) {
+                firstEvent.began();
+            }
             execution.inputsRead();
         }
         trial.progressed(loop.nowMillis());
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineSelector.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineSelector.java
@@ -8,9 +8,9 @@
 import org.bronzewheel.membership.RendezvousHash;
 
 /**
- * Selects the model engine for a prompt by the shortest expected time to the first token. The cost
- * includes shared prompt parts that would be processed again and input bytes that would cross
- * failure domains.
+ * Selects the model engine for a prompt by the shortest expected time to the first token, given the
+ * speed that each engine has shown lately. The cost includes shared prompt parts that would be
+ * processed again and input bytes that would cross failure domains.
  */
 public final class EngineSelector {
     private static final double PREFILL_TOKENS_PER_MILLI = 60;
@@ -22,6 +22,8 @@
     private static final double MILLIS_PER_THOUSAND_UNCACHED = 100;
     private static final double TOKENS_PER_THOUSAND = 1_000;
 
+    private final FirstEventTimes firstEventTimes = new FirstEventTimes();
+
     /**
      * Selects an engine.
      *
@@ -39,18 +41,17 @@
             String ownFailureDomain,
             long nowMillis) {
         int cachedTokens = prompt.sharedPrefixTokens();
-        Optional<Upstream> affine =
-                cachedTokens == 0
-                        ? Optional.empty()
-                        : candidates.stream()
-                                .filter(u -> isUsable(u, tried, nowMillis))
-                                .max(Comparator.comparingLong(u -> affinityScore(prompt, u)));
+        Optional<Upstream> affine = affine(candidates, tried, prompt, nowMillis);
         return UpstreamSelector.selectCheapest(
                 candidates,
                 tried,
                 nowMillis,
                 u ->
-                        cost(u, prompt, affine.filter(k -> k == u).isPresent() ? cachedTokens : 0)
+                        cost(
+                                        u,
+                                        prompt,
+                                        affine.filter(k -> k == u).isPresent() ? cachedTokens : 0,
+                                        nowMillis)
                                 + (isAt(u, ownFailureDomain) ? 0 : OTHER_DOMAIN_MILLIS));
     }
 
@@ -64,6 +65,47 @@
         return Math.round(tokens / PREFILL_TOKENS_PER_MILLI);
     }
 
+    /**
+     * Returns the length of the part of a prompt that an engine is not expected to have cached.
+     *
+     * @param candidates the engines that accept new requests
+     * @param prompt the prompt
+     * @param engine the engine that it is sent to
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the number of tokens
+     */
+    public int unreadTokens(
+            List<Upstream> candidates, Prompt prompt, Upstream engine, long nowMillis) {
+        boolean cached =
+                affine(candidates, Set.of(), prompt, nowMillis)
+                        .filter(upstream -> upstream == engine)
+                        .isPresent();
+        return prompt.tokens() - (cached ? prompt.sharedPrefixTokens() : 0);
+    }
+
+    /**
+     * Records the first event of a request, from which the speed of the engine is estimated.
+     *
+     * @param engine the engine that sent it
+     * @param workTokens the prompt tokens that it had to read before, as far as known
+     * @param elapsedMillis the time since the request was sent, in milliseconds
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    public void recordFirstEvent(
+            Upstream engine, long workTokens, double elapsedMillis, long nowMillis) {
+        firstEventTimes.record(engine, workTokens, elapsedMillis, nowMillis);
+    }
+
+    /** Returns the engine that has the shared parts of a prompt cached, if it has any. */
+    private static Optional<Upstream> affine(
+            List<Upstream> candidates, Set<String> tried, Prompt prompt, long nowMillis) {
+        return prompt.sharedPrefixTokens() == 0
+                ? Optional.empty()
+                : candidates.stream()
+                        .filter(u -> isUsable(u, tried, nowMillis))
+                        .max(Comparator.comparingLong(u -> affinityScore(prompt, u)));
+    }
+
     private static boolean isUsable(Upstream upstream, Set<String> tried, long nowMillis) {
         return !upstream.isDeprioritized(nowMillis)
                 && !upstream.isMisdirected()
@@ -79,14 +121,16 @@
         return upstream.entry().failureDomain().equals(failureDomain);
     }
 
-    private static double cost(Upstream upstream, Prompt prompt, int cachedTokens) {
+    private static double cost(Upstream upstream, Prompt prompt, int cachedTokens, long nowMillis) {
         int unread = prompt.tokens() - cachedTokens;
-        double millis = (upstream.pendingPromptTokens() + unread) / PREFILL_TOKENS_PER_MILLI;
+        double slowness = upstream.slowness(nowMillis);
+        double millis =
+                slowness * (upstream.pendingPromptTokens() + unread) / PREFILL_TOKENS_PER_MILLI;
         millis +=
                 (prompt.sharedPrefixTokens() - cachedTokens)
                         / TOKENS_PER_THOUSAND
                         * MILLIS_PER_THOUSAND_UNCACHED;
-        millis += upstream.callsInFlight() * MILLIS_PER_CALL_IN_FLIGHT;
+        millis += slowness * upstream.callsInFlight() * MILLIS_PER_CALL_IN_FLIGHT;
         if (upstream.callsInFlight() >= upstream.entry().slots()) {
             millis += NO_FREE_SLOT_MILLIS;
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
@@ -6,6 +6,7 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final AnnouncementState state;
+    private final SlownessEstimate slowness = new SlownessEstimate();
     private UpstreamEntry entry;
     private int callsInFlight;
     private int pendingPromptTokens;
@@ -79,6 +80,26 @@
                         : millisPerCall + SMOOTHING * (elapsedMillis - millisPerCall);
     }
 
+    /**
+     * Records how long work took at the upstream, relative to the usual time of its service.
+     *
+     * @param ratio 1 as usual, 2 for twice the time
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    void recordSlowness(double ratio, long nowMillis) {
+        slowness.sample(ratio, nowMillis);
+    }
+
+    /**
+     * Returns how slow the upstream is according to its recent answers to this router.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return 1 as usual, 2 for twice the time; 1 without recent answers
+     */
+    public double slowness(long nowMillis) {
+        return slowness.slowness(nowMillis);
+    }
+
     /** Records a failure that the upstream caused. */
     public void recordFailure() {
         samples++;
