--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/HeartbeatService.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/HeartbeatService.java
@@ -22,8 +22,8 @@
 import org.bronzewheel.wire.UpstreamStatement;
 
 /**
- * Exchanges heartbeats, catalog progress, backlogs of stage services and upstream statements
- * between routers.
+ * Exchanges heartbeats, catalog progress, backlogs of stage services, upstream statements and the
+ * load on model engines between routers.
  */
 public final class HeartbeatService implements Service {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -36,13 +36,14 @@
     private final BiConsumer<String, Backlog> onBacklog;
     private final Announcements announcements;
     private final ProgressExchange progress;
+    private final LoadExchange loads;
     private final Map<String, Long> greetedIncarnations = new HashMap<>();
     private byte[] lastMessage = new byte[0];
     private List<String> lastLive = List.of();
     private Disposable ticker = Disposable.disposed();
 
     /**
-     * Creates a service that is not started.
+     * Creates a service that is not started and does not share the load of this router.
      *
      * @param transport carries the messages
      * @param membership receives the heartbeats
@@ -62,6 +63,41 @@
             BiConsumer<String, Backlog> onBacklog,
             Announcements announcements,
             ProgressExchange progress) {
+        this(
+                transport,
+                membership,
+                loop,
+                ownBacklogs,
+                backlogReaders,
+                onBacklog,
+                announcements,
+                progress,
+                LoadExchange.NONE);
+    }
+
+    /**
+     * Creates a service that is not started.
+     *
+     * @param transport carries the messages
+     * @param membership receives the heartbeats
+     * @param loop the event loop that this object is confined to
+     * @param ownBacklogs the backlogs of the services that this router owns
+     * @param backlogReaders the VMs that receive the backlogs with each message
+     * @param onBacklog receives the backlogs that other owners report
+     * @param announcements the announcements of upstreams, which are sent and received
+     * @param progress the catalog progress, which is sent and received
+     * @param loads the load on upstreams, which is sent and received
+     */
+    public HeartbeatService(
+            PeerTransport transport,
+            SeedMembership membership,
+            Loop loop,
+            Supplier<Map<String, Backlog>> ownBacklogs,
+            Supplier<Set<String>> backlogReaders,
+            BiConsumer<String, Backlog> onBacklog,
+            Announcements announcements,
+            ProgressExchange progress,
+            LoadExchange loads) {
         this.transport = transport;
         this.membership = membership;
         this.loop = loop;
@@ -70,6 +106,7 @@
         this.onBacklog = onBacklog;
         this.announcements = announcements;
         this.progress = progress;
+        this.loads = loads;
         transport.listen(
                 Channel.MEMBERSHIP, (from, bytes) -> loop.execute(() -> receive(from, bytes)));
     }
@@ -110,6 +147,7 @@
                         statement ->
                                 message.addStatements(
                                         AnnouncementCodec.encode(statement, nowMillis)));
+        loads.own().ifPresent(message::setLoads);
         lastMessage = message.build().toByteArray();
         Set<String> targets = membership.targets(nowMillis);
         targets.addAll(backlogReaders.get());
@@ -186,6 +224,9 @@
             membership.receive(decode(message), nowMillis);
             greet(message.getVmId(), message.getIncarnation());
             progress.received(from.vmId(), decode(message.getCatalog()));
+            if (message.hasLoads()) {
+                loads.received(message.getLoads(), nowMillis);
+            }
             for (UpstreamStatement statement : message.getStatementsList()) {
                 AnnouncementCodec.decode(statement, nowMillis)
                         .ifPresent(known -> announcements.mergePeerStatement(known, nowMillis));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineSelector.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineSelector.java
@@ -9,8 +9,9 @@
 
 /**
  * Selects the model engine for a prompt by the shortest expected time to the first token, given the
- * speed that each engine has shown lately. The cost includes shared prompt parts that would be
- * processed again and input bytes that would cross failure domains.
+ * speed that each engine has shown lately and the load of all routers on it. The cost includes
+ * shared prompt parts that would be processed again and input bytes that would cross failure
+ * domains.
  */
 public final class EngineSelector {
     private static final double PREFILL_TOKENS_PER_MILLI = 60;
@@ -23,6 +24,21 @@
     private static final double TOKENS_PER_THOUSAND = 1_000;
 
     private final FirstEventTimes firstEventTimes = new FirstEventTimes();
+    private final OtherRoutersLoad others;
+
+    /** Creates a selector that knows only the load of this router. */
+    public EngineSelector() {
+        this(new OtherRoutersLoad());
+    }
+
+    /**
+     * Creates a selector.
+     *
+     * @param others the load that the other routers put on the engines
+     */
+    public EngineSelector(OtherRoutersLoad others) {
+        this.others = others;
+    }
 
     /**
      * Selects an engine.
@@ -121,17 +137,18 @@
         return upstream.entry().failureDomain().equals(failureDomain);
     }
 
-    private static double cost(Upstream upstream, Prompt prompt, int cachedTokens, long nowMillis) {
+    private double cost(Upstream upstream, Prompt prompt, int cachedTokens, long nowMillis) {
         int unread = prompt.tokens() - cachedTokens;
         double slowness = upstream.slowness(nowMillis);
-        double millis =
-                slowness * (upstream.pendingPromptTokens() + unread) / PREFILL_TOKENS_PER_MILLI;
+        double ahead = upstream.pendingPromptTokens() + others.promptTokens(upstream, nowMillis);
+        double calls = upstream.callsInFlight() + others.calls(upstream, nowMillis);
+        double millis = slowness * (ahead + unread) / PREFILL_TOKENS_PER_MILLI;
         millis +=
                 (prompt.sharedPrefixTokens() - cachedTokens)
                         / TOKENS_PER_THOUSAND
                         * MILLIS_PER_THOUSAND_UNCACHED;
-        millis += slowness * upstream.callsInFlight() * MILLIS_PER_CALL_IN_FLIGHT;
-        if (upstream.callsInFlight() >= upstream.entry().slots()) {
+        millis += slowness * calls * MILLIS_PER_CALL_IN_FLIGHT;
+        if (calls >= upstream.entry().slots()) {
             millis += NO_FREE_SLOT_MILLIS;
         }
         long crossing =
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
@@ -1,11 +1,14 @@
 package org.bronzewheel.upstreams;
 
+import org.bronzewheel.membership.RendezvousHash;
+
 /** An upstream with the load and health that this router observes. Confined to the serving loop. */
 public final class Upstream {
     private static final double SMOOTHING = 0.2;
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final AnnouncementState state;
+    private final int loadKey;
     private final SlownessEstimate slowness = new SlownessEstimate();
     private UpstreamEntry entry;
     private int callsInFlight;
@@ -21,6 +24,10 @@
     Upstream(UpstreamEntry entry, AnnouncementState state) {
         this.entry = entry;
         this.state = state;
+        this.loadKey =
+                (int)
+                        (RendezvousHash.score(entry.id(), Long.toString(entry.startedMillis()))
+                                >>> Integer.SIZE);
     }
 
     /**
@@ -32,6 +39,15 @@
         return entry;
     }
 
+    /**
+     * Returns the key under which routers report their load on this process of the upstream.
+     *
+     * @return a hash of the id and the start time, which is the same at all routers
+     */
+    public int loadKey() {
+        return loadKey;
+    }
+
     void update(UpstreamEntry newer) {
         entry = newer;
     }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHello.java
@@ -337,6 +337,44 @@
     return catalog_ == null ? org.bronzewheel.wire.CatalogProgress.getDefaultInstance() : catalog_;
   }
 
+  public static final int LOADS_FIELD_NUMBER = 11;
+  private org.bronzewheel.wire.UpstreamLoads loads_;
+  /**
+   * <pre>
+   * Absent where the sender does not tell its load.
+   * </pre>
+   *
+   * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+   * @return Whether the loads field is set.
+   */
+  @java.lang.Override
+  public boolean hasLoads() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Absent where the sender does not tell its load.
+   * </pre>
+   *
+   * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+   * @return The loads.
+   */
+  @java.lang.Override
+  public org.bronzewheel.wire.UpstreamLoads getLoads() {
+    return loads_ == null ? org.bronzewheel.wire.UpstreamLoads.getDefaultInstance() : loads_;
+  }
+  /**
+   * <pre>
+   * Absent where the sender does not tell its load.
+   * </pre>
+   *
+   * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+   */
+  @java.lang.Override
+  public org.bronzewheel.wire.UpstreamLoadsOrBuilder getLoadsOrBuilder() {
+    return loads_ == null ? org.bronzewheel.wire.UpstreamLoads.getDefaultInstance() : loads_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -378,6 +416,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(10, getCatalog());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(11, getLoads());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -432,6 +473,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(10, getCatalog());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(11, getLoads());
+    }
     return size;
   }
   @java.lang.Override
@@ -477,6 +522,11 @@
       if (!getCatalog()
           .equals(other.getCatalog())) return false;
     }
+    if (hasLoads() != other.hasLoads()) return false;
+    if (hasLoads()) {
+      if (!getLoads()
+          .equals(other.getLoads())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -517,6 +567,10 @@
       hash = (37 * hash) + CATALOG_FIELD_NUMBER;
       hash = (53 * hash) + getCatalog().hashCode();
     }
+    if (hasLoads()) {
+      hash = (37 * hash) + LOADS_FIELD_NUMBER;
+      hash = (53 * hash) + getLoads().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -655,6 +709,7 @@
         internalGetOthersFieldBuilder();
         internalGetStatementsFieldBuilder();
         internalGetCatalogFieldBuilder();
+        internalGetLoadsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -692,6 +747,11 @@
         catalogBuilder_.dispose();
         catalogBuilder_ = null;
       }
+      loads_ = null;
+      if (loadsBuilder_ != null) {
+        loadsBuilder_.dispose();
+        loadsBuilder_ = null;
+      }
       return this;
     }
 
@@ -778,6 +838,12 @@
             : catalogBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.loads_ = loadsBuilder_ == null
+            ? loads_
+            : loadsBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -891,6 +957,9 @@
       if (other.hasCatalog()) {
         mergeCatalog(other.getCatalog());
       }
+      if (other.hasLoads()) {
+        mergeLoads(other.getLoads());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -986,6 +1055,13 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 82
+            case 90: {
+              input.readMessage(
+                  internalGetLoadsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2192,6 +2268,161 @@
       return catalogBuilder_;
     }
 
+    private org.bronzewheel.wire.UpstreamLoads loads_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bronzewheel.wire.UpstreamLoads, org.bronzewheel.wire.UpstreamLoads.Builder, org.bronzewheel.wire.UpstreamLoadsOrBuilder> loadsBuilder_;
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     * @return Whether the loads field is set.
+     */
+    public boolean hasLoads() {
+      return ((bitField0_ & 0x00000200) != 0);
+    }
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     * @return The loads.
+     */
+    public org.bronzewheel.wire.UpstreamLoads getLoads() {
+      if (loadsBuilder_ == null) {
+        return loads_ == null ? org.bronzewheel.wire.UpstreamLoads.getDefaultInstance() : loads_;
+      } else {
+        return loadsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     */
+    public Builder setLoads(org.bronzewheel.wire.UpstreamLoads value) {
+      if (loadsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        loads_ = value;
+      } else {
+        loadsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     */
+    public Builder setLoads(
+        org.bronzewheel.wire.UpstreamLoads.Builder builderForValue) {
+      if (loadsBuilder_ == null) {
+        loads_ = builderForValue.build();
+      } else {
+        loadsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     */
+    public Builder mergeLoads(org.bronzewheel.wire.UpstreamLoads value) {
+      if (loadsBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0) &&
+          loads_ != null &&
+          loads_ != org.bronzewheel.wire.UpstreamLoads.getDefaultInstance()) {
+          getLoadsBuilder().mergeFrom(value);
+        } else {
+          loads_ = value;
+        }
+      } else {
+        loadsBuilder_.mergeFrom(value);
+      }
+      if (loads_ != null) {
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     */
+    public Builder clearLoads() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      loads_ = null;
+      if (loadsBuilder_ != null) {
+        loadsBuilder_.dispose();
+        loadsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     */
+    public org.bronzewheel.wire.UpstreamLoads.Builder getLoadsBuilder() {
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return internalGetLoadsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     */
+    public org.bronzewheel.wire.UpstreamLoadsOrBuilder getLoadsOrBuilder() {
+      if (loadsBuilder_ != null) {
+        return loadsBuilder_.getMessageOrBuilder();
+      } else {
+        return loads_ == null ?
+            org.bronzewheel.wire.UpstreamLoads.getDefaultInstance() : loads_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent where the sender does not tell its load.
+     * </pre>
+     *
+     * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.bronzewheel.wire.UpstreamLoads, org.bronzewheel.wire.UpstreamLoads.Builder, org.bronzewheel.wire.UpstreamLoadsOrBuilder> 
+        internalGetLoadsFieldBuilder() {
+      if (loadsBuilder_ == null) {
+        loadsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.bronzewheel.wire.UpstreamLoads, org.bronzewheel.wire.UpstreamLoads.Builder, org.bronzewheel.wire.UpstreamLoadsOrBuilder>(
+                getLoads(),
+                getParentForChildren(),
+                isClean());
+        loads_ = null;
+      }
+      return loadsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.SeedHello)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/SeedHelloOrBuilder.java
@@ -180,4 +180,31 @@
    * <code>.bronzewheel.wire.CatalogProgress catalog = 10;</code>
    */
   org.bronzewheel.wire.CatalogProgressOrBuilder getCatalogOrBuilder();
+
+  /**
+   * <pre>
+   * Absent where the sender does not tell its load.
+   * </pre>
+   *
+   * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+   * @return Whether the loads field is set.
+   */
+  boolean hasLoads();
+  /**
+   * <pre>
+   * Absent where the sender does not tell its load.
+   * </pre>
+   *
+   * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+   * @return The loads.
+   */
+  org.bronzewheel.wire.UpstreamLoads getLoads();
+  /**
+   * <pre>
+   * Absent where the sender does not tell its load.
+   * </pre>
+   *
+   * <code>.bronzewheel.wire.UpstreamLoads loads = 11;</code>
+   */
+  org.bronzewheel.wire.UpstreamLoadsOrBuilder getLoadsOrBuilder();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bronzewheel_wire_UpstreamLoads_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bronzewheel_wire_UpstreamLoads_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bronzewheel_wire_CatalogProgress_descriptor;
   static final 
@@ -185,7 +190,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rserving.proto\022\020bronzewheel.wire\"\261\002\n\tSe" +
+      "\n\rserving.proto\022\020bronzewheel.wire\"\341\002\n\tSe" +
       "edHello\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
       "\001(\003\022\017\n\007leaving\030\003 \001(\010\0220\n\010backlogs\030\005 \003(\0132\036" +
       ".bronzewheel.wire.StageBacklog\022\014\n\004beat\030\006" +
@@ -193,106 +198,109 @@
       "PeerBeat\0227\n\nstatements\030\010 \003(\0132#.bronzewhe" +
       "el.wire.UpstreamStatement\022\020\n\010capacity\030\t " +
       "\001(\005\0222\n\007catalog\030\n \001(\0132!.bronzewheel.wire." +
-      "CatalogProgressJ\004\010\004\020\005\"Y\n\017CatalogProgress" +
-      "\022\022\n\005epoch\030\001 \001(\003H\000\210\001\001\022\017\n\007version\030\002 \001(\003\022\027\n" +
-      "\017settling_millis\030\003 \001(\003B\010\n\006_epoch\"\021\n\017Cata" +
-      "logQuestion\"D\n\rCatalogAnswer\0223\n\007catalog\030" +
-      "\001 \001(\0132\".bronzewheel.wire.PublishedCatalo" +
-      "g\"\324\001\n\021UpstreamStatement\022\023\n\013upstream_id\030\001" +
-      " \001(\t\022\027\n\nper_second\030\002 \001(\001H\000\210\001\001\022\035\n\020limit_a" +
-      "ge_millis\030\003 \001(\003H\001\210\001\001\022\026\n\016started_millis\030\004" +
-      " \001(\003\022\037\n\022leaving_age_millis\030\005 \001(\003H\002\210\001\001B\r\n" +
-      "\013_per_secondB\023\n\021_limit_age_millisB\025\n\023_le" +
-      "aving_age_millis\"\214\001\n\016PermitQuestion\022\014\n\004n" +
-      "ame\030\001 \001(\t\022\014\n\004rank\030\002 \001(\005\022\027\n\017patience_mill" +
-      "is\030\003 \001(\003\0226\n\tstatement\030\004 \001(\0132#.bronzewhee" +
-      "l.wire.UpstreamStatement\022\r\n\005entry\030\005 \001(\010\"" +
-      "\207\001\n\013PermitReply\022\017\n\007granted\030\001 \001(\010\022\032\n\022retr" +
-      "y_after_millis\030\002 \001(\003\0226\n\tstatement\030\003 \001(\0132" +
-      "#.bronzewheel.wire.UpstreamStatement\022\023\n\013" +
-      "next_millis\030\004 \001(\003\"_\n\010PeerBeat\022\r\n\005vm_id\030\001" +
-      " \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022" +
-      "\017\n\007leaving\030\004 \001(\010\022\020\n\010capacity\030\005 \001(\005\"j\n\021Pu" +
-      "blishedQuestion\022\026\n\016after_revision\030\001 \001(\003\022" +
-      "\023\n\013wait_millis\030\002 \001(\003\022\030\n\013after_epoch\030\003 \001(" +
-      "\003H\000\210\001\001B\016\n\014_after_epoch\"\374\001\n\017PublishedAnsw" +
-      "er\022:\n\007outcome\030\001 \001(\0162).bronzewheel.wire.P" +
-      "ublishedAnswer.Outcome\022\020\n\010revision\030\002 \001(\003" +
-      "\022\022\n\nage_millis\030\003 \001(\003\0220\n\007changes\030\004 \003(\0132\037." +
-      "bronzewheel.wire.PublishedItem\022\022\n\005epoch\030" +
-      "\005 \001(\003H\000\210\001\001\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HI" +
-      "STORY_LOST\020\001\022\r\n\tNO_READER\020\002B\010\n\006_epoch\"\340\001" +
-      "\n\rPublishedItem\0225\n\007catalog\030\001 \001(\0132\".bronz" +
-      "ewheel.wire.PublishedCatalogH\000\0227\n\010upstre" +
-      "am\030\002 \001(\0132#.bronzewheel.wire.PublishedUps" +
-      "treamH\000\022\032\n\020removed_upstream\030\003 \001(\tH\000\022;\n\nu" +
-      "nreadable\030\004 \001(\0132%.bronzewheel.wire.Publi" +
-      "shedUnreadableH\000B\006\n\004kind\"3\n\023PublishedUnr" +
-      "eadable\022\014\n\004name\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\221\001" +
-      "\n\021PublishedUpstream\022\n\n\002id\030\001 \001(\t\022\017\n\007servi" +
-      "ce\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_dom" +
-      "ain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\026\n\016started_mill" +
-      "is\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010\"\370\001\n\020PublishedC" +
-      "atalog\022\017\n\007version\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132" +
-      " .bronzewheel.wire.PublishedRoute\0224\n\010ser" +
-      "vices\030\003 \003(\0132\".bronzewheel.wire.Published" +
-      "Service\0228\n\nworkspaces\030\004 \003(\0132$.bronzewhee" +
-      "l.wire.PublishedWorkspace\0221\n\006limits\030\005 \001(" +
-      "\0132!.bronzewheel.wire.PublishedLimits\"\355\002\n" +
-      "\016PublishedRoute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 " +
-      "\001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023" +
-      "\n\013repeat_rule\030\005 \001(\t\022\026\n\016timeout_millis\030\006 " +
-      "\001(\003\022\030\n\020objective_millis\030\007 \001(\003\022\034\n\024gap_obj" +
-      "ective_millis\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n" +
-      "\014max_attempts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .br" +
-      "onzewheel.wire.PublishedShare\0220\n\006stages\030" +
-      "\014 \003(\0132 .bronzewheel.wire.PublishedStage\022" +
-      "\014\n\004open\030\r \001(\010\022\035\n\025caller_silence_millis\030\016" +
-      " \001(\003\"1\n\016PublishedShare\022\017\n\007service\030\001 \001(\t\022" +
-      "\016\n\006weight\030\002 \001(\001\"F\n\016PublishedStage\022\017\n\007ser" +
-      "vice\030\001 \001(\t\022\r\n\005after\030\002 \003(\005\022\024\n\014result_byte" +
-      "s\030\003 \001(\003\"\257\001\n\020PublishedService\022\014\n\004name\030\001 \001" +
-      "(\t\022\027\n\017max_connections\030\002 \001(\005\0228\n\nstage_poo" +
-      "l\030\003 \001(\0132$.bronzewheel.wire.PublishedStag" +
-      "ePool\022:\n\013engine_pool\030\004 \001(\0132%.bronzewheel" +
-      ".wire.PublishedEnginePool\"\227\001\n\022PublishedS" +
-      "tagePool\022\r\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r" +
-      "\n\005batch\030\003 \001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014pi" +
-      "ece_millis\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\r" +
-      "result_millis\030\007 \001(\003\":\n\023PublishedEnginePo" +
-      "ol\022\r\n\005slots\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"" +
-      "T\n\022PublishedWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004k" +
-      "eys\030\002 \003(\t\022\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_pri" +
-      "ority\"\177\n\017PublishedLimits\022\030\n\020max_header_b" +
-      "ytes\030\001 \001(\005\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025he" +
-      "ader_timeout_millis\030\003 \001(\003\022\033\n\023idle_timeou" +
-      "t_millis\030\004 \001(\003\"I\n\014StageBacklog\022\017\n\007servic" +
-      "e\030\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\022\023\n\013call_mil" +
-      "lis\030\003 \001(\003\"\247\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036." +
-      "bronzewheel.wire.StageJobCallH\000\0221\n\007relea" +
-      "se\030\002 \001(\0132\036.bronzewheel.wire.StageRelease" +
-      "H\000\022/\n\006cancel\030\003 \001(\0132\035.bronzewheel.wire.St" +
-      "ageCancelH\000B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\n" +
-      "request_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007servi" +
-      "ce\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n" +
-      "\006inputs\030\006 \003(\0132\035.bronzewheel.wire.StageHa" +
-      "ndle\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005" +
-      "\022\035\n\025objective_left_millis\030\t \001(\003\022\034\n\024deadl" +
-      "ine_left_millis\030\n \001(\003\022\024\n\014later_millis\030\013 " +
-      "\001(\003\022\026\n\016failure_domain\030\014 \001(\t\022\032\n\022least_lat" +
-      "er_millis\030\r \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/." +
-      "bronzewheel.wire.StageJobCall.UnmetPiece" +
-      "sEntry\022\r\n\005first\030\017 \001(\010\0322\n\020UnmetPiecesEntr" +
-      "y\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rSta" +
-      "geJobReply\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002" +
-      " \003(\0132\035.bronzewheel.wire.StageHandle\"e\n\013S" +
-      "tageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001" +
-      "(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(" +
-      "\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007se" +
-      "rvice\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewhe" +
-      "el.wire.StageHandle\"2\n\013StageCancel\022\022\n\nre" +
-      "quest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.b" +
-      "ronzewheel.wireP\001b\006proto3"
+      "CatalogProgress\022.\n\005loads\030\013 \001(\0132\037.bronzew" +
+      "heel.wire.UpstreamLoadsJ\004\010\004\020\005\"H\n\rUpstrea" +
+      "mLoads\022\021\n\tupstreams\030\001 \003(\007\022\r\n\005calls\030\002 \003(\r" +
+      "\022\025\n\rprompt_tokens\030\003 \003(\r\"Y\n\017CatalogProgre" +
+      "ss\022\022\n\005epoch\030\001 \001(\003H\000\210\001\001\022\017\n\007version\030\002 \001(\003\022" +
+      "\027\n\017settling_millis\030\003 \001(\003B\010\n\006_epoch\"\021\n\017Ca" +
+      "talogQuestion\"D\n\rCatalogAnswer\0223\n\007catalo" +
+      "g\030\001 \001(\0132\".bronzewheel.wire.PublishedCata" +
+      "log\"\324\001\n\021UpstreamStatement\022\023\n\013upstream_id" +
+      "\030\001 \001(\t\022\027\n\nper_second\030\002 \001(\001H\000\210\001\001\022\035\n\020limit" +
+      "_age_millis\030\003 \001(\003H\001\210\001\001\022\026\n\016started_millis" +
+      "\030\004 \001(\003\022\037\n\022leaving_age_millis\030\005 \001(\003H\002\210\001\001B" +
+      "\r\n\013_per_secondB\023\n\021_limit_age_millisB\025\n\023_" +
+      "leaving_age_millis\"\214\001\n\016PermitQuestion\022\014\n" +
+      "\004name\030\001 \001(\t\022\014\n\004rank\030\002 \001(\005\022\027\n\017patience_mi" +
+      "llis\030\003 \001(\003\0226\n\tstatement\030\004 \001(\0132#.bronzewh" +
+      "eel.wire.UpstreamStatement\022\r\n\005entry\030\005 \001(" +
+      "\010\"\207\001\n\013PermitReply\022\017\n\007granted\030\001 \001(\010\022\032\n\022re" +
+      "try_after_millis\030\002 \001(\003\0226\n\tstatement\030\003 \001(" +
+      "\0132#.bronzewheel.wire.UpstreamStatement\022\023" +
+      "\n\013next_millis\030\004 \001(\003\"_\n\010PeerBeat\022\r\n\005vm_id" +
+      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(" +
+      "\003\022\017\n\007leaving\030\004 \001(\010\022\020\n\010capacity\030\005 \001(\005\"j\n\021" +
+      "PublishedQuestion\022\026\n\016after_revision\030\001 \001(" +
+      "\003\022\023\n\013wait_millis\030\002 \001(\003\022\030\n\013after_epoch\030\003 " +
+      "\001(\003H\000\210\001\001B\016\n\014_after_epoch\"\374\001\n\017PublishedAn" +
+      "swer\022:\n\007outcome\030\001 \001(\0162).bronzewheel.wire" +
+      ".PublishedAnswer.Outcome\022\020\n\010revision\030\002 \001" +
+      "(\003\022\022\n\nage_millis\030\003 \001(\003\0220\n\007changes\030\004 \003(\0132" +
+      "\037.bronzewheel.wire.PublishedItem\022\022\n\005epoc" +
+      "h\030\005 \001(\003H\000\210\001\001\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014" +
+      "HISTORY_LOST\020\001\022\r\n\tNO_READER\020\002B\010\n\006_epoch\"" +
+      "\340\001\n\rPublishedItem\0225\n\007catalog\030\001 \001(\0132\".bro" +
+      "nzewheel.wire.PublishedCatalogH\000\0227\n\010upst" +
+      "ream\030\002 \001(\0132#.bronzewheel.wire.PublishedU" +
+      "pstreamH\000\022\032\n\020removed_upstream\030\003 \001(\tH\000\022;\n" +
+      "\nunreadable\030\004 \001(\0132%.bronzewheel.wire.Pub" +
+      "lishedUnreadableH\000B\006\n\004kind\"3\n\023PublishedU" +
+      "nreadable\022\014\n\004name\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"" +
+      "\221\001\n\021PublishedUpstream\022\n\n\002id\030\001 \001(\t\022\017\n\007ser" +
+      "vice\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\026\n\016failure_d" +
+      "omain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\026\n\016started_mi" +
+      "llis\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010\"\370\001\n\020Publishe" +
+      "dCatalog\022\017\n\007version\030\001 \001(\003\0220\n\006routes\030\002 \003(" +
+      "\0132 .bronzewheel.wire.PublishedRoute\0224\n\010s" +
+      "ervices\030\003 \003(\0132\".bronzewheel.wire.Publish" +
+      "edService\0228\n\nworkspaces\030\004 \003(\0132$.bronzewh" +
+      "eel.wire.PublishedWorkspace\0221\n\006limits\030\005 " +
+      "\001(\0132!.bronzewheel.wire.PublishedLimits\"\355" +
+      "\002\n\016PublishedRoute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030" +
+      "\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010" +
+      "\022\023\n\013repeat_rule\030\005 \001(\t\022\026\n\016timeout_millis\030" +
+      "\006 \001(\003\022\030\n\020objective_millis\030\007 \001(\003\022\034\n\024gap_o" +
+      "bjective_millis\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022" +
+      "\024\n\014max_attempts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 ." +
+      "bronzewheel.wire.PublishedShare\0220\n\006stage" +
+      "s\030\014 \003(\0132 .bronzewheel.wire.PublishedStag" +
+      "e\022\014\n\004open\030\r \001(\010\022\035\n\025caller_silence_millis" +
+      "\030\016 \001(\003\"1\n\016PublishedShare\022\017\n\007service\030\001 \001(" +
+      "\t\022\016\n\006weight\030\002 \001(\001\"F\n\016PublishedStage\022\017\n\007s" +
+      "ervice\030\001 \001(\t\022\r\n\005after\030\002 \003(\005\022\024\n\014result_by" +
+      "tes\030\003 \001(\003\"\257\001\n\020PublishedService\022\014\n\004name\030\001" +
+      " \001(\t\022\027\n\017max_connections\030\002 \001(\005\0228\n\nstage_p" +
+      "ool\030\003 \001(\0132$.bronzewheel.wire.PublishedSt" +
+      "agePool\022:\n\013engine_pool\030\004 \001(\0132%.bronzewhe" +
+      "el.wire.PublishedEnginePool\"\227\001\n\022Publishe" +
+      "dStagePool\022\r\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005" +
+      "\022\r\n\005batch\030\003 \001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014" +
+      "piece_millis\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025" +
+      "\n\rresult_millis\030\007 \001(\003\":\n\023PublishedEngine" +
+      "Pool\022\r\n\005slots\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(" +
+      "\003\"T\n\022PublishedWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n" +
+      "\004keys\030\002 \003(\t\022\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_p" +
+      "riority\"\177\n\017PublishedLimits\022\030\n\020max_header" +
+      "_bytes\030\001 \001(\005\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025" +
+      "header_timeout_millis\030\003 \001(\003\022\033\n\023idle_time" +
+      "out_millis\030\004 \001(\003\"I\n\014StageBacklog\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\022\023\n\013call_m" +
+      "illis\030\003 \001(\003\"\247\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132" +
+      "\036.bronzewheel.wire.StageJobCallH\000\0221\n\007rel" +
+      "ease\030\002 \001(\0132\036.bronzewheel.wire.StageRelea" +
+      "seH\000\022/\n\006cancel\030\003 \001(\0132\035.bronzewheel.wire." +
+      "StageCancelH\000B\006\n\004body\"\303\003\n\014StageJobCall\022\022" +
+      "\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007ser" +
+      "vice\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022" +
+      "-\n\006inputs\030\006 \003(\0132\035.bronzewheel.wire.Stage" +
+      "Handle\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001" +
+      "(\005\022\035\n\025objective_left_millis\030\t \001(\003\022\034\n\024dea" +
+      "dline_left_millis\030\n \001(\003\022\024\n\014later_millis\030" +
+      "\013 \001(\003\022\026\n\016failure_domain\030\014 \001(\t\022\032\n\022least_l" +
+      "ater_millis\030\r \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132" +
+      "/.bronzewheel.wire.StageJobCall.UnmetPie" +
+      "cesEntry\022\r\n\005first\030\017 \001(\010\0322\n\020UnmetPiecesEn" +
+      "try\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rS" +
+      "tageJobReply\022\017\n\007failure\030\001 \001(\t\022.\n\007handles" +
+      "\030\002 \003(\0132\035.bronzewheel.wire.StageHandle\"e\n" +
+      "\013StageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002" +
+      " \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 " +
+      "\001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007" +
+      "service\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bronzew" +
+      "heel.wire.StageHandle\"2\n\013StageCancel\022\022\n\n" +
+      "request_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org" +
+      ".bronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -303,147 +311,153 @@
     internal_static_bronzewheel_wire_SeedHello_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_SeedHello_descriptor,
-        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", "Statements", "Capacity", "Catalog", });
-    internal_static_bronzewheel_wire_CatalogProgress_descriptor =
+        new java.lang.String[] { "VmId", "Incarnation", "Leaving", "Backlogs", "Beat", "Others", "Statements", "Capacity", "Catalog", "Loads", });
+    internal_static_bronzewheel_wire_UpstreamLoads_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_bronzewheel_wire_UpstreamLoads_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bronzewheel_wire_UpstreamLoads_descriptor,
+        new java.lang.String[] { "Upstreams", "Calls", "PromptTokens", });
+    internal_static_bronzewheel_wire_CatalogProgress_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_bronzewheel_wire_CatalogProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_CatalogProgress_descriptor,
         new java.lang.String[] { "Epoch", "Version", "SettlingMillis", });
     internal_static_bronzewheel_wire_CatalogQuestion_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_bronzewheel_wire_CatalogQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_CatalogQuestion_descriptor,
         new java.lang.String[] { });
     internal_static_bronzewheel_wire_CatalogAnswer_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_bronzewheel_wire_CatalogAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_CatalogAnswer_descriptor,
         new java.lang.String[] { "Catalog", });
     internal_static_bronzewheel_wire_UpstreamStatement_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_bronzewheel_wire_UpstreamStatement_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_UpstreamStatement_descriptor,
         new java.lang.String[] { "UpstreamId", "PerSecond", "LimitAgeMillis", "StartedMillis", "LeavingAgeMillis", });
     internal_static_bronzewheel_wire_PermitQuestion_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_bronzewheel_wire_PermitQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PermitQuestion_descriptor,
         new java.lang.String[] { "Name", "Rank", "PatienceMillis", "Statement", "Entry", });
     internal_static_bronzewheel_wire_PermitReply_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_bronzewheel_wire_PermitReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PermitReply_descriptor,
         new java.lang.String[] { "Granted", "RetryAfterMillis", "Statement", "NextMillis", });
     internal_static_bronzewheel_wire_PeerBeat_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_bronzewheel_wire_PeerBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PeerBeat_descriptor,
         new java.lang.String[] { "VmId", "Incarnation", "Beat", "Leaving", "Capacity", });
     internal_static_bronzewheel_wire_PublishedQuestion_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_bronzewheel_wire_PublishedQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedQuestion_descriptor,
         new java.lang.String[] { "AfterRevision", "WaitMillis", "AfterEpoch", });
     internal_static_bronzewheel_wire_PublishedAnswer_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_bronzewheel_wire_PublishedAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedAnswer_descriptor,
         new java.lang.String[] { "Outcome", "Revision", "AgeMillis", "Changes", "Epoch", });
     internal_static_bronzewheel_wire_PublishedItem_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_bronzewheel_wire_PublishedItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedItem_descriptor,
         new java.lang.String[] { "Catalog", "Upstream", "RemovedUpstream", "Unreadable", "Kind", });
     internal_static_bronzewheel_wire_PublishedUnreadable_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_bronzewheel_wire_PublishedUnreadable_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedUnreadable_descriptor,
         new java.lang.String[] { "Name", "Reason", });
     internal_static_bronzewheel_wire_PublishedUpstream_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_bronzewheel_wire_PublishedUpstream_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedUpstream_descriptor,
         new java.lang.String[] { "Id", "Service", "Address", "FailureDomain", "Slots", "StartedMillis", "Leaving", });
     internal_static_bronzewheel_wire_PublishedCatalog_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_bronzewheel_wire_PublishedCatalog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedCatalog_descriptor,
         new java.lang.String[] { "Version", "Routes", "Services", "Workspaces", "Limits", });
     internal_static_bronzewheel_wire_PublishedRoute_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_bronzewheel_wire_PublishedRoute_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedRoute_descriptor,
         new java.lang.String[] { "Name", "Host", "Prefix", "Streaming", "RepeatRule", "TimeoutMillis", "ObjectiveMillis", "GapObjectiveMillis", "Priority", "MaxAttempts", "Shares", "Stages", "Open", "CallerSilenceMillis", });
     internal_static_bronzewheel_wire_PublishedShare_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_bronzewheel_wire_PublishedShare_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedShare_descriptor,
         new java.lang.String[] { "Service", "Weight", });
     internal_static_bronzewheel_wire_PublishedStage_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_bronzewheel_wire_PublishedStage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedStage_descriptor,
         new java.lang.String[] { "Service", "After", "ResultBytes", });
     internal_static_bronzewheel_wire_PublishedService_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_bronzewheel_wire_PublishedService_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedService_descriptor,
         new java.lang.String[] { "Name", "MaxConnections", "StagePool", "EnginePool", });
     internal_static_bronzewheel_wire_PublishedStagePool_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_bronzewheel_wire_PublishedStagePool_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedStagePool_descriptor,
         new java.lang.String[] { "Slots", "Queue", "Batch", "CallMillis", "PieceMillis", "RoomBytes", "ResultMillis", });
     internal_static_bronzewheel_wire_PublishedEnginePool_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_bronzewheel_wire_PublishedEnginePool_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedEnginePool_descriptor,
         new java.lang.String[] { "Slots", "CacheTokens", });
     internal_static_bronzewheel_wire_PublishedWorkspace_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_bronzewheel_wire_PublishedWorkspace_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedWorkspace_descriptor,
         new java.lang.String[] { "Name", "Keys", "Priority", });
     internal_static_bronzewheel_wire_PublishedLimits_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(22);
     internal_static_bronzewheel_wire_PublishedLimits_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedLimits_descriptor,
         new java.lang.String[] { "MaxHeaderBytes", "MaxBodyBytes", "HeaderTimeoutMillis", "IdleTimeoutMillis", });
     internal_static_bronzewheel_wire_StageBacklog_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(23);
     internal_static_bronzewheel_wire_StageBacklog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageBacklog_descriptor,
         new java.lang.String[] { "Service", "WaitMillis", "CallMillis", });
     internal_static_bronzewheel_wire_StageFrame_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(24);
     internal_static_bronzewheel_wire_StageFrame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageFrame_descriptor,
         new java.lang.String[] { "Job", "Release", "Cancel", "Body", });
     internal_static_bronzewheel_wire_StageJobCall_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(25);
     internal_static_bronzewheel_wire_StageJobCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageJobCall_descriptor,
@@ -455,25 +469,25 @@
         internal_static_bronzewheel_wire_StageJobCall_UnmetPiecesEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_bronzewheel_wire_StageJobReply_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(26);
     internal_static_bronzewheel_wire_StageJobReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageJobReply_descriptor,
         new java.lang.String[] { "Failure", "Handles", });
     internal_static_bronzewheel_wire_StageHandle_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_bronzewheel_wire_StageHandle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageHandle_descriptor,
         new java.lang.String[] { "Text", "MakerId", "FailureDomain", "Bytes", "Service", });
     internal_static_bronzewheel_wire_StageRelease_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_bronzewheel_wire_StageRelease_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageRelease_descriptor,
         new java.lang.String[] { "Service", "Handles", });
     internal_static_bronzewheel_wire_StageCancel_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_bronzewheel_wire_StageCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageCancel_descriptor,
