Measure the placing of prompts on engines

Cause: the share of requests within their objective depends on what routers know of the engines, and no experiment shows by how much.

Change: measure placement runs routers with the selector of the product before engines with unequal speeds, temporary slowness, slots and a cache of shared prefixes, in virtual time, with the three classes of deployment B and a burst of the long one.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -37,6 +37,7 @@
                             Map.entry("shortage", StageShortageExperiment::run),
                             Map.entry("leaving", LeavingExperiment::run),
                             Map.entry("limits", LimitExperiment::run),
+                            Map.entry("placement", PlacementExperiment::run),
                             Map.entry("limited-engines", LimitExperiment::runEngines),
                             Map.entry("decision-cost", DecisionCost::run)));
 
