--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
@@ -1,11 +1,15 @@
 package org.bronzewheel.upstreams;
 
+import org.bronzewheel.membership.RendezvousHash;
+
 /** An upstream with the load and health that this router observes. Confined to the serving loop. */
 public final class Upstream {
     private static final double SMOOTHING = 0.2;
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final AnnouncementState state;
+    private final int loadKey;
+    private final SlownessEstimate slowness = new SlownessEstimate();
     private UpstreamEntry entry;
     private int callsInFlight;
     private int pendingPromptTokens;
@@ -20,6 +24,10 @@
     Upstream(UpstreamEntry entry, AnnouncementState state) {
         this.entry = entry;
         this.state = state;
+        this.loadKey =
+                (int)
+                        (RendezvousHash.score(entry.id(), Long.toString(entry.startedMillis()))
+                                >>> Integer.SIZE);
     }
 
     /**
@@ -31,6 +39,15 @@
         return entry;
     }
 
+    /**
+     * Returns the key under which routers report their load on this process of the upstream.
+     *
+     * @return a hash of the id and the start time, which is the same at all routers
+     */
+    public int loadKey() {
+        return loadKey;
+    }
+
     void update(UpstreamEntry newer) {
         entry = newer;
     }
@@ -79,6 +96,26 @@
                         : millisPerCall + SMOOTHING * (elapsedMillis - millisPerCall);
     }
 
+    /**
+     * Records how long work took at the upstream, relative to the usual time of its service.
+     *
+     * @param ratio 1 as usual, 2 for twice the time
+     * @param nowMillis the time, in milliseconds of the steady clock
+     */
+    void recordSlowness(double ratio, long nowMillis) {
+        slowness.sample(ratio, nowMillis);
+    }
+
+    /**
+     * Returns how slow the upstream is according to its recent answers to this router.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return 1 as usual, 2 for twice the time; 1 without recent answers
+     */
+    public double slowness(long nowMillis) {
+        return slowness.slowness(nowMillis);
+    }
+
     /** Records a failure that the upstream caused. */
     public void recordFailure() {
         samples++;
