--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/OwnedPermits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/OwnedPermits.java
@@ -23,11 +23,14 @@
 
     /** A queue with its timer. */
     private static final class Entry {
+        private final String name;
         private final PermitQueue queue;
+        private double fraction;
         private long askedMillis;
         private Disposable timer = Disposable.disposed();
 
-        Entry(PermitQueue queue) {
+        Entry(String name, PermitQueue queue) {
+            this.name = name;
             this.queue = queue;
         }
     }
@@ -57,7 +60,7 @@
             Consumer<PermitDecision> reply) {
         OptionalDouble limit = limitByName.apply(name);
         if (limit.isEmpty()) {
-            release(name);
+            endLimit(name);
             reply.accept(PermitDecision.GRANTED);
             return;
         }
@@ -65,8 +68,12 @@
         Entry entry =
                 entries.computeIfAbsent(
                         name,
-                        id -> new Entry(new PermitQueue(limit.getAsDouble(), fraction, nowMillis)));
+                        id ->
+                                new Entry(
+                                        id,
+                                        new PermitQueue(limit.getAsDouble(), fraction, nowMillis)));
         entry.askedMillis = nowMillis;
+        entry.fraction = fraction;
         entry.queue.setLimit(limit.getAsDouble(), fraction, nowMillis);
         entry.queue.ask(rank, timeoutMillis, nowMillis, reply);
         schedule(entry);
@@ -81,10 +88,27 @@
     }
 
     private void serve(Entry entry) {
-        entry.queue.serve(loop.nowMillis());
+        long nowMillis = loop.nowMillis();
+        OptionalDouble limit = limitByName.apply(entry.name);
+        if (limit.isPresent()) {
+            entry.queue.setLimit(limit.getAsDouble(), entry.fraction, nowMillis);
+        } else {
+            entry.queue.endLimit(nowMillis);
+        }
+        entry.queue.serve(nowMillis);
         schedule(entry);
     }
 
+    /** Lets the requests that wait for a limit that has ended pass, and forgets it afterwards. */
+    private void endLimit(String name) {
+        Entry ended = entries.get(name);
+        if (ended != null && ended.queue.hasWaiting()) {
+            serve(ended);
+        } else if (ended != null) {
+            release(name);
+        }
+    }
+
     /** Closes the queue of a limit that this router no longer owns. */
     void release(String name) {
         Entry closed = entries.remove(name);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
@@ -22,6 +22,8 @@
 import org.bronzewheel.transport.PeerTransport;
 import org.bronzewheel.upstreams.AnnouncementCodec;
 import org.bronzewheel.upstreams.Announcements;
+import org.bronzewheel.upstreams.ColdLimit;
+import org.bronzewheel.upstreams.Limits;
 import org.bronzewheel.upstreams.UpstreamTable;
 import org.bronzewheel.wire.PermitQuestion;
 import org.bronzewheel.wire.PermitReply;
@@ -74,6 +76,7 @@
     private final Map<PermitKind, OwnedPermits> ownedPermits = new EnumMap<>(PermitKind.class);
     private final Map<Key, Long> unavailableUntilMillis = new HashMap<>();
     private final Map<String, Long> unreachableUntilMillis = new HashMap<>();
+    private final ReportedCold reportedCold = new ReportedCold();
     private final Set<String> ownersBeingProbed = new HashSet<>();
     private final CompositeDisposable reports = new CompositeDisposable();
 
@@ -122,9 +125,12 @@
     }
 
     private OptionalDouble limit(PermitKind kind, String name) {
+        long nowMillis = loop.nowMillis();
         return kind == PermitKind.SEND
-                ? announcements.perSecond(name)
-                : upstreams.serviceLimit(name, loop.nowMillis());
+                ? Limits.smaller(
+                        upstreams.perSecond(name, nowMillis),
+                        reportedCold.perSecond(name, nowMillis))
+                : upstreams.serviceLimit(name, nowMillis);
     }
 
     @Override
@@ -187,6 +193,11 @@
                         .setPatienceMillis(acquisition.timeoutMillis)
                         .setEntry(acquisition.key.kind() == PermitKind.ENTRY);
         statement(acquisition.key).ifPresent(question::setStatement);
+        coldLimit(acquisition.key)
+                .ifPresent(
+                        limit ->
+                                question.setColdRemainingMillis(limit.remainingMillis())
+                                        .setColdPerSecond(limit.perSecond()));
         return transport
                 .call(
                         owner,
@@ -232,6 +243,23 @@
                         .map(known -> AnnouncementCodec.encode(known, loop.nowMillis()));
     }
 
+    private Optional<ColdLimit> coldLimit(Key key) {
+        return key.kind() == PermitKind.ENTRY
+                ? Optional.empty()
+                : upstreams.coldLimit(key.name(), loop.nowMillis());
+    }
+
+    private void mergeColdLimit(PermitQuestion question) {
+        if (!question.getEntry()
+                && question.getColdRemainingMillis() > 0
+                && question.getColdPerSecond() > 0) {
+            reportedCold.report(
+                    question.getName(),
+                    new ColdLimit(question.getColdRemainingMillis(), question.getColdPerSecond()),
+                    loop.nowMillis());
+        }
+    }
+
     private void mergeStatement(UpstreamStatement message) {
         long nowMillis = loop.nowMillis();
         AnnouncementCodec.decode(message, nowMillis)
@@ -275,6 +303,7 @@
             return;
         }
         mergeStatement(question.getStatement());
+        mergeColdLimit(question);
         PermitKind kind = question.getEntry() ? PermitKind.ENTRY : PermitKind.SEND;
         Key key = new Key(kind, question.getName());
         Consumer<PermitDecision> reply = decision -> reply(key, decision, emitter);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PermitQueue.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PermitQueue.java
@@ -24,12 +24,23 @@
     /** The minimum rate: an upstream that gets no requests cannot announce a higher limit. */
     private static final double MIN_PER_SECOND = 0.25;
 
+    /**
+     * The rate at which the waiting requests are released when a limit has ended: faster than
+     * before, so that none waits longer than expected. In any second it releases at most 1.5 times
+     * the former rate or 4, and 1 more, so that a limit that is found to hold on is not exceeded by
+     * a burst.
+     */
+    private static final double RELEASE_FACTOR = 1.2;
+
+    private static final double MIN_RELEASE_PER_SECOND = 3;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final TokenBucket bucket;
     private final RankShares shares = new RankShares();
     private final List<Waiting> waiting = new ArrayList<>();
     private double ratePerSecond;
+    private boolean limitEnded;
     private long nextNumber;
     private int granted;
     private int refused;
@@ -62,7 +73,19 @@
      * @param fraction the fraction of it that this router may grant, greater than 0 and at most 1
      */
     void setLimit(double limitPerSecond, double fraction, long nowMillis) {
-        double newRate = rate(limitPerSecond, fraction);
+        limitEnded = false;
+        setRate(rate(limitPerSecond, fraction), nowMillis);
+    }
+
+    /** Records that there is no limit any more; the waiting requests are released in sequence. */
+    void endLimit(long nowMillis) {
+        if (!limitEnded) {
+            limitEnded = true;
+            setRate(Math.max(MIN_RELEASE_PER_SECOND, RELEASE_FACTOR * ratePerSecond), nowMillis);
+        }
+    }
+
+    private void setRate(double newRate, long nowMillis) {
         if (newRate != ratePerSecond) {
             ratePerSecond = newRate;
             bucket.setRate(newRate, nanos(nowMillis));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedCodec.java
@@ -84,6 +84,7 @@
                 .setSlots(entry.slots())
                 .setStartedMillis(entry.startedMillis())
                 .setLeaving(entry.leaving())
+                .setColdRemainingMillis(entry.coldRemainingMillis())
                 .build();
     }
 
@@ -95,7 +96,8 @@
                 entry.getFailureDomain(),
                 entry.getSlots(),
                 entry.getStartedMillis(),
-                entry.getLeaving());
+                entry.getLeaving(),
+                entry.getColdRemainingMillis());
     }
 
     static PublishedCatalog encode(Catalog catalog) {
@@ -195,7 +197,9 @@
         PublishedService.Builder encoded =
                 PublishedService.newBuilder()
                         .setName(service.name())
-                        .setMaxConnections(service.maxConnections());
+                        .setMaxConnections(service.maxConnections())
+                        .setColdStartMillis(service.coldStartMillis())
+                        .setColdPerSecond(service.coldPerSecond());
         service.stagePool().ifPresent(pool -> encoded.setStagePool(encode(pool)));
         service.enginePool()
                 .ifPresent(
@@ -240,7 +244,9 @@
                                 new EnginePool(
                                         service.getEnginePool().getSlots(),
                                         service.getEnginePool().getCacheTokens()))
-                        : Optional.empty());
+                        : Optional.empty(),
+                service.getColdStartMillis(),
+                service.getColdPerSecond());
     }
 
     private static PublishedWorkspace encode(WorkspaceEntry workspace) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -377,14 +377,14 @@
                 logger.atInfo().log("configuration applied: version=%d", put.catalog().version());
             }
         } else if (change instanceof UpstreamPut put) {
-            upstreams.put(put.entry());
+            upstreams.put(put.entry(), nowMillis);
             unreadableLog.readable(put.entry().id());
         } else if (change instanceof UpstreamRemoved removed) {
             upstreams.remove(removed.id(), nowMillis);
         } else if (change instanceof DomainEvacuated evacuated) {
             upstreams.evacuate(evacuated.domain());
         } else if (change instanceof DomainReturned returned) {
-            upstreams.domainReturned(returned.domain());
+            upstreams.domainReturned(returned.domain(), nowMillis);
         } else if (change instanceof Unreadable unreadable) {
             unreadableLog.report(unreadable);
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
@@ -6,6 +6,7 @@
     private static final long NEVER = Long.MIN_VALUE / 2;
 
     private final AnnouncementState state;
+    private final ColdTime coldTime = new ColdTime();
     private UpstreamEntry entry;
     private int callsInFlight;
     private int pendingPromptTokens;
@@ -35,6 +36,10 @@
         entry = newer;
     }
 
+    ColdTime coldTime() {
+        return coldTime;
+    }
+
     /**
      * Records the start of a call.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
@@ -12,6 +12,8 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Function;
+import org.bronzewheel.catalog.ServiceEntry;
 
 /**
  * The table of the published upstreams.
@@ -30,6 +32,7 @@
     private final Set<Runnable> listeners = new HashSet<>();
     private final Announcements announcements = new Announcements();
     private final ClosedLives closedLives = new ClosedLives();
+    private final ColdUpstreams cold = new ColdUpstreams();
     private final EvacuatedDomains evacuated;
     private final PlatformOutage outage;
     private boolean loaded;
@@ -78,6 +81,51 @@
         return announcements;
     }
 
+    /**
+     * Sets the lookup of services, whose rates limit cold upstreams.
+     *
+     * @param services finds a service of the current catalog by its name
+     */
+    public void setServices(Function<String, Optional<ServiceEntry>> services) {
+        cold.setServices(services);
+    }
+
+    /**
+     * Returns the limit of an upstream while it is cold.
+     *
+     * @param id the id of the upstream
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the limit, or empty if the upstream is unknown or warm or has no limit when cold
+     */
+    public Optional<ColdLimit> coldLimit(String id, long nowMillis) {
+        return known(id).flatMap(upstream -> cold.limit(upstream, nowMillis));
+    }
+
+    /**
+     * Returns the number of cold upstreams that have a limit for that reason.
+     *
+     * @return the number at the last call of {@link #expire}
+     */
+    public int coldUpstreams() {
+        return cold.size();
+    }
+
+    /**
+     * Returns the limit of an upstream: the smaller one of what it announced and its limit while it
+     * is cold.
+     *
+     * @param id the id of the upstream
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the requests per second from all routers together; empty without a limit
+     */
+    public OptionalDouble perSecond(String id, long nowMillis) {
+        return Limits.smaller(
+                announcements.perSecond(id),
+                coldLimit(id, nowMillis)
+                        .map(limit -> OptionalDouble.of(limit.perSecond()))
+                        .orElse(OptionalDouble.empty()));
+    }
+
     /**
      * Returns the total limit of the upstreams of a service that are not paused.
      *
@@ -90,7 +138,7 @@
                 serving(service).stream().filter(u -> u.blockedMillis(nowMillis) == 0).toList();
         double sum = 0;
         for (Upstream upstream : open) {
-            OptionalDouble limit = announcements.perSecond(upstream.entry().id());
+            OptionalDouble limit = perSecond(upstream.entry().id(), nowMillis);
             if (limit.isEmpty()) {
                 return limit;
             }
@@ -177,7 +225,7 @@
         Set<String> listedIds = new HashSet<>();
         for (UpstreamEntry entry : entries) {
             listedIds.add(entry.id());
-            putWithoutNotify(entry);
+            putWithoutNotify(entry, /* snapshot= */ true, nowMillis);
         }
         for (String id : List.copyOf(byId.keySet())) {
             if (!listedIds.contains(id)) {
@@ -185,7 +233,9 @@
             }
         }
         evacuatedDomains.forEach(this::evacuateWithoutNotify);
-        evacuated.missing(evacuatedDomains, nowMillis).forEach(this::endEvacuation);
+        evacuated
+                .missing(evacuatedDomains, nowMillis)
+                .forEach(domain -> endEvacuation(domain, nowMillis));
         changed();
     }
 
@@ -200,12 +250,14 @@
     }
 
     /**
-     * Ends the evacuation of a failure domain.
+     * Ends the evacuation of a failure domain. Its upstreams count as cold, as their entries may
+     * not say so yet.
      *
      * @param domain the failure domain
+     * @param nowMillis the time, in milliseconds of the steady clock
      */
-    public void domainReturned(String domain) {
-        endEvacuation(domain);
+    public void domainReturned(String domain, long nowMillis) {
+        endEvacuation(domain, nowMillis);
         changed();
     }
 
@@ -213,21 +265,23 @@
         if (evacuated.add(domain)) {
             logger.atWarning().log(
                     "failure domain evacuated: domain=%s upstreams=%d",
-                    domain, upstreamsIn(domain));
+                    domain, upstreamsIn(domain).size());
         }
     }
 
-    private void endEvacuation(String domain) {
+    private void endEvacuation(String domain, long nowMillis) {
         if (evacuated.remove(domain)) {
+            List<Upstream> returned = upstreamsIn(domain);
+            returned.forEach(upstream -> cold.domainReturned(upstream, nowMillis));
             logger.atWarning().log(
-                    "failure domain returned: domain=%s upstreams=%d", domain, upstreamsIn(domain));
+                    "failure domain returned: domain=%s upstreams=%d", domain, returned.size());
         }
     }
 
-    private long upstreamsIn(String domain) {
+    private List<Upstream> upstreamsIn(String domain) {
         return byId.values().stream()
                 .filter(upstream -> upstream.entry().failureDomain().equals(domain))
-                .count();
+                .toList();
     }
 
     /**
@@ -242,10 +296,11 @@
     /**
      * Adds or updates an entry.
      *
-     * @param entry the entry
+     * @param entry the entry, newly written
+     * @param nowMillis the time, in milliseconds of the steady clock
      */
-    public void put(UpstreamEntry entry) {
-        putWithoutNotify(entry);
+    public void put(UpstreamEntry entry, long nowMillis) {
+        putWithoutNotify(entry, /* snapshot= */ false, nowMillis);
         changed();
     }
 
@@ -280,7 +335,7 @@
         }
         if (!outage.isOngoing()) {
             List<String> lost = evacuated.expired(nowMillis);
-            lost.forEach(this::endEvacuation);
+            lost.forEach(domain -> endEvacuation(domain, nowMillis));
             dropped |= !lost.isEmpty();
         }
         if (dropped) {
@@ -288,6 +343,7 @@
         }
         announcements.expire(byId.keySet(), nowMillis);
         closedLives.expire(byId, nowMillis);
+        cold.report(byId.values(), nowMillis);
     }
 
     /**
@@ -353,22 +409,29 @@
         return !upstream.isLeaving() && !evacuated.contains(upstream.entry().failureDomain());
     }
 
-    private void putWithoutNotify(UpstreamEntry published) {
+    private void putWithoutNotify(UpstreamEntry published, boolean snapshot, long nowMillis) {
         UpstreamEntry entry = closedLives.apply(published);
         graceUntilMillis.remove(entry.id());
         Upstream known = byId.get(entry.id());
         // A restart under the same id discards all observations of the previous process.
         if (known == null || known.entry().startedMillis() != entry.startedMillis()) {
-            byId.put(entry.id(), new Upstream(entry, announcements.stateOf(entry)));
+            Upstream added = new Upstream(entry, announcements.stateOf(entry));
+            added.coldTime().entryWritten(entry.coldRemainingMillis(), nowMillis);
+            byId.put(entry.id(), added);
             logger.atInfo().log(
                     "upstream added: id=%s service=%s address=%s leaving=%s",
                     entry.id(), entry.service(), entry.address(), entry.leaving());
-        } else {
-            if (entry.leaving() && !known.entry().leaving()) {
-                logger.atInfo().log("upstream leaving: id=%s", entry.id());
-            }
-            known.update(entry);
+            return;
+        }
+        if (entry.leaving() && !known.entry().leaving()) {
+            logger.atInfo().log("upstream leaving: id=%s", entry.id());
+        }
+        if (!snapshot) {
+            known.coldTime().entryWritten(entry.coldRemainingMillis(), nowMillis);
+        } else if (entry.coldRemainingMillis() != known.entry().coldRemainingMillis()) {
+            known.coldTime().entryRead(entry.coldRemainingMillis(), nowMillis);
         }
+        known.update(entry);
     }
 
     private void removeWithoutNotify(String id, long nowMillis) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/permits/PermitQueueTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/PermitQueueTest.java
@@ -96,4 +96,49 @@
         assertThat(granted[2]).isAtLeast(600 / 3 / 4);
         assertThat(granted[1]).isAtLeast(granted[2]);
     }
+
+    // Guards against a burst of all waiting requests, and against waits for a limit that is gone.
+    @ParameterizedTest
+    @ValueSource(doubles = {0, 0.3, 2, 8.8, 40})
+    void theRequestsThatWaitWhenALimitEndsPassSoonerAndWithoutABurst(double limit) {
+        double rate = Math.max(0.25, limit);
+        PermitQueue queue = new PermitQueue(limit, 1, 0);
+        List<Long> granted = new ArrayList<>();
+        int count = (int) Math.ceil(3 * rate);
+        long[] now = new long[1];
+        for (int i = 0; i < count; i++) {
+            queue.ask(
+                    0,
+                    20_000,
+                    0,
+                    decision -> {
+                        assertThat(decision.granted()).isTrue();
+                        granted.add(now[0]);
+                    });
+        }
+        long endedMillis = 500;
+        for (now[0] = 0; now[0] < 20_000; now[0]++) {
+            if (now[0] >= endedMillis) {
+                queue.endLimit(now[0]);
+            }
+            queue.serve(now[0]);
+        }
+        assertThat(granted).hasSize(count);
+        assertThat((double) granted.get(count - 1)).isLessThan(count * 1_000 / rate + 1);
+        for (long first : granted) {
+            long inSecond = granted.stream().filter(t -> t >= first && t < first + 1_000).count();
+            assertThat(inSecond).isAtMost((long) (1.5 * limit + 5));
+        }
+    }
+
+    @Test
+    void aLimitThatBeginsAgainAppliesAtOnce() {
+        PermitQueue queue = new PermitQueue(10, 1, 0);
+        queue.endLimit(1_000);
+        queue.setLimit(2, 1, 5_000);
+        assertThat(ask(queue, 5_000)).isTrue();
+        assertThat(ask(queue, 5_000)).isFalse();
+        assertThat(ask(queue, 5_499)).isFalse();
+        assertThat(ask(queue, 5_500)).isTrue();
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -6,6 +6,7 @@
 import io.reactivex.rxjava3.subjects.SingleSubject;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Handler;
@@ -16,6 +17,7 @@
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogProgress;
 import org.bronzewheel.catalog.CatalogState;
+import org.bronzewheel.catalog.ServiceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.loop.StallingScheduler;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
@@ -25,6 +27,7 @@
 import org.bronzewheel.published.PublishedChange.UpstreamPut;
 import org.bronzewheel.published.PublishedChange.UpstreamRemoved;
 import org.bronzewheel.standin.VirtualPeers;
+import org.bronzewheel.upstreams.ColdLimit;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
 import org.junit.jupiter.api.BeforeEach;
@@ -459,4 +462,67 @@
         upstreams.expire(returnedMillis + 2_000);
         assertThat(upstreams.serving("s")).hasSize(writtenAgain ? 0 : 1);
     }
+
+    private static UpstreamPut coldUpstream(String id, long remainingMillis) {
+        return new UpstreamPut(
+                new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, 0, false, remainingMillis));
+    }
+
+    private long coldMillis(String id) {
+        return upstreams
+                .coldLimit(id, scheduler.now(TimeUnit.MILLISECONDS))
+                .map(ColdLimit::remainingMillis)
+                .orElse(0L);
+    }
+
+    private void limitColdUpstreams() {
+        upstreams.setServices(
+                name ->
+                        Optional.of(
+                                new ServiceEntry(
+                                        name, 0, Optional.empty(), Optional.empty(), 3_000, 8.8)));
+    }
+
+    @Test
+    void coldTimeIsReadFromSnapshotsAndChanges() {
+        limitColdUpstreams();
+        answer(snapshots, 5, version(1), coldUpstream("a", 2_000), coldUpstream("b", 0));
+        assertThat(coldMillis("a")).isEqualTo(2_000);
+        assertThat(coldMillis("b")).isEqualTo(0);
+        advance(500);
+        answer(polls, 6, coldUpstream("a", 800), coldUpstream("b", 3_000));
+        assertThat(coldMillis("a")).isEqualTo(800);
+        assertThat(coldMillis("b")).isEqualTo(3_000);
+    }
+
+    // FAILBACK: an entry in a copy is older than what this router has read before.
+    @Test
+    void snapshotAfterAReturnFromACopyNeitherEndsNorRenewsAColdTime() {
+        limitColdUpstreams();
+        answer(snapshots, 5, version(1), coldUpstream("a", 0), coldUpstream("b", 2_000));
+        answer(polls, 6, coldUpstream("a", 3_000));
+        advance(250);
+        epoch = 2;
+        polls.get(polls.size() - 1).onError(new HistoryLostException());
+        advance(250);
+        answer(snapshots, 3, version(1), coldUpstream("a", 0), coldUpstream("b", 2_000));
+        assertThat(coldMillis("a")).isEqualTo(2_500);
+        assertThat(coldMillis("b")).isEqualTo(1_500);
+    }
+
+    // FAILBACK: the entries may still say that the upstreams are warm.
+    @Test
+    void upstreamsOfADomainThatReturnsCountAsCold() {
+        limitColdUpstreams();
+        answer(
+                snapshots,
+                5,
+                version(1),
+                new DomainEvacuated("d"),
+                coldUpstream("a", 0),
+                coldUpstream("b", 4_000));
+        answer(polls, 6, new DomainReturned("d"), coldUpstream("a", 0));
+        assertThat(coldMillis("a")).isEqualTo(3_000);
+        assertThat(coldMillis("b")).isEqualTo(4_000);
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
@@ -145,7 +145,7 @@
     }
 
     private static UpstreamPut upstream(String id) {
-        return new UpstreamPut(new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, 7, false));
+        return new UpstreamPut(new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, 7, false, 2_500));
     }
 
     private static CatalogPut version(long version) {
@@ -181,7 +181,9 @@
                                         "m",
                                         8,
                                         Optional.empty(),
-                                        Optional.of(new EnginePool(4, 1_000)))),
+                                        Optional.of(new EnginePool(4, 1_000)),
+                                        3_000,
+                                        8.8)),
                         List.of(
                                 new WorkspaceEntry("w", List.of("k", "l"), OptionalInt.of(3)),
                                 new WorkspaceEntry("v", List.of(), OptionalInt.empty())),
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/EngineFleet.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/EngineFleet.java
@@ -73,7 +73,7 @@
     private void startEngine() {
         Engine engine = new Engine("e" + lives++);
         engines.put(engine.id, engine);
-        routers.forEach(router -> router.upstreams.put(entry(engine.id)));
+        routers.forEach(router -> router.upstreams.put(entry(engine.id), 0));
     }
 
     private static UpstreamEntry entry(String id) {
@@ -224,7 +224,7 @@
         old.stop();
         Router fresh = new Router(old.vmId, old.incarnation + 1);
         routers.set(index, fresh);
-        engines.keySet().forEach(id -> fresh.upstreams.put(entry(id)));
+        engines.keySet().forEach(id -> fresh.upstreams.put(entry(id), 0));
     }
 
     /** A router. */
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/QuarantinedRequestTest.java
@@ -134,7 +134,7 @@
         harness.request();
         String id = harness.lastSend().call.target().id();
         harness.upstreams.put(
-                new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 8, 0, /* leaving= */ true));
+                new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 8, 0, /* leaving= */ true), 0);
         crash(harness.lastSend());
         assertThat(harness.quarantine.suspected()).isEqualTo(0);
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -464,7 +464,7 @@
     @Test
     void aLeavingUpstreamGetsNoCall() {
         upstreams("u");
-        upstreams.put(new UpstreamEntry("u", "s", "10.0.0.1:80", "d", 1, 0, true));
+        upstreams.put(new UpstreamEntry("u", "s", "10.0.0.1:80", "d", 1, 0, true), 0);
         submit("a", 1, 0, 10, 9_000);
         advance(500);
         assertThat(calls).isEmpty();
@@ -720,7 +720,7 @@
         assertThat(calls).hasSize(1);
         assertThat(freed).isEmpty();
 
-        upstreams.domainReturned("d");
+        upstreams.domainReturned("d", 0);
         advance(500);
         assertThat(calls).hasSize(2);
         assertThat(freed).isEmpty();
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
@@ -3,8 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.bronzewheel.catalog.ServiceEntry;
 import org.junit.jupiter.api.Test;
 
 class UpstreamTableTest {
@@ -29,7 +31,7 @@
     @Test
     void aLeavingUpstreamGetsNoNewWork() {
         table.replaceAll(List.of(entry("a", 0, false), entry("b", 0, false)), 0);
-        table.put(entry("a", 0, true));
+        table.put(entry("a", 0, true), 0);
         table.remove("b", 10);
         assertThat(serving()).isEmpty();
         assertThat(table.find("a")).isEmpty();
@@ -44,7 +46,7 @@
         table.remove("b", 10_010);
         assertThat(serving()).containsExactly("a", "b");
 
-        table.put(entry("a", 0, false));
+        table.put(entry("a", 0, false), 0);
         table.expire(12_000);
         assertThat(serving()).containsExactly("a");
     }
@@ -91,9 +93,9 @@
 
     @Test
     void aRestartUnderTheSameIdResetsTheUpstream() {
-        table.put(entry("a", 1, false));
+        table.put(entry("a", 1, false), 0);
         table.find("a").get().markMisdirected();
-        table.put(entry("a", 2, false));
+        table.put(entry("a", 2, false), 0);
         assertThat(table.find("a").get().isMisdirected()).isFalse();
     }
 
@@ -112,8 +114,8 @@
     @Test
     void aServiceIsLimitedOnlyIfAllItsUpstreamsAre() {
         assertThat(table.serviceLimit("s", 0).isPresent()).isFalse();
-        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
-        table.put(new UpstreamEntry("b", "s", "10.0.0.2:80", "d", 1, 0, false));
+        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false), 0);
+        table.put(new UpstreamEntry("b", "s", "10.0.0.2:80", "d", 1, 0, false), 0);
         announce("a", Announcement.good(AnnouncedLimit.of(2)));
         assertThat(table.serviceLimit("s", 0).isPresent()).isFalse();
         announce("b", Announcement.good(AnnouncedLimit.of(0.5)));
@@ -122,10 +124,10 @@
 
     @Test
     void aLimitIsKeptAfterItsEntryIsRemoved() {
-        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
+        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false), 0);
         announce("a", Announcement.good(AnnouncedLimit.of(2)));
         table.remove("a", 100);
-        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false));
+        table.put(new UpstreamEntry("a", "s", "10.0.0.1:80", "d", 1, 0, false), 0);
         assertThat(table.announcements().perSecond("a").getAsDouble()).isEqualTo(2);
     }
 
@@ -135,9 +137,9 @@
         table.replaceAll(List.of(entry("a", 7, false), entry("b", 0, false)), 0);
         table.announcements().announced(entry("a", 7, false), LEAVING, 0, 0);
         assertThat(serving()).containsExactly("b");
-        table.put(entry("a", 7, false));
+        table.put(entry("a", 7, false), 0);
         table.remove("a", 10);
-        table.put(entry("a", 7, false));
+        table.put(entry("a", 7, false), 0);
         assertThat(serving()).containsExactly("b");
         assertThat(table.find("a")).isEmpty();
     }
@@ -146,7 +148,7 @@
     void aRestartedUpstreamInheritsNoAnnouncements() {
         table.replaceAll(List.of(entry("a", 7, false)), 0);
         table.announcements().announced(entry("a", 7, false), LEAVING, 0, 0);
-        table.put(entry("a", 8, false));
+        table.put(entry("a", 8, false), 0);
         assertThat(serving()).containsExactly("a");
         table.announcements().announced(entry("a", 7, false), LEAVING, 0, 0);
         assertThat(serving()).containsExactly("a");
@@ -171,7 +173,7 @@
     // Statements of removed upstreams must not accumulate.
     @Test
     void statementsOfRemovedUpstreamsExpire() {
-        table.put(entry("a", 0, false));
+        table.put(entry("a", 0, false), 0);
         announce("a", Announcement.good(AnnouncedLimit.of(2)));
         table.remove("a", 100);
         table.expire(590_000);
@@ -183,13 +185,13 @@
     @Test
     void aLifeThatWasLeavingOrGoneStaysClosedAfterAReturnFromACopyAndANewLifeIsOpen() {
         table.replaceAll(List.of(entry("a", 1, false), entry("b", 1, false)), 0);
-        table.put(entry("a", 1, true));
+        table.put(entry("a", 1, true), 0);
         table.remove("b", 10);
         table.platformReturned(1_000);
         table.replaceAll(List.of(entry("a", 1, false), entry("b", 1, false)), 1_010);
-        table.put(entry("a", 1, false));
+        table.put(entry("a", 1, false), 0);
         assertThat(serving()).isEmpty();
-        table.put(entry("a", 2, false));
+        table.put(entry("a", 2, false), 0);
         assertThat(serving()).containsExactly("a");
     }
 
@@ -210,7 +212,7 @@
     void anEntryThatReappearsInTheSameEpochIsOpen() {
         table.replaceAll(List.of(entry("a", 1, false)), 0);
         table.remove("a", 10);
-        table.put(entry("a", 1, false));
+        table.put(entry("a", 1, false), 0);
         table.platformReturned(1_000);
         table.replaceAll(List.of(entry("a", 1, false)), 1_010);
         assertThat(serving()).containsExactly("a");
@@ -227,7 +229,7 @@
         int[] changes = new int[1];
         table.onChange(() -> changes[0]++);
         table.evacuate("d");
-        table.put(entryIn("d", "c"));
+        table.put(entryIn("d", "c"), 0);
         assertThat(serving()).containsExactly("b");
         assertThat(table.find("a")).isEmpty();
         assertThat(table.known("a")).isPresent();
@@ -235,7 +237,7 @@
         assertThat(table.takesNew(entryIn("e", "b"), 0)).isTrue();
         assertThat(table.evacuatedDomains()).isEqualTo(1);
 
-        table.domainReturned("d");
+        table.domainReturned("d", 0);
         assertThat(serving()).containsExactly("a", "b", "c");
         assertThat(table.takesNew(entryIn("d", "a"), 0)).isTrue();
         assertThat(table.evacuatedDomains()).isEqualTo(0);
@@ -288,7 +290,151 @@
         table.replaceAll(List.of(entryIn("d", "a")), Set.of("d"), 0);
         table.platformReturned(1_000);
         table.replaceAll(List.of(entryIn("d", "a")), Set.of(), 1_100);
-        table.domainReturned("d");
+        table.domainReturned("d", 0);
         assertThat(serving()).containsExactly("a");
     }
+
+    private static UpstreamEntry coldEntry(String id, long startedMillis, long remainingMillis) {
+        return new UpstreamEntry(
+                id, "s", "10.0.0.1:80", "d", 1, startedMillis, false, remainingMillis);
+    }
+
+    private void limitColdUpstreams(double perSecond) {
+        table.setServices(
+                name ->
+                        Optional.of(
+                                new ServiceEntry(
+                                        name,
+                                        0,
+                                        Optional.empty(),
+                                        Optional.empty(),
+                                        3_000,
+                                        perSecond)));
+    }
+
+    private long coldMillis(String id, long nowMillis) {
+        return table.coldLimit(id, nowMillis).map(ColdLimit::remainingMillis).orElse(0L);
+    }
+
+    @Test
+    void anUpstreamIsColdForTheTimeInItsNewestEntry() {
+        limitColdUpstreams(8.8);
+        table.put(coldEntry("a", 1, 2_000), 100);
+        assertThat(coldMillis("a", 100)).isEqualTo(2_000);
+        assertThat(table.perSecond("a", 2_099).getAsDouble()).isEqualTo(8.8);
+        assertThat(table.perSecond("a", 2_100).isPresent()).isFalse();
+        table.put(coldEntry("a", 1, 2_000), 1_300);
+        assertThat(coldMillis("a", 1_300)).isEqualTo(2_000);
+        table.put(coldEntry("a", 1, 0), 2_500);
+        assertThat(coldMillis("a", 2_500)).isEqualTo(0);
+        table.put(coldEntry("a", 1, 3_000), 9_000);
+        assertThat(coldMillis("a", 9_000)).isEqualTo(3_000);
+    }
+
+    // Without a rate, existing deployments are served as before.
+    @Test
+    void aColdUpstreamWithoutARateOrWithoutAServiceHasNoLimit() {
+        table.put(coldEntry("a", 1, 2_000), 0);
+        assertThat(table.perSecond("a", 0).isPresent()).isFalse();
+        limitColdUpstreams(0);
+        assertThat(table.perSecond("a", 0).isPresent()).isFalse();
+        assertThat(table.perSecond("unknown", 0).isPresent()).isFalse();
+        limitColdUpstreams(8);
+        assertThat(table.perSecond("a", 0).getAsDouble()).isEqualTo(8);
+    }
+
+    @Test
+    void theLimitOfAColdUpstreamIsTheSmallerOneOfItsRateAndWhatItAnnounced() {
+        limitColdUpstreams(8);
+        table.put(coldEntry("a", 0, 2_000), 0);
+        table.put(coldEntry("b", 0, 2_000), 0);
+        table.put(coldEntry("c", 0, 0), 0);
+        announce("a", Announcement.good(AnnouncedLimit.of(2)));
+        announce("b", Announcement.good(AnnouncedLimit.of(20)));
+        assertThat(table.perSecond("a", 0).getAsDouble()).isEqualTo(2);
+        assertThat(table.perSecond("b", 0).getAsDouble()).isEqualTo(8);
+        assertThat(table.perSecond("b", 2_000).getAsDouble()).isEqualTo(20);
+        assertThat(table.serviceLimit("s", 0).isPresent()).isFalse();
+        table.remove("c", 0);
+        assertThat(table.serviceLimit("s", 0).getAsDouble()).isEqualTo(10);
+        assertThat(table.serviceLimit("s", 2_000).getAsDouble()).isEqualTo(22);
+    }
+
+    // A restarted process is cold as its own entry says, whatever was known of the former one.
+    @Test
+    void aRestartUnderTheSameIdBeginsAColdTimeOfItsOwn() {
+        limitColdUpstreams(8);
+        table.put(coldEntry("a", 1, 0), 0);
+        table.put(coldEntry("a", 2, 2_800), 1_000);
+        assertThat(coldMillis("a", 1_000)).isEqualTo(2_800);
+        table.replaceAll(List.of(coldEntry("a", 3, 0)), 1_100);
+        assertThat(coldMillis("a", 1_100)).isEqualTo(0);
+    }
+
+    // The same statement does not count again, and one in a copy does not end the cold time.
+    @Test
+    void aSnapshotMayExtendAColdTimeButNeitherRenewsNorEndsIt() {
+        limitColdUpstreams(8);
+        table.replaceAll(List.of(coldEntry("a", 1, 2_000)), 0);
+        table.replaceAll(List.of(coldEntry("a", 1, 2_000)), 1_500);
+        assertThat(coldMillis("a", 1_500)).isEqualTo(500);
+        table.replaceAll(List.of(coldEntry("a", 1, 0)), 1_600);
+        assertThat(coldMillis("a", 1_600)).isEqualTo(400);
+        table.replaceAll(List.of(coldEntry("a", 1, 900)), 1_700);
+        assertThat(coldMillis("a", 1_700)).isEqualTo(900);
+    }
+
+    // EVAC, FAILBACK: the entries may say only later that the upstreams are cold.
+    @Test
+    void upstreamsOfAReturnedDomainCountAsColdForTheColdStartUnlessTheirEntriesSayLonger() {
+        limitColdUpstreams(8);
+        table.replaceAll(
+                List.of(coldEntry("a", 1, 0), coldEntry("b", 1, 5_000), entryIn("e", "c")),
+                Set.of("d"),
+                0);
+        table.domainReturned("d", 1_000);
+        assertThat(coldMillis("a", 1_000)).isEqualTo(3_000);
+        assertThat(coldMillis("b", 1_000)).isEqualTo(4_000);
+        assertThat(coldMillis("c", 1_000)).isEqualTo(0);
+        table.put(coldEntry("a", 1, 0), 1_500);
+        table.put(coldEntry("b", 1, 0), 1_500);
+        assertThat(coldMillis("a", 1_500)).isEqualTo(2_500);
+        assertThat(coldMillis("b", 1_500)).isEqualTo(2_500);
+        table.domainReturned("d", 2_000);
+        assertThat(coldMillis("a", 2_000)).isEqualTo(2_000);
+        table.put(coldEntry("a", 1, 2_900), 2_500);
+        assertThat(coldMillis("a", 2_500)).isEqualTo(2_900);
+    }
+
+    @Test
+    void aDomainThatReturnsAfterTheGraceOfACopyReturnsWithColdUpstreams() {
+        limitColdUpstreams(8);
+        table.replaceAll(List.of(coldEntry("a", 1, 0)), Set.of("d"), 0);
+        table.platformReturned(1_000);
+        table.replaceAll(List.of(coldEntry("a", 1, 0)), Set.of(), 1_100);
+        table.expire(3_000);
+        assertThat(coldMillis("a", 3_000)).isEqualTo(3_000);
+    }
+
+    @Test
+    void coldUpstreamsAreCounted() {
+        limitColdUpstreams(8);
+        table.replaceAll(List.of(coldEntry("a", 1, 2_000), coldEntry("b", 1, 0)), 0);
+        table.expire(0);
+        assertThat(table.coldUpstreams()).isEqualTo(1);
+        table.remove("a", 100);
+        table.put(coldEntry("b", 1, 1_000), 100);
+        table.expire(100);
+        assertThat(table.coldUpstreams()).isEqualTo(1);
+        table.expire(1_100);
+        assertThat(table.coldUpstreams()).isEqualTo(0);
+    }
+
+    // A remaining time at the edge of the numbers must not overflow to a time in the past.
+    @Test
+    void aVeryLongColdTimeLasts() {
+        limitColdUpstreams(8);
+        table.put(coldEntry("a", 1, Long.MAX_VALUE), 1_000);
+        assertThat(coldMillis("a", 1_000_000)).isGreaterThan(1_000_000L);
+    }
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestion.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestion.java
@@ -181,6 +181,60 @@
     return entry_;
   }
 
+  public static final int COLD_REMAINING_MILLIS_FIELD_NUMBER = 6;
+  private long coldRemainingMillis_ = 0L;
+  /**
+   * <pre>
+   * How long the upstream is still cold, as far as the sender knows; absent where it is not.
+   * </pre>
+   *
+   * <code>optional int64 cold_remaining_millis = 6;</code>
+   * @return Whether the coldRemainingMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasColdRemainingMillis() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * How long the upstream is still cold, as far as the sender knows; absent where it is not.
+   * </pre>
+   *
+   * <code>optional int64 cold_remaining_millis = 6;</code>
+   * @return The coldRemainingMillis.
+   */
+  @java.lang.Override
+  public long getColdRemainingMillis() {
+    return coldRemainingMillis_;
+  }
+
+  public static final int COLD_PER_SECOND_FIELD_NUMBER = 7;
+  private double coldPerSecond_ = 0D;
+  /**
+   * <pre>
+   * Requests a second that the upstream sustains while it is cold, from all routers together.
+   * </pre>
+   *
+   * <code>optional double cold_per_second = 7;</code>
+   * @return Whether the coldPerSecond field is set.
+   */
+  @java.lang.Override
+  public boolean hasColdPerSecond() {
+    return ((bitField0_ & 0x00000004) != 0);
+  }
+  /**
+   * <pre>
+   * Requests a second that the upstream sustains while it is cold, from all routers together.
+   * </pre>
+   *
+   * <code>optional double cold_per_second = 7;</code>
+   * @return The coldPerSecond.
+   */
+  @java.lang.Override
+  public double getColdPerSecond() {
+    return coldPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -210,6 +264,12 @@
     if (entry_ != false) {
       output.writeBool(5, entry_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeInt64(6, coldRemainingMillis_);
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      output.writeDouble(7, coldPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -233,6 +293,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(5, entry_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, coldRemainingMillis_);
+    }
+    if (((bitField0_ & 0x00000004) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(7, coldPerSecond_);
+    }
     return size;
   }
   @java.lang.Override
@@ -270,6 +338,17 @@
     }
     if (getEntry()
         != other.getEntry()) return false;
+    if (hasColdRemainingMillis() != other.hasColdRemainingMillis()) return false;
+    if (hasColdRemainingMillis()) {
+      if (getColdRemainingMillis()
+          != other.getColdRemainingMillis()) return false;
+    }
+    if (hasColdPerSecond() != other.hasColdPerSecond()) return false;
+    if (hasColdPerSecond()) {
+      if (java.lang.Double.doubleToLongBits(getColdPerSecond())
+          != java.lang.Double.doubleToLongBits(
+              other.getColdPerSecond())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -295,6 +374,16 @@
     hash = (37 * hash) + ENTRY_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getEntry());
+    if (hasColdRemainingMillis()) {
+      hash = (37 * hash) + COLD_REMAINING_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getColdRemainingMillis());
+    }
+    if (hasColdPerSecond()) {
+      hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getColdPerSecond()));
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -446,6 +535,8 @@
         statementBuilder_ = null;
       }
       entry_ = false;
+      coldRemainingMillis_ = 0L;
+      coldPerSecond_ = 0D;
       return this;
     }
 
@@ -498,6 +589,14 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.entry_ = entry_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.coldRemainingMillis_ = coldRemainingMillis_;
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.coldPerSecond_ = coldPerSecond_;
+        to_bitField0_ |= 0x00000004;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -530,6 +629,12 @@
       if (other.getEntry() != false) {
         setEntry(other.getEntry());
       }
+      if (other.hasColdRemainingMillis()) {
+        setColdRemainingMillis(other.getColdRemainingMillis());
+      }
+      if (other.hasColdPerSecond()) {
+        setColdPerSecond(other.getColdPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -581,6 +686,16 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              coldRemainingMillis_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 57: {
+              coldPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 57
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -965,6 +1080,118 @@
       return this;
     }
 
+    private long coldRemainingMillis_ ;
+    /**
+     * <pre>
+     * How long the upstream is still cold, as far as the sender knows; absent where it is not.
+     * </pre>
+     *
+     * <code>optional int64 cold_remaining_millis = 6;</code>
+     * @return Whether the coldRemainingMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasColdRemainingMillis() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * How long the upstream is still cold, as far as the sender knows; absent where it is not.
+     * </pre>
+     *
+     * <code>optional int64 cold_remaining_millis = 6;</code>
+     * @return The coldRemainingMillis.
+     */
+    @java.lang.Override
+    public long getColdRemainingMillis() {
+      return coldRemainingMillis_;
+    }
+    /**
+     * <pre>
+     * How long the upstream is still cold, as far as the sender knows; absent where it is not.
+     * </pre>
+     *
+     * <code>optional int64 cold_remaining_millis = 6;</code>
+     * @param value The coldRemainingMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdRemainingMillis(long value) {
+
+      coldRemainingMillis_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long the upstream is still cold, as far as the sender knows; absent where it is not.
+     * </pre>
+     *
+     * <code>optional int64 cold_remaining_millis = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdRemainingMillis() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      coldRemainingMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private double coldPerSecond_ ;
+    /**
+     * <pre>
+     * Requests a second that the upstream sustains while it is cold, from all routers together.
+     * </pre>
+     *
+     * <code>optional double cold_per_second = 7;</code>
+     * @return Whether the coldPerSecond field is set.
+     */
+    @java.lang.Override
+    public boolean hasColdPerSecond() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * Requests a second that the upstream sustains while it is cold, from all routers together.
+     * </pre>
+     *
+     * <code>optional double cold_per_second = 7;</code>
+     * @return The coldPerSecond.
+     */
+    @java.lang.Override
+    public double getColdPerSecond() {
+      return coldPerSecond_;
+    }
+    /**
+     * <pre>
+     * Requests a second that the upstream sustains while it is cold, from all routers together.
+     * </pre>
+     *
+     * <code>optional double cold_per_second = 7;</code>
+     * @param value The coldPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdPerSecond(double value) {
+
+      coldPerSecond_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests a second that the upstream sustains while it is cold, from all routers together.
+     * </pre>
+     *
+     * <code>optional double cold_per_second = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      coldPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PermitQuestion)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestionOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestionOrBuilder.java
@@ -82,4 +82,42 @@
    * @return The entry.
    */
   boolean getEntry();
+
+  /**
+   * <pre>
+   * How long the upstream is still cold, as far as the sender knows; absent where it is not.
+   * </pre>
+   *
+   * <code>optional int64 cold_remaining_millis = 6;</code>
+   * @return Whether the coldRemainingMillis field is set.
+   */
+  boolean hasColdRemainingMillis();
+  /**
+   * <pre>
+   * How long the upstream is still cold, as far as the sender knows; absent where it is not.
+   * </pre>
+   *
+   * <code>optional int64 cold_remaining_millis = 6;</code>
+   * @return The coldRemainingMillis.
+   */
+  long getColdRemainingMillis();
+
+  /**
+   * <pre>
+   * Requests a second that the upstream sustains while it is cold, from all routers together.
+   * </pre>
+   *
+   * <code>optional double cold_per_second = 7;</code>
+   * @return Whether the coldPerSecond field is set.
+   */
+  boolean hasColdPerSecond();
+  /**
+   * <pre>
+   * Requests a second that the upstream sustains while it is cold, from all routers together.
+   * </pre>
+   *
+   * <code>optional double cold_per_second = 7;</code>
+   * @return The coldPerSecond.
+   */
+  double getColdPerSecond();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedService.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedService.java
@@ -152,6 +152,32 @@
     return enginePool_ == null ? org.bronzewheel.wire.PublishedEnginePool.getDefaultInstance() : enginePool_;
   }
 
+  public static final int COLD_START_MILLIS_FIELD_NUMBER = 5;
+  private long coldStartMillis_ = 0L;
+  /**
+   * <code>int64 cold_start_millis = 5;</code>
+   * @return The coldStartMillis.
+   */
+  @java.lang.Override
+  public long getColdStartMillis() {
+    return coldStartMillis_;
+  }
+
+  public static final int COLD_PER_SECOND_FIELD_NUMBER = 6;
+  private double coldPerSecond_ = 0D;
+  /**
+   * <pre>
+   * 0 where cold upstreams have no limit of their own.
+   * </pre>
+   *
+   * <code>double cold_per_second = 6;</code>
+   * @return The coldPerSecond.
+   */
+  @java.lang.Override
+  public double getColdPerSecond() {
+    return coldPerSecond_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -178,6 +204,12 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(4, getEnginePool());
     }
+    if (coldStartMillis_ != 0L) {
+      output.writeInt64(5, coldStartMillis_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      output.writeDouble(6, coldPerSecond_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -197,6 +229,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, getEnginePool());
     }
+    if (coldStartMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, coldStartMillis_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(coldPerSecond_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(6, coldPerSecond_);
+    }
     return size;
   }
   @java.lang.Override
@@ -235,6 +275,11 @@
       if (!getEnginePool()
           .equals(other.getEnginePool())) return false;
     }
+    if (getColdStartMillis()
+        != other.getColdStartMillis()) return false;
+    if (java.lang.Double.doubleToLongBits(getColdPerSecond())
+        != java.lang.Double.doubleToLongBits(
+            other.getColdPerSecond())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -258,6 +303,12 @@
       hash = (37 * hash) + ENGINE_POOL_FIELD_NUMBER;
       hash = (53 * hash) + getEnginePool().hashCode();
     }
+    hash = (37 * hash) + COLD_START_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getColdStartMillis());
+    hash = (37 * hash) + COLD_PER_SECOND_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getColdPerSecond()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -408,6 +459,8 @@
         enginePoolBuilder_.dispose();
         enginePoolBuilder_ = null;
       }
+      coldStartMillis_ = 0L;
+      coldPerSecond_ = 0D;
       return this;
     }
 
@@ -460,6 +513,12 @@
             : enginePoolBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.coldStartMillis_ = coldStartMillis_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.coldPerSecond_ = coldPerSecond_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -489,6 +548,12 @@
       if (other.hasEnginePool()) {
         mergeEnginePool(other.getEnginePool());
       }
+      if (other.getColdStartMillis() != 0L) {
+        setColdStartMillis(other.getColdStartMillis());
+      }
+      if (java.lang.Double.doubleToRawLongBits(other.getColdPerSecond()) != 0) {
+        setColdPerSecond(other.getColdPerSecond());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -537,6 +602,16 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              coldStartMillis_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 49: {
+              coldPerSecond_ = input.readDouble();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 49
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -896,6 +971,82 @@
       return enginePoolBuilder_;
     }
 
+    private long coldStartMillis_ ;
+    /**
+     * <code>int64 cold_start_millis = 5;</code>
+     * @return The coldStartMillis.
+     */
+    @java.lang.Override
+    public long getColdStartMillis() {
+      return coldStartMillis_;
+    }
+    /**
+     * <code>int64 cold_start_millis = 5;</code>
+     * @param value The coldStartMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdStartMillis(long value) {
+
+      coldStartMillis_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 cold_start_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdStartMillis() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      coldStartMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private double coldPerSecond_ ;
+    /**
+     * <pre>
+     * 0 where cold upstreams have no limit of their own.
+     * </pre>
+     *
+     * <code>double cold_per_second = 6;</code>
+     * @return The coldPerSecond.
+     */
+    @java.lang.Override
+    public double getColdPerSecond() {
+      return coldPerSecond_;
+    }
+    /**
+     * <pre>
+     * 0 where cold upstreams have no limit of their own.
+     * </pre>
+     *
+     * <code>double cold_per_second = 6;</code>
+     * @param value The coldPerSecond to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdPerSecond(double value) {
+
+      coldPerSecond_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * 0 where cold upstreams have no limit of their own.
+     * </pre>
+     *
+     * <code>double cold_per_second = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdPerSecond() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      coldPerSecond_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PublishedService)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedServiceOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedServiceOrBuilder.java
@@ -57,4 +57,20 @@
    * <code>.bronzewheel.wire.PublishedEnginePool engine_pool = 4;</code>
    */
   org.bronzewheel.wire.PublishedEnginePoolOrBuilder getEnginePoolOrBuilder();
+
+  /**
+   * <code>int64 cold_start_millis = 5;</code>
+   * @return The coldStartMillis.
+   */
+  long getColdStartMillis();
+
+  /**
+   * <pre>
+   * 0 where cold upstreams have no limit of their own.
+   * </pre>
+   *
+   * <code>double cold_per_second = 6;</code>
+   * @return The coldPerSecond.
+   */
+  double getColdPerSecond();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedUpstream.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedUpstream.java
@@ -241,6 +241,21 @@
     return leaving_;
   }
 
+  public static final int COLD_REMAINING_MILLIS_FIELD_NUMBER = 8;
+  private long coldRemainingMillis_ = 0L;
+  /**
+   * <pre>
+   * How long it is still cold, when the entry was written; 0 where it is not.
+   * </pre>
+   *
+   * <code>int64 cold_remaining_millis = 8;</code>
+   * @return The coldRemainingMillis.
+   */
+  @java.lang.Override
+  public long getColdRemainingMillis() {
+    return coldRemainingMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -276,6 +291,9 @@
     if (leaving_ != false) {
       output.writeBool(7, leaving_);
     }
+    if (coldRemainingMillis_ != 0L) {
+      output.writeInt64(8, coldRemainingMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -304,6 +322,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, leaving_);
     }
+    if (coldRemainingMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, coldRemainingMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -342,6 +364,8 @@
         != other.getStartedMillis()) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (getColdRemainingMillis()
+        != other.getColdRemainingMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -369,6 +393,9 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    hash = (37 * hash) + COLD_REMAINING_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getColdRemainingMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -507,6 +534,7 @@
       slots_ = 0;
       startedMillis_ = 0L;
       leaving_ = false;
+      coldRemainingMillis_ = 0L;
       return this;
     }
 
@@ -561,6 +589,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.coldRemainingMillis_ = coldRemainingMillis_;
+      }
     }
 
     @java.lang.Override
@@ -604,6 +635,9 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (other.getColdRemainingMillis() != 0L) {
+        setColdRemainingMillis(other.getColdRemainingMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -663,6 +697,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 64: {
+              coldRemainingMillis_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1064,6 +1103,50 @@
       return this;
     }
 
+    private long coldRemainingMillis_ ;
+    /**
+     * <pre>
+     * How long it is still cold, when the entry was written; 0 where it is not.
+     * </pre>
+     *
+     * <code>int64 cold_remaining_millis = 8;</code>
+     * @return The coldRemainingMillis.
+     */
+    @java.lang.Override
+    public long getColdRemainingMillis() {
+      return coldRemainingMillis_;
+    }
+    /**
+     * <pre>
+     * How long it is still cold, when the entry was written; 0 where it is not.
+     * </pre>
+     *
+     * <code>int64 cold_remaining_millis = 8;</code>
+     * @param value The coldRemainingMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdRemainingMillis(long value) {
+
+      coldRemainingMillis_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * How long it is still cold, when the entry was written; 0 where it is not.
+     * </pre>
+     *
+     * <code>int64 cold_remaining_millis = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdRemainingMillis() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      coldRemainingMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PublishedUpstream)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedUpstreamOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedUpstreamOrBuilder.java
@@ -75,4 +75,14 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <pre>
+   * How long it is still cold, when the entry was written; 0 where it is not.
+   * </pre>
+   *
+   * <code>int64 cold_remaining_millis = 8;</code>
+   * @return The coldRemainingMillis.
+   */
+  long getColdRemainingMillis();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -203,97 +203,102 @@
       "ge_millis\030\003 \001(\003H\001\210\001\001\022\026\n\016started_millis\030\004" +
       " \001(\003\022\037\n\022leaving_age_millis\030\005 \001(\003H\002\210\001\001B\r\n" +
       "\013_per_secondB\023\n\021_limit_age_millisB\025\n\023_le" +
-      "aving_age_millis\"\214\001\n\016PermitQuestion\022\014\n\004n" +
+      "aving_age_millis\"\374\001\n\016PermitQuestion\022\014\n\004n" +
       "ame\030\001 \001(\t\022\014\n\004rank\030\002 \001(\005\022\027\n\017patience_mill" +
       "is\030\003 \001(\003\0226\n\tstatement\030\004 \001(\0132#.bronzewhee" +
-      "l.wire.UpstreamStatement\022\r\n\005entry\030\005 \001(\010\"" +
-      "\207\001\n\013PermitReply\022\017\n\007granted\030\001 \001(\010\022\032\n\022retr" +
-      "y_after_millis\030\002 \001(\003\0226\n\tstatement\030\003 \001(\0132" +
-      "#.bronzewheel.wire.UpstreamStatement\022\023\n\013" +
-      "next_millis\030\004 \001(\003\"_\n\010PeerBeat\022\r\n\005vm_id\030\001" +
-      " \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022" +
-      "\017\n\007leaving\030\004 \001(\010\022\020\n\010capacity\030\005 \001(\005\"j\n\021Pu" +
-      "blishedQuestion\022\026\n\016after_revision\030\001 \001(\003\022" +
-      "\023\n\013wait_millis\030\002 \001(\003\022\030\n\013after_epoch\030\003 \001(" +
-      "\003H\000\210\001\001B\016\n\014_after_epoch\"\374\001\n\017PublishedAnsw" +
-      "er\022:\n\007outcome\030\001 \001(\0162).bronzewheel.wire.P" +
-      "ublishedAnswer.Outcome\022\020\n\010revision\030\002 \001(\003" +
-      "\022\022\n\nage_millis\030\003 \001(\003\0220\n\007changes\030\004 \003(\0132\037." +
-      "bronzewheel.wire.PublishedItem\022\022\n\005epoch\030" +
-      "\005 \001(\003H\000\210\001\001\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HI" +
-      "STORY_LOST\020\001\022\r\n\tNO_READER\020\002B\010\n\006_epoch\"\227\002" +
-      "\n\rPublishedItem\0225\n\007catalog\030\001 \001(\0132\".bronz" +
-      "ewheel.wire.PublishedCatalogH\000\0227\n\010upstre" +
-      "am\030\002 \001(\0132#.bronzewheel.wire.PublishedUps" +
-      "treamH\000\022\032\n\020removed_upstream\030\003 \001(\tH\000\022;\n\nu" +
-      "nreadable\030\004 \001(\0132%.bronzewheel.wire.Publi" +
-      "shedUnreadableH\000\022\032\n\020evacuated_domain\030\005 \001" +
-      "(\tH\000\022\031\n\017returned_domain\030\006 \001(\tH\000B\006\n\004kind\"" +
-      "3\n\023PublishedUnreadable\022\014\n\004name\030\001 \001(\t\022\016\n\006" +
-      "reason\030\002 \001(\t\"\221\001\n\021PublishedUpstream\022\n\n\002id" +
-      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t" +
-      "\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022" +
-      "\026\n\016started_millis\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010" +
-      "\"\370\001\n\020PublishedCatalog\022\017\n\007version\030\001 \001(\003\0220" +
-      "\n\006routes\030\002 \003(\0132 .bronzewheel.wire.Publis" +
-      "hedRoute\0224\n\010services\030\003 \003(\0132\".bronzewheel" +
-      ".wire.PublishedService\0228\n\nworkspaces\030\004 \003" +
-      "(\0132$.bronzewheel.wire.PublishedWorkspace" +
-      "\0221\n\006limits\030\005 \001(\0132!.bronzewheel.wire.Publ" +
-      "ishedLimits\"\355\002\n\016PublishedRoute\022\014\n\004name\030\001" +
-      " \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tst" +
-      "reaming\030\004 \001(\010\022\023\n\013repeat_rule\030\005 \001(\t\022\026\n\016ti" +
-      "meout_millis\030\006 \001(\003\022\030\n\020objective_millis\030\007" +
-      " \001(\003\022\034\n\024gap_objective_millis\030\010 \001(\003\022\020\n\010pr" +
-      "iority\030\t \001(\005\022\024\n\014max_attempts\030\n \001(\005\0220\n\006sh" +
-      "ares\030\013 \003(\0132 .bronzewheel.wire.PublishedS" +
-      "hare\0220\n\006stages\030\014 \003(\0132 .bronzewheel.wire." +
-      "PublishedStage\022\014\n\004open\030\r \001(\010\022\035\n\025caller_s" +
-      "ilence_millis\030\016 \001(\003\"1\n\016PublishedShare\022\017\n" +
-      "\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"F\n\016Publis" +
-      "hedStage\022\017\n\007service\030\001 \001(\t\022\r\n\005after\030\002 \003(\005" +
-      "\022\024\n\014result_bytes\030\003 \001(\003\"\257\001\n\020PublishedServ" +
-      "ice\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connections\030\002 \001" +
-      "(\005\0228\n\nstage_pool\030\003 \001(\0132$.bronzewheel.wir" +
-      "e.PublishedStagePool\022:\n\013engine_pool\030\004 \001(" +
-      "\0132%.bronzewheel.wire.PublishedEnginePool" +
-      "\"\227\001\n\022PublishedStagePool\022\r\n\005slots\030\001 \001(\005\022\r" +
-      "\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005\022\023\n\013call_mil" +
-      "lis\030\004 \001(\001\022\024\n\014piece_millis\030\005 \001(\001\022\022\n\nroom_" +
-      "bytes\030\006 \001(\003\022\025\n\rresult_millis\030\007 \001(\003\":\n\023Pu" +
-      "blishedEnginePool\022\r\n\005slots\030\001 \001(\005\022\024\n\014cach" +
-      "e_tokens\030\002 \001(\003\"T\n\022PublishedWorkspace\022\014\n\004" +
-      "name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010priority\030\003 \001" +
-      "(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017PublishedLimits\022" +
-      "\030\n\020max_header_bytes\030\001 \001(\005\022\026\n\016max_body_by" +
-      "tes\030\002 \001(\005\022\035\n\025header_timeout_millis\030\003 \001(\003" +
-      "\022\033\n\023idle_timeout_millis\030\004 \001(\003\"I\n\014StageBa" +
-      "cklog\022\017\n\007service\030\001 \001(\t\022\023\n\013wait_millis\030\002 " +
-      "\003(\003\022\023\n\013call_millis\030\003 \001(\003\"\247\001\n\nStageFrame\022" +
-      "-\n\003job\030\001 \001(\0132\036.bronzewheel.wire.StageJob" +
-      "CallH\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel.wi" +
-      "re.StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.bron" +
-      "zewheel.wire.StageCancelH\000B\006\n\004body\"\303\003\n\014S" +
-      "tageJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage" +
-      "\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022" +
-      "\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzewhe" +
-      "el.wire.StageHandle\022\024\n\014result_bytes\030\007 \001(" +
-      "\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025objective_left_millis" +
-      "\030\t \001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022\024\n\014" +
-      "later_millis\030\013 \001(\003\022\026\n\016failure_domain\030\014 \001" +
-      "(\t\022\032\n\022least_later_millis\030\r \001(\003\022E\n\014unmet_" +
-      "pieces\030\016 \003(\0132/.bronzewheel.wire.StageJob" +
-      "Call.UnmetPiecesEntry\022\r\n\005first\030\017 \001(\010\0322\n\020" +
-      "UnmetPiecesEntry\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002" +
-      " \001(\005:\0028\001\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001" +
-      "(\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.S" +
-      "tageHandle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022" +
-      "\020\n\010maker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(" +
-      "\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014Sta" +
-      "geRelease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 " +
-      "\003(\0132\035.bronzewheel.wire.StageHandle\"2\n\013St" +
-      "ageCancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service" +
-      "\030\002 \001(\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
+      "l.wire.UpstreamStatement\022\r\n\005entry\030\005 \001(\010\022" +
+      "\"\n\025cold_remaining_millis\030\006 \001(\003H\000\210\001\001\022\034\n\017c" +
+      "old_per_second\030\007 \001(\001H\001\210\001\001B\030\n\026_cold_remai" +
+      "ning_millisB\022\n\020_cold_per_second\"\207\001\n\013Perm" +
+      "itReply\022\017\n\007granted\030\001 \001(\010\022\032\n\022retry_after_" +
+      "millis\030\002 \001(\003\0226\n\tstatement\030\003 \001(\0132#.bronze" +
+      "wheel.wire.UpstreamStatement\022\023\n\013next_mil" +
+      "lis\030\004 \001(\003\"_\n\010PeerBeat\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013" +
+      "incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\017\n\007leavi" +
+      "ng\030\004 \001(\010\022\020\n\010capacity\030\005 \001(\005\"j\n\021PublishedQ" +
+      "uestion\022\026\n\016after_revision\030\001 \001(\003\022\023\n\013wait_" +
+      "millis\030\002 \001(\003\022\030\n\013after_epoch\030\003 \001(\003H\000\210\001\001B\016" +
+      "\n\014_after_epoch\"\374\001\n\017PublishedAnswer\022:\n\007ou" +
+      "tcome\030\001 \001(\0162).bronzewheel.wire.Published" +
+      "Answer.Outcome\022\020\n\010revision\030\002 \001(\003\022\022\n\nage_" +
+      "millis\030\003 \001(\003\0220\n\007changes\030\004 \003(\0132\037.bronzewh" +
+      "eel.wire.PublishedItem\022\022\n\005epoch\030\005 \001(\003H\000\210" +
+      "\001\001\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HISTORY_LO" +
+      "ST\020\001\022\r\n\tNO_READER\020\002B\010\n\006_epoch\"\227\002\n\rPublis" +
+      "hedItem\0225\n\007catalog\030\001 \001(\0132\".bronzewheel.w" +
+      "ire.PublishedCatalogH\000\0227\n\010upstream\030\002 \001(\013" +
+      "2#.bronzewheel.wire.PublishedUpstreamH\000\022" +
+      "\032\n\020removed_upstream\030\003 \001(\tH\000\022;\n\nunreadabl" +
+      "e\030\004 \001(\0132%.bronzewheel.wire.PublishedUnre" +
+      "adableH\000\022\032\n\020evacuated_domain\030\005 \001(\tH\000\022\031\n\017" +
+      "returned_domain\030\006 \001(\tH\000B\006\n\004kind\"3\n\023Publi" +
+      "shedUnreadable\022\014\n\004name\030\001 \001(\t\022\016\n\006reason\030\002" +
+      " \001(\t\"\260\001\n\021PublishedUpstream\022\n\n\002id\030\001 \001(\t\022\017" +
+      "\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\026\n\016fail" +
+      "ure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\026\n\016start" +
+      "ed_millis\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010\022\035\n\025cold" +
+      "_remaining_millis\030\010 \001(\003\"\370\001\n\020PublishedCat" +
+      "alog\022\017\n\007version\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132 ." +
+      "bronzewheel.wire.PublishedRoute\0224\n\010servi" +
+      "ces\030\003 \003(\0132\".bronzewheel.wire.PublishedSe" +
+      "rvice\0228\n\nworkspaces\030\004 \003(\0132$.bronzewheel." +
+      "wire.PublishedWorkspace\0221\n\006limits\030\005 \001(\0132" +
+      "!.bronzewheel.wire.PublishedLimits\"\355\002\n\016P" +
+      "ublishedRoute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(" +
+      "\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023\n\013" +
+      "repeat_rule\030\005 \001(\t\022\026\n\016timeout_millis\030\006 \001(" +
+      "\003\022\030\n\020objective_millis\030\007 \001(\003\022\034\n\024gap_objec" +
+      "tive_millis\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014m" +
+      "ax_attempts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .bron" +
+      "zewheel.wire.PublishedShare\0220\n\006stages\030\014 " +
+      "\003(\0132 .bronzewheel.wire.PublishedStage\022\014\n" +
+      "\004open\030\r \001(\010\022\035\n\025caller_silence_millis\030\016 \001" +
+      "(\003\"1\n\016PublishedShare\022\017\n\007service\030\001 \001(\t\022\016\n" +
+      "\006weight\030\002 \001(\001\"F\n\016PublishedStage\022\017\n\007servi" +
+      "ce\030\001 \001(\t\022\r\n\005after\030\002 \003(\005\022\024\n\014result_bytes\030" +
+      "\003 \001(\003\"\343\001\n\020PublishedService\022\014\n\004name\030\001 \001(\t" +
+      "\022\027\n\017max_connections\030\002 \001(\005\0228\n\nstage_pool\030" +
+      "\003 \001(\0132$.bronzewheel.wire.PublishedStageP" +
+      "ool\022:\n\013engine_pool\030\004 \001(\0132%.bronzewheel.w" +
+      "ire.PublishedEnginePool\022\031\n\021cold_start_mi" +
+      "llis\030\005 \001(\003\022\027\n\017cold_per_second\030\006 \001(\001\"\227\001\n\022" +
+      "PublishedStagePool\022\r\n\005slots\030\001 \001(\005\022\r\n\005que" +
+      "ue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005\022\023\n\013call_millis\030\004" +
+      " \001(\001\022\024\n\014piece_millis\030\005 \001(\001\022\022\n\nroom_bytes" +
+      "\030\006 \001(\003\022\025\n\rresult_millis\030\007 \001(\003\":\n\023Publish" +
+      "edEnginePool\022\r\n\005slots\030\001 \001(\005\022\024\n\014cache_tok" +
+      "ens\030\002 \001(\003\"T\n\022PublishedWorkspace\022\014\n\004name\030" +
+      "\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010priority\030\003 \001(\005H\000\210" +
+      "\001\001B\013\n\t_priority\"\177\n\017PublishedLimits\022\030\n\020ma" +
+      "x_header_bytes\030\001 \001(\005\022\026\n\016max_body_bytes\030\002" +
+      " \001(\005\022\035\n\025header_timeout_millis\030\003 \001(\003\022\033\n\023i" +
+      "dle_timeout_millis\030\004 \001(\003\"I\n\014StageBacklog" +
+      "\022\017\n\007service\030\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003\022\023" +
+      "\n\013call_millis\030\003 \001(\003\"\247\001\n\nStageFrame\022-\n\003jo" +
+      "b\030\001 \001(\0132\036.bronzewheel.wire.StageJobCallH" +
+      "\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel.wire.St" +
+      "ageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.bronzewhe" +
+      "el.wire.StageCancelH\000B\006\n\004body\"\303\003\n\014StageJ" +
+      "obCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(" +
+      "\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003ke" +
+      "y\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzewheel.wi" +
+      "re.StageHandle\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004" +
+      "rank\030\010 \001(\005\022\035\n\025objective_left_millis\030\t \001(" +
+      "\003\022\034\n\024deadline_left_millis\030\n \001(\003\022\024\n\014later" +
+      "_millis\030\013 \001(\003\022\026\n\016failure_domain\030\014 \001(\t\022\032\n" +
+      "\022least_later_millis\030\r \001(\003\022E\n\014unmet_piece" +
+      "s\030\016 \003(\0132/.bronzewheel.wire.StageJobCall." +
+      "UnmetPiecesEntry\022\r\n\005first\030\017 \001(\010\0322\n\020Unmet" +
+      "PiecesEntry\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(\005:" +
+      "\0028\001\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001(\t\022.\n" +
+      "\007handles\030\002 \003(\0132\035.bronzewheel.wire.StageH" +
+      "andle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010ma" +
+      "ker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r\n\005" +
+      "bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageRel" +
+      "ease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035" +
+      ".bronzewheel.wire.StageHandle\"2\n\013StageCa" +
+      "ncel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
+      "\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -334,7 +339,7 @@
     internal_static_bronzewheel_wire_PermitQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PermitQuestion_descriptor,
-        new java.lang.String[] { "Name", "Rank", "PatienceMillis", "Statement", "Entry", });
+        new java.lang.String[] { "Name", "Rank", "PatienceMillis", "Statement", "Entry", "ColdRemainingMillis", "ColdPerSecond", });
     internal_static_bronzewheel_wire_PermitReply_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_bronzewheel_wire_PermitReply_fieldAccessorTable = new
@@ -376,7 +381,7 @@
     internal_static_bronzewheel_wire_PublishedUpstream_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedUpstream_descriptor,
-        new java.lang.String[] { "Id", "Service", "Address", "FailureDomain", "Slots", "StartedMillis", "Leaving", });
+        new java.lang.String[] { "Id", "Service", "Address", "FailureDomain", "Slots", "StartedMillis", "Leaving", "ColdRemainingMillis", });
     internal_static_bronzewheel_wire_PublishedCatalog_descriptor =
       getDescriptor().getMessageType(13);
     internal_static_bronzewheel_wire_PublishedCatalog_fieldAccessorTable = new
@@ -406,7 +411,7 @@
     internal_static_bronzewheel_wire_PublishedService_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedService_descriptor,
-        new java.lang.String[] { "Name", "MaxConnections", "StagePool", "EnginePool", });
+        new java.lang.String[] { "Name", "MaxConnections", "StagePool", "EnginePool", "ColdStartMillis", "ColdPerSecond", });
     internal_static_bronzewheel_wire_PublishedStagePool_descriptor =
       getDescriptor().getMessageType(18);
     internal_static_bronzewheel_wire_PublishedStagePool_fieldAccessorTable = new
