--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
@@ -10,6 +10,7 @@
     private final AnnouncementState state;
     private final int loadKey;
     private final SlownessEstimate slowness = new SlownessEstimate();
+    private final ColdTime coldTime = new ColdTime();
     private UpstreamEntry entry;
     private int callsInFlight;
     private int pendingPromptTokens;
@@ -52,6 +53,10 @@
         entry = newer;
     }
 
+    ColdTime coldTime() {
+        return coldTime;
+    }
+
     /**
      * Records the start of a call.
      *
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/peering/EngineLoadsTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/peering/EngineLoadsTest.java
@@ -32,8 +32,8 @@
     }
 
     private Upstream engine(String id, long startedMillis) {
-        senderTable.put(entry(id, startedMillis));
-        table.put(entry(id, startedMillis));
+        senderTable.put(entry(id, startedMillis), 0);
+        table.put(entry(id, startedMillis), 0);
         return table.known(id).orElseThrow();
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/EngineSelectorTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/EngineSelectorTest.java
@@ -19,7 +19,8 @@
 
     private Upstream engine(String id, long startedMillis) {
         table.put(
-                new UpstreamEntry(id, SERVICE, "127.0.0.1:1", DOMAIN, SLOTS, startedMillis, false));
+                new UpstreamEntry(id, SERVICE, "127.0.0.1:1", DOMAIN, SLOTS, startedMillis, false),
+                nowMillis);
         return table.known(id).orElseThrow();
     }
 
