Use the load that upstreams report in their answers

Cause: answers may carry X-Server-Load with the requests that run and wait at an upstream, its slots and how long work takes there now (rule 3 of docs/design/hard-load.md). Routers ignored it.

Among idle stage upstreams the owner prefers the lower current slowness, and a call that takes longer for a reported reason does not make its upstream count as slow. The selectors for plain services and engines add the reported load to the cost. Without reports the choice stays the same. The experiment has a variant with reports.

The effect on stage services is not measured.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementEngine.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementEngine.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.SplittableRandom;
+import org.bronzewheel.upstreams.ReportedLoad;
 
 /**
  * A model engine in virtual time: reads one prompt at a time, keeps shared prefixes, runs a limited
@@ -76,16 +77,16 @@
                 });
     }
 
-    double slowness() {
-        return (noisy ? NOISE_FACTOR : 1) / speed;
+    private double slowness() {
+        return noise() / speed;
     }
 
-    int running() {
-        return running;
+    private double noise() {
+        return noisy ? NOISE_FACTOR : 1;
     }
 
-    int waiting() {
-        return queue.size();
+    ReportedLoad load() {
+        return new ReportedLoad(running, queue.size(), SLOTS, noise());
     }
 
     static int slots() {
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementExperiment.java
@@ -38,7 +38,9 @@
         variants.put("own calls", Set.of());
         variants.put("speed", Set.of(Evidence.SPEED));
         variants.put("shared load", Set.of(Evidence.SHARED_LOAD));
-        variants.put("both", Set.of(Evidence.SPEED, Evidence.SHARED_LOAD));
+        variants.put("reported load", Set.of(Evidence.REPORTED_LOAD));
+        variants.put("speed, shared", Set.of(Evidence.SPEED, Evidence.SHARED_LOAD));
+        variants.put("all", Set.of(Evidence.values()));
         return variants;
     }
 
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementFleet.java
@@ -5,10 +5,14 @@
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.bronzewheel.peering.EngineLoads;
+import org.bronzewheel.upstreams.AnnouncedLimit;
+import org.bronzewheel.upstreams.Announcement;
 import org.bronzewheel.upstreams.EngineSelector;
 import org.bronzewheel.upstreams.OtherRoutersLoad;
 import org.bronzewheel.upstreams.Prompt;
@@ -28,7 +32,9 @@
         /** The times to the first event. */
         SPEED,
         /** The load that other routers report. */
-        SHARED_LOAD
+        SHARED_LOAD,
+        /** The load that engines report in their answers. */
+        REPORTED_LOAD
     }
 
     /**
@@ -214,6 +220,15 @@
         share.onTime += elapsedMillis <= CLASSES.get(request.index()).objectiveMillis() ? 1 : 0;
     }
 
+    private static Announcement answer(PlacementEngine engine) {
+        return new Announcement(
+                Announcement.Origin.GOOD,
+                AnnouncedLimit.NONE,
+                false,
+                OptionalLong.empty(),
+                Optional.of(engine.load()));
+    }
+
     private final class Router {
         private final UpstreamTable table = new UpstreamTable(0);
         private final OtherRoutersLoad others = new OtherRoutersLoad();
@@ -281,6 +296,14 @@
                                             (double) (nowMillis() - sentMillis),
                                             nowMillis());
                                 }
+                                if (evidence.contains(Evidence.REPORTED_LOAD)) {
+                                    table.announcements()
+                                            .announced(
+                                                    upstream.entry(),
+                                                    answer(engine),
+                                                    sentMillis,
+                                                    nowMillis());
+                                }
                                 PlacementFleet.this.record(request);
                             },
                             () -> upstream.callEnded(0));
--- a/bronzewheel-measure/src/test/java/org/bronzewheel/measure/PlacementExperimentTest.java
+++ b/bronzewheel-measure/src/test/java/org/bronzewheel/measure/PlacementExperimentTest.java
@@ -10,7 +10,7 @@
 /** Sixteen routers before thirteen engines in virtual time, half a minute of it in a burst. */
 class PlacementExperimentTest {
     private static final int ROUTERS = 16;
-    private static final Set<Evidence> ALL = Set.of(Evidence.SPEED, Evidence.SHARED_LOAD);
+    private static final Set<Evidence> ALL = Set.of(Evidence.values());
 
     private static PlacementFleet fleet(boolean unequal, Set<Evidence> evidence, long seed) {
         PlacementFleet fleet =
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -118,8 +118,9 @@
     }
 
     private void recordDuration() {
-        double elapsedMillis = (double) (loop.nowMillis() - startedMillis);
-        worker.recordDuration(elapsedMillis, batch.expectedMillis());
+        long nowMillis = loop.nowMillis();
+        double elapsedMillis = (double) (nowMillis - startedMillis);
+        worker.recordDuration(elapsedMillis, batch.expectedMillis(), nowMillis);
         dispatcher.recordCallDuration(worker, elapsedMillis);
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -531,7 +531,7 @@
                         Comparator.comparing(
                                         (StageWorker worker) ->
                                                 worker.upstream().isDeprioritized(nowMillis))
-                                .thenComparingDouble(StageWorker::slowness))
+                                .thenComparingDouble(w -> w.slowness(nowMillis)))
                 .toList();
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -35,11 +35,12 @@
     }
 
     String describe(long nowMillis) {
-        return "%s running=%d slowness=%.2f usedKilobytes=%d pausedMillis=%d"
+        return "%s running=%d slowness=%.2f reportedSlowness=%.2f usedKilobytes=%d pausedMillis=%d"
                 .formatted(
                         upstream.entry().id(),
                         running,
                         slowness,
+                        upstream.reportedSlowness(nowMillis),
                         usedBytes(nowMillis) / 1_000,
                         Math.max(0, pausedUntilMillis - nowMillis));
     }
@@ -79,8 +80,14 @@
         reservedBytes -= bytes;
     }
 
-    void recordDuration(double elapsedMillis, double expectedMillis) {
-        slowness += SMOOTHING * (elapsedMillis / expectedMillis - slowness);
+    /**
+     * Records the duration of a call. What exceeds the expected duration counts only as far as the
+     * upstream does not report that it is slow at present.
+     */
+    void recordDuration(double elapsedMillis, double expectedMillis, long nowMillis) {
+        double ratio = elapsedMillis / expectedMillis;
+        double unexplained = ratio / Math.max(1, upstream.reportedSlowness(nowMillis));
+        slowness += SMOOTHING * (Math.max(Math.min(1, ratio), unexplained) - slowness);
     }
 
     /** Returns the smoothed ratio of actual to expected call duration. */
@@ -88,6 +95,11 @@
         return slowness;
     }
 
+    /** Returns the ratio for a call now, which includes what the upstream reports. */
+    double slowness(long nowMillis) {
+        return slowness * upstream.reportedSlowness(nowMillis);
+    }
+
     long lastCallMillis() {
         return lastCallMillis;
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Announcement.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Announcement.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.upstreams;
 
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -10,9 +11,27 @@
  * @param leaving whether it announces that the upstream is shutting down
  * @param pauseMillis the time for which the upstream asks this router to send no requests, in
  *     milliseconds from the arrival of the answer; empty if it asks for no pause
+ * @param load the load that the upstream reports
  */
 public record Announcement(
-        Origin origin, AnnouncedLimit limit, boolean leaving, OptionalLong pauseMillis) {
+        Origin origin,
+        AnnouncedLimit limit,
+        boolean leaving,
+        OptionalLong pauseMillis,
+        Optional<ReportedLoad> load) {
+    /**
+     * Creates an announcement without a reported load.
+     *
+     * @param origin the kind of the answer
+     * @param limit the request rate limit that it announces
+     * @param leaving whether it announces that the upstream is shutting down
+     * @param pauseMillis the pause that it asks for, in milliseconds
+     */
+    public Announcement(
+            Origin origin, AnnouncedLimit limit, boolean leaving, OptionalLong pauseMillis) {
+        this(origin, limit, leaving, pauseMillis, Optional.empty());
+    }
+
     /** The kinds of answers. */
     public enum Origin {
         /** A success that carries the upstream's signature. */
@@ -38,6 +57,16 @@
         };
     }
 
+    /**
+     * Returns whether the answer tells the present load; a late copy of an earlier answer does not.
+     */
+    boolean updatesLoad() {
+        return switch (origin) {
+            case GOOD, SIGNED_FAILURE, NEVER_RAN -> true;
+            case UNIDENTIFIED, MISDIRECTED, OTHER -> false;
+        };
+    }
+
     /**
      * Returns the announcement of a good answer that carries at most a limit.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/AnnouncementState.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/AnnouncementState.java
@@ -5,7 +5,7 @@
 import java.util.OptionalLong;
 
 /**
- * The announcements of one process lifetime of an upstream: limit, leaving, and pause.
+ * The announcements of one process lifetime of an upstream: limit, leaving, pause, and load.
  *
  * <p>Leaving and pauses are binding only if the upstream announced them to this router. Leaving
  * that another router reports is a hint, which a good answer clears.
@@ -29,6 +29,7 @@
 
     private final String id;
     private final long startedMillis;
+    private final LoadReports loadReports = new LoadReports();
     private Optional<LimitStatement> limit = Optional.empty();
     private long leavingHeardMillis = NEVER;
     private long peerLeavingMillis = NEVER;
@@ -51,6 +52,10 @@
         return startedMillis;
     }
 
+    LoadReports loadReports() {
+        return loadReports;
+    }
+
     Optional<LimitStatement> limit() {
         return limit;
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Announcements.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Announcements.java
@@ -13,7 +13,7 @@
 import java.util.function.Predicate;
 
 /**
- * The announcements of upstreams in their answers: request rate limits, shutdown, and pauses.
+ * The announcements of upstreams in their answers: request rate limits, shutdown, pauses, and load.
  *
  * <p>A statement belongs to one process lifetime of its upstream, identified by id and start time;
  * a restart under the same id discards it. A limit applies until a later answer announces another
@@ -114,6 +114,9 @@
                     identified ? sentMillis : Long.MIN_VALUE,
                     nowMillis);
         }
+        if (announcement.updatesLoad()) {
+            announcement.load().ifPresent(load -> state.loadReports().report(load, nowMillis));
+        }
         announcement.pauseMillis().ifPresent(pause -> applyPause(state, pause, nowMillis));
         if (announcement.leaving() && !state.isLeaving()) {
             state.leave(nowMillis);
@@ -336,6 +339,16 @@
         return paused.size();
     }
 
+    /**
+     * Returns the number of upstreams that reported their load to this router lately.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the number
+     */
+    public int reportingLoad(long nowMillis) {
+        return count(state -> state.loadReports().isPresent(nowMillis));
+    }
+
     private int count(Predicate<AnnouncementState> condition) {
         return (int) states.values().stream().filter(condition).count();
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineSelector.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineSelector.java
@@ -16,6 +16,10 @@
 public final class EngineSelector {
     private static final double PREFILL_TOKENS_PER_MILLI = 60;
     private static final double MILLIS_PER_CALL_IN_FLIGHT = 3;
+
+    /** The prefill time of a prompt of mean length, 2,400 tokens over all classes of requests. */
+    private static final double MILLIS_PER_WAITING_CALL = 40;
+
     private static final double NO_FREE_SLOT_MILLIS = 2_000;
     private static final double OTHER_DOMAIN_MILLIS = 2;
     private static final double BYTES_PER_MEGABYTE = 1e6;
@@ -139,15 +143,19 @@
 
     private double cost(Upstream upstream, Prompt prompt, int cachedTokens, long nowMillis) {
         int unread = prompt.tokens() - cachedTokens;
-        double slowness = upstream.slowness(nowMillis);
+        double slowness = upstream.slowness(nowMillis) * upstream.reportedSlowness(nowMillis);
         double ahead = upstream.pendingPromptTokens() + others.promptTokens(upstream, nowMillis);
-        double calls = upstream.callsInFlight() + others.calls(upstream, nowMillis);
+        double calls =
+                Math.max(
+                        upstream.callsInFlight() + others.calls(upstream, nowMillis),
+                        upstream.reportedRunning(nowMillis));
         double millis = slowness * (ahead + unread) / PREFILL_TOKENS_PER_MILLI;
         millis +=
                 (prompt.sharedPrefixTokens() - cachedTokens)
                         / TOKENS_PER_THOUSAND
                         * MILLIS_PER_THOUSAND_UNCACHED;
         millis += slowness * calls * MILLIS_PER_CALL_IN_FLIGHT;
+        millis += slowness * upstream.reportedWaiting(nowMillis) * MILLIS_PER_WAITING_CALL;
         if (calls >= upstream.entry().slots()) {
             millis += NO_FREE_SLOT_MILLIS;
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/Upstream.java
@@ -116,6 +116,36 @@
         return slowness.slowness(nowMillis);
     }
 
+    /**
+     * Returns how long work takes at the upstream at present, according to its own report.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return 1 as usual, 2 for twice the time; 1 without a recent report
+     */
+    public double reportedSlowness(long nowMillis) {
+        return state.loadReports().slowness(nowMillis);
+    }
+
+    /**
+     * Returns the requests of all routers that run at the upstream, according to its own report.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the number, less with age; 0 without a recent report
+     */
+    double reportedRunning(long nowMillis) {
+        return state.loadReports().running(nowMillis);
+    }
+
+    /**
+     * Returns the requests of all routers that wait at the upstream, according to its own report.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the number, less with age; 0 without a recent report
+     */
+    double reportedWaiting(long nowMillis) {
+        return state.loadReports().waiting(nowMillis);
+    }
+
     /** Records a failure that the upstream caused. */
     public void recordFailure() {
         samples++;
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamSelector.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamSelector.java
@@ -23,7 +23,8 @@
      */
     public static Optional<Upstream> selectForService(
             List<Upstream> candidates, Set<String> tried, String ownFailureDomain, long nowMillis) {
-        return selectCheapest(candidates, tried, nowMillis, u -> plainCost(u, ownFailureDomain));
+        return selectCheapest(
+                candidates, tried, nowMillis, u -> plainCost(u, ownFailureDomain, nowMillis));
     }
 
     /**
@@ -48,11 +49,17 @@
                                 .thenComparingDouble(cost));
     }
 
-    private static double plainCost(Upstream upstream, String ownFailureDomain) {
-        double millis = Math.max(MIN_CALL_MILLIS, upstream.millisPerCall());
+    private static double plainCost(Upstream upstream, String ownFailureDomain, long nowMillis) {
+        double millis =
+                Math.max(MIN_CALL_MILLIS, upstream.millisPerCall())
+                        * upstream.reportedSlowness(nowMillis);
         int full = Math.max(1, upstream.entry().slots());
-        double queueing = Math.max(1, (upstream.callsInFlight() + 1.0) / full);
-        double load = 1 + 0.25 * upstream.callsInFlight();
+        double calls =
+                Math.max(
+                        upstream.callsInFlight(),
+                        upstream.reportedRunning(nowMillis) + upstream.reportedWaiting(nowMillis));
+        double queueing = Math.max(1, (calls + 1) / full);
+        double load = 1 + 0.25 * calls;
         double distance = upstream.entry().failureDomain().equals(ownFailureDomain) ? 0 : 0.5;
         return millis * queueing * load + distance;
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -17,6 +17,7 @@
 import org.bronzewheel.repeats.SharedRetryBudget;
 import org.bronzewheel.upstreams.AnnouncedLimit;
 import org.bronzewheel.upstreams.Announcement;
+import org.bronzewheel.upstreams.ReportedLoad;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
 import org.junit.jupiter.api.Test;
@@ -550,6 +551,60 @@
         assertThat(calls.get(1).target().id()).isEqualTo("u1");
     }
 
+    private void reportLoad(String id, double slowness) {
+        upstreams
+                .announcements()
+                .announced(
+                        new UpstreamEntry(id, "s", "10.0.0.1:80", "d", 1, 0, false),
+                        new Announcement(
+                                Announcement.Origin.GOOD,
+                                AnnouncedLimit.NONE,
+                                false,
+                                OptionalLong.empty(),
+                                Optional.of(new ReportedLoad(0, 0, 1, slowness))),
+                        loop.nowMillis(),
+                        loop.nowMillis());
+    }
+
+    // Guards against work for an upstream that reports to be slow while another one is idle.
+    @Test
+    void ofTwoIdleUpstreamsTheOneThatReportsLessSlownessIsCalled() {
+        upstreams("u1", "u2");
+        reportLoad("u1", 2.5);
+        submit("a", 4, 0, 10, 9_000);
+        advance(1);
+        assertThat(calls.get(0).target().id()).isEqualTo("u2");
+    }
+
+    // Guards against a slow time of some hundred milliseconds that counts long after its end.
+    @Test
+    void aReportedSlownessIsForgottenWithinSeconds() {
+        upstreams("u1", "u2");
+        reportLoad("u1", 2.5);
+        advance(5_000);
+        submit("a", 4, 0, 10, 9_000);
+        advance(1);
+        assertThat(calls.get(0).target().id()).isEqualTo("u1");
+    }
+
+    // Guards against a call that was slow for a reported and temporary reason and makes its
+    // upstream
+    // count as slow for good.
+    @Test
+    void aDurationThatTheUpstreamExplainsDoesNotMakeItSlow() {
+        upstreams("u1", "u2");
+        submit("a", 4, 0, 10, 9_000);
+        advance(1);
+        Call slow = calls.get(0);
+        advance((long) (2.4 * (POOL.callMillis() + POOL.batch() * POOL.pieceMillis())));
+        reportLoad(slow.target().id(), 2.5);
+        slow.done();
+        advance(5_000);
+        submit("b", 4, 0, 10, 9_000);
+        advance(1);
+        assertThat(calls.get(1).target()).isEqualTo(slow.target());
+    }
+
     // Guards against queueing new requests while all upstreams are paused beyond the deadline.
     @Test
     void aNewRequestIsRefusedAtOnceIfAllUpstreamsArePausedForTooLong() {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/EngineSelectorTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/EngineSelectorTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -114,4 +116,68 @@
         Upstream other = all.get(all.get(0) == chosen ? 1 : 0);
         assertThat(selector.unreadTokens(all, prompt, other, nowMillis)).isEqualTo(2_300);
     }
+
+    // Guards against a prompt behind the queue of an engine that reports it.
+    @Test
+    void aLongPromptAvoidsAnEngineThatReportsWaitingRequests() {
+        Upstream first = engine("e0", 1);
+        Upstream second = engine("e1", 1);
+        assertThat(select(unshared(500))).isSameInstanceAs(first);
+        report(first, new ReportedLoad(24, 8, SLOTS, 1));
+        assertThat(select(unshared(500))).isSameInstanceAs(second);
+        nowMillis += LoadReports.LIFETIME_MILLIS;
+        assertThat(select(unshared(500))).isSameInstanceAs(first);
+    }
+
+    @Test
+    void aLongPromptAvoidsAnEngineThatReportsToBeSlowNow() {
+        Upstream first = engine("e0", 1);
+        Upstream second = engine("e1", 1);
+        report(first, new ReportedLoad(0, 0, SLOTS, 2.5));
+        assertThat(select(unshared(6_000))).isSameInstanceAs(second);
+    }
+
+    // Guards against the report of a process that has ended.
+    @Test
+    void aRestartUnderTheSameIdDiscardsTheReportedLoad() {
+        Upstream first = engine("e0", 1);
+        report(first, new ReportedLoad(24, 8, SLOTS, 2.5));
+        Upstream restarted = engine("e0", 2);
+        assertThat(restarted.reportedSlowness(nowMillis)).isEqualTo(1.0);
+        assertThat(restarted.reportedWaiting(nowMillis)).isEqualTo(0.0);
+    }
+
+    @Test
+    void aPlainCallAvoidsAnUpstreamThatReportsToBeSlowOrFull() {
+        Upstream first = engine("p0", 1);
+        Upstream second = engine("p1", 1);
+        for (ReportedLoad load :
+                List.of(new ReportedLoad(0, 0, 6, 2.5), new ReportedLoad(24, 12, 6, 1))) {
+            assertThat(selectPlain()).isSameInstanceAs(first);
+            report(first, load);
+            assertThat(selectPlain()).isSameInstanceAs(second);
+            nowMillis += LoadReports.LIFETIME_MILLIS;
+        }
+        assertThat(selectPlain()).isSameInstanceAs(first);
+    }
+
+    private Upstream selectPlain() {
+        return UpstreamSelector.selectForService(
+                        table.serving(SERVICE), Set.of(), DOMAIN, nowMillis)
+                .orElseThrow();
+    }
+
+    private void report(Upstream upstream, ReportedLoad load) {
+        table.announcements()
+                .announced(
+                        upstream.entry(),
+                        new Announcement(
+                                Announcement.Origin.GOOD,
+                                AnnouncedLimit.NONE,
+                                false,
+                                OptionalLong.empty(),
+                                Optional.of(load)),
+                        nowMillis,
+                        nowMillis);
+    }
 }
