Share the load on plain upstreams between routers, too

Cause: like the engines, a plain upstream gets its calls from all routers, of which each sees its own; at 76 routers that is one call at a time, so each router takes a full upstream for an idle one.

Change: a router's report covers all upstreams with its requests in progress (LoadReporter, formerly EngineLoads), and UpstreamSelector adds the estimated calls of the other routers.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementFleet.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import org.bronzewheel.peering.EngineLoads;
+import org.bronzewheel.peering.LoadReporter;
 import org.bronzewheel.upstreams.AnnouncedLimit;
 import org.bronzewheel.upstreams.Announcement;
 import org.bronzewheel.upstreams.EngineSelector;
@@ -233,8 +233,8 @@
         private final UpstreamTable table = new UpstreamTable(0);
         private final OtherRoutersLoad others = new OtherRoutersLoad();
         private final EngineSelector selector = new EngineSelector(others);
-        private final EngineLoads loads =
-                new EngineLoads(table::all, now -> routers.size() - 1, others);
+        private final LoadReporter loads =
+                new LoadReporter(table::all, now -> routers.size() - 1, others);
         private final SplittableRandom own = random.split();
 
         Router(List<UpstreamEntry> entries) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/EngineLoads.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/LoadReporter.java
@@ -10,36 +10,36 @@
 import org.bronzewheel.upstreams.Upstream;
 import org.bronzewheel.wire.UpstreamLoads;
 
-/** Exchanges the load on model engines between routers. */
-public final class EngineLoads implements LoadExchange {
+/** Exchanges the load of requests on model engines and plain upstreams between routers. */
+public final class LoadReporter implements LoadExchange {
     /**
-     * The maximum number of engines in a report, the most loaded ones. Of the control traffic of a
-     * router, the other duties at 390 routers leave 4.6 KB/s; a report of 6 to 8 bytes an engine,
-     * sent 14 times a second, takes at most 4.3 KB/s.
+     * The maximum number of upstreams in a report, the most loaded ones. Of the control traffic of
+     * a router, the other duties at 390 routers leave 4.6 KB/s; a report of 6 to 8 bytes an
+     * upstream, sent 14 times a second, takes at most 4.3 KB/s.
      */
-    static final int MAX_ENGINES = 36;
+    static final int MAX_UPSTREAMS = 36;
 
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_CALLS = 100_000;
     private static final int MAX_PROMPT_TOKENS = 100_000_000;
 
-    private final Supplier<List<Upstream>> engines;
+    private final Supplier<List<Upstream>> upstreams;
     private final LongToIntFunction otherRouters;
     private final OtherRoutersLoad others;
 
     /**
      * Creates an exchange.
      *
-     * @param engines the known model engines
+     * @param upstreams the known upstreams
      * @param otherRouters the number of the other live routers at a time in milliseconds of the
      *     steady clock
      * @param others receives the load of the other routers
      */
-    public EngineLoads(
-            Supplier<List<Upstream>> engines,
+    public LoadReporter(
+            Supplier<List<Upstream>> upstreams,
             LongToIntFunction otherRouters,
             OtherRoutersLoad others) {
-        this.engines = engines;
+        this.upstreams = upstreams;
         this.otherRouters = otherRouters;
         this.others = others;
     }
@@ -47,19 +47,19 @@
     @Override
     public Optional<UpstreamLoads> own() {
         UpstreamLoads.Builder report = UpstreamLoads.newBuilder();
-        engines.get().stream()
-                .filter(engine -> engine.callsInFlight() > 0)
+        upstreams.get().stream()
+                .filter(upstream -> upstream.callsInFlight() > 0)
                 .sorted(
                         Comparator.comparingInt(Upstream::pendingPromptTokens)
                                 .thenComparingInt(Upstream::callsInFlight)
                                 .reversed())
-                .limit(MAX_ENGINES)
+                .limit(MAX_UPSTREAMS)
                 .forEach(
-                        engine ->
-                                report.addUpstreams(engine.loadKey())
-                                        .addCalls(engine.callsInFlight())
+                        upstream ->
+                                report.addUpstreams(upstream.loadKey())
+                                        .addCalls(upstream.callsInFlight())
                                         .addPromptTokens(
-                                                Math.max(0, engine.pendingPromptTokens())));
+                                                Math.max(0, upstream.pendingPromptTokens())));
         return Optional.of(report.build());
     }
 
@@ -78,10 +78,10 @@
     }
 
     private static boolean isValid(UpstreamLoads loads) {
-        int engines = loads.getUpstreamsCount();
-        return engines <= MAX_ENGINES
-                && loads.getCallsCount() == engines
-                && loads.getPromptTokensCount() == engines
+        int count = loads.getUpstreamsCount();
+        return count <= MAX_UPSTREAMS
+                && loads.getCallsCount() == count
+                && loads.getPromptTokensCount() == count
                 && loads.getCallsList().stream().allMatch(n -> n >= 0 && n <= MAX_CALLS)
                 && loads.getPromptTokensList().stream()
                         .allMatch(n -> n >= 0 && n <= MAX_PROMPT_TOKENS);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
@@ -71,7 +71,11 @@
             String service, List<Upstream> candidates, Prompt prompt, long nowMillis) {
         if (!isEngine(service)) {
             return UpstreamSelector.selectForService(
-                    candidates, tried, context.failureDomain(), nowMillis);
+                    candidates,
+                    tried,
+                    context.failureDomain(),
+                    context.engines().others(),
+                    nowMillis);
         }
         return context.engines()
                 .select(candidates, tried, prompt, context.failureDomain(), nowMillis);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineSelector.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EngineSelector.java
@@ -44,6 +44,15 @@
         this.others = others;
     }
 
+    /**
+     * Returns the load of the other routers.
+     *
+     * @return the estimate that this selector uses
+     */
+    public OtherRoutersLoad others() {
+        return others;
+    }
+
     /**
      * Selects an engine.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/OtherRoutersLoad.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/OtherRoutersLoad.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 
 /**
- * An estimate of the load that all other routers together put on each engine, from reports of their
- * own load. A router hears only a few of the others within the time in which load changes, so the
- * mean of the recent reports is multiplied by the number of the other routers. A report without an
- * engine counts as no load there.
+ * An estimate of the load that all other routers together put on each upstream, from reports of
+ * their own load. A router hears only a few of the others within the time in which load changes, so
+ * the mean of the recent reports is multiplied by the number of the other routers. An upstream that
+ * a report does not name has no load of that router.
  *
  * <p>A report loses weight within {@value #DECAY_MILLIS} ms, and without reports the estimate falls
  * to 0, so that the reports of a dead or unreachable router stop counting. Confined to the serving
@@ -26,8 +26,8 @@
      */
     private static final double MIN_WEIGHT = 2;
 
-    /** Several times the number of engines that a router is designed for. */
-    private static final int MAX_ENGINES = 4_096;
+    /** Several times the number of upstreams that a router is designed for. */
+    private static final int MAX_UPSTREAMS = 4_096;
 
     /** The number of calls below which an entry is dropped once there are too many. */
     private static final double NEGLIGIBLE_CALLS = 0.01;
@@ -51,7 +51,7 @@
     }
 
     /**
-     * Begins a report of another router; its engines follow.
+     * Begins a report of another router; its upstreams follow.
      *
      * @param routers the number of other routers
      * @param nowMillis the time, in milliseconds of the steady clock
@@ -63,9 +63,9 @@
     }
 
     /**
-     * Adds the load on one engine to the report that was begun last.
+     * Adds the load on one upstream to the report that was begun last.
      *
-     * @param loadKey the {@link Upstream#loadKey} of the engine
+     * @param loadKey the {@link Upstream#loadKey} of the upstream
      * @param calls the requests of that router in progress
      * @param promptTokens their prompt tokens that were not processed yet
      * @param nowMillis the time, in milliseconds of the steady clock
@@ -73,10 +73,10 @@
     public void add(int loadKey, int calls, int promptTokens, long nowMillis) {
         Load load = loads.get(loadKey);
         if (load == null) {
-            if (loads.size() >= MAX_ENGINES) {
+            if (loads.size() >= MAX_UPSTREAMS) {
                 removeNegligible(nowMillis);
             }
-            if (loads.size() >= MAX_ENGINES) {
+            if (loads.size() >= MAX_UPSTREAMS) {
                 return;
             }
             load = new Load();
@@ -93,26 +93,26 @@
     }
 
     /**
-     * Returns the estimated requests of other routers in progress at an engine.
+     * Returns the estimated requests of other routers in progress at an upstream.
      *
-     * @param engine the engine
+     * @param upstream the upstream
      * @param nowMillis the time, in milliseconds of the steady clock
      * @return the number; 0 without reports
      */
-    public double calls(Upstream engine, long nowMillis) {
-        Load load = loads.get(engine.loadKey());
+    public double calls(Upstream upstream, long nowMillis) {
+        Load load = loads.get(upstream.loadKey());
         return load == null ? 0 : scale(load.calls, load.updatedMillis, nowMillis);
     }
 
     /**
-     * Returns the estimated prompt tokens of other routers that wait at an engine.
+     * Returns the estimated prompt tokens of other routers that wait at an upstream.
      *
-     * @param engine the engine
+     * @param upstream the upstream
      * @param nowMillis the time, in milliseconds of the steady clock
      * @return the number; 0 without reports
      */
-    public double promptTokens(Upstream engine, long nowMillis) {
-        Load load = loads.get(engine.loadKey());
+    public double promptTokens(Upstream upstream, long nowMillis) {
+        Load load = loads.get(upstream.loadKey());
         return load == null ? 0 : scale(load.promptTokens, load.updatedMillis, nowMillis);
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamSelector.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamSelector.java
@@ -13,7 +13,7 @@
     private UpstreamSelector() {}
 
     /**
-     * Selects an upstream of a service without prompts.
+     * Selects an upstream of a service without prompts, given only the load of this router.
      *
      * @param candidates the upstreams that accept new requests
      * @param tried the ids of upstreams that the request was already sent to
@@ -23,8 +23,31 @@
      */
     public static Optional<Upstream> selectForService(
             List<Upstream> candidates, Set<String> tried, String ownFailureDomain, long nowMillis) {
+        return selectForService(
+                candidates, tried, ownFailureDomain, new OtherRoutersLoad(), nowMillis);
+    }
+
+    /**
+     * Selects an upstream of a service without prompts.
+     *
+     * @param candidates the upstreams that accept new requests
+     * @param tried the ids of upstreams that the request was already sent to
+     * @param ownFailureDomain the failure domain that is preferred at equal cost
+     * @param others the load that the other routers put on the upstreams
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the upstream, or empty if there is none
+     */
+    public static Optional<Upstream> selectForService(
+            List<Upstream> candidates,
+            Set<String> tried,
+            String ownFailureDomain,
+            OtherRoutersLoad others,
+            long nowMillis) {
         return selectCheapest(
-                candidates, tried, nowMillis, u -> plainCost(u, ownFailureDomain, nowMillis));
+                candidates,
+                tried,
+                nowMillis,
+                u -> plainCost(u, ownFailureDomain, others.calls(u, nowMillis), nowMillis));
     }
 
     /**
@@ -49,14 +72,15 @@
                                 .thenComparingDouble(cost));
     }
 
-    private static double plainCost(Upstream upstream, String ownFailureDomain, long nowMillis) {
+    private static double plainCost(
+            Upstream upstream, String ownFailureDomain, double othersCalls, long nowMillis) {
         double millis =
                 Math.max(MIN_CALL_MILLIS, upstream.millisPerCall())
                         * upstream.reportedSlowness(nowMillis);
         int full = Math.max(1, upstream.entry().slots());
         double calls =
                 Math.max(
-                        upstream.callsInFlight(),
+                        upstream.callsInFlight() + othersCalls,
                         upstream.reportedRunning(nowMillis) + upstream.reportedWaiting(nowMillis));
         double queueing = Math.max(1, (calls + 1) / full);
         double load = 1 + 0.25 * calls;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/peering/EngineLoadsTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/peering/LoadReporterTest.java
@@ -11,7 +11,7 @@
 import org.bronzewheel.wire.UpstreamLoads;
 import org.junit.jupiter.api.Test;
 
-class EngineLoadsTest {
+class LoadReporterTest {
     private static final long BEAT_MILLIS = 350;
 
     /** The number of heartbeats that a router receives in one interval. */
@@ -22,9 +22,10 @@
     private final UpstreamTable senderTable = new UpstreamTable(2_000);
     private final UpstreamTable table = new UpstreamTable(2_000);
     private final OtherRoutersLoad others = new OtherRoutersLoad();
-    private final EngineLoads sender =
-            new EngineLoads(senderTable::all, now -> OTHER_ROUTERS, new OtherRoutersLoad());
-    private final EngineLoads receiver = new EngineLoads(table::all, now -> OTHER_ROUTERS, others);
+    private final LoadReporter sender =
+            new LoadReporter(senderTable::all, now -> OTHER_ROUTERS, new OtherRoutersLoad());
+    private final LoadReporter receiver =
+            new LoadReporter(table::all, now -> OTHER_ROUTERS, others);
     private long nowMillis = 10_000;
 
     private static UpstreamEntry entry(String id, long startedMillis) {
@@ -116,7 +117,7 @@
             call("engine-" + i, i + 1);
         }
         UpstreamLoads report = report();
-        assertThat(report.getUpstreamsCount()).isEqualTo(EngineLoads.MAX_ENGINES);
+        assertThat(report.getUpstreamsCount()).isEqualTo(LoadReporter.MAX_UPSTREAMS);
         assertThat(report.getUpstreams(0)).isEqualTo(keys.get(599));
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/EngineSelectorTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/EngineSelectorTest.java
@@ -161,9 +161,22 @@
         assertThat(selectPlain()).isSameInstanceAs(first);
     }
 
+    // Guards against plain calls that queue at an upstream which other routers have filled.
+    @Test
+    void aPlainCallAvoidsAnUpstreamThatOtherRoutersHaveFilled() {
+        Upstream first = engine("p0", 1);
+        Upstream second = engine("p1", 1);
+        assertThat(selectPlain()).isSameInstanceAs(first);
+        for (int i = 0; i < 4; i++) {
+            selector.others().beginReport(15, nowMillis);
+            selector.others().add(first.loadKey(), 1, 0, nowMillis);
+        }
+        assertThat(selectPlain()).isSameInstanceAs(second);
+    }
+
     private Upstream selectPlain() {
         return UpstreamSelector.selectForService(
-                        table.serving(SERVICE), Set.of(), DOMAIN, nowMillis)
+                        table.serving(SERVICE), Set.of(), DOMAIN, selector.others(), nowMillis)
                 .orElseThrow();
     }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/UpstreamLoads.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/UpstreamLoads.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * The sender's own load on the model engines to which it has requests in progress. The fields are
+ * The sender's own load on the upstreams to which it has requests in progress. The fields are
  * parallel.
  * </pre>
  *
@@ -413,7 +413,7 @@
   }
   /**
    * <pre>
-   * The sender's own load on the model engines to which it has requests in progress. The fields are
+   * The sender's own load on the upstreams to which it has requests in progress. The fields are
    * parallel.
    * </pre>
    *
