Free an answered request while its connection is idle

Callers saw: after some large requests on connections that stayed open, requests ended with 502 "an unexpected error".

Cause: StrictHttpServer kept the last response of each connection until the next one. A Vert.x response holds its request and the handlers set on it, and through these the header fields and the body. No limit counted that memory: BodyMemory releases a body at the end of its response.

Now only the headers of the last response are kept, of which one field is read. Vert.x handles a request after the response to the one before it has ended, so that the state of that response need not be kept.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictHttpServer.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictHttpServer.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.vertx.core.Handler;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
@@ -26,7 +27,12 @@
     private final HttpServerOptions options;
     private final Supplier<ConnectionTimeouts> timeouts;
     private final Handler<HttpServerRequest> handler;
-    private final Map<HttpConnection, HttpServerResponse> lastResponses = new ConcurrentHashMap<>();
+
+    /**
+     * The headers of the last response of each connection. The response itself holds its request,
+     * whose memory is free once it has been answered.
+     */
+    private final Map<HttpConnection, MultiMap> lastHeaders = new ConcurrentHashMap<>();
 
     private StrictHttpServer(
             HttpServerOptions options,
@@ -69,16 +75,14 @@
     private void configureConnection(HttpConnection connection) {
         StrictRequestDecoder.install(connection, options);
         IdleConnectionHandler.install(connection, timeouts);
-        connection.closeHandler(closed -> lastResponses.remove(connection));
+        connection.closeHandler(closed -> lastHeaders.remove(connection));
     }
 
     private void handleRequest(HttpServerRequest request) {
-        HttpServerResponse previous = lastResponses.put(request.connection(), request.response());
-        if (previous != null && CLOSE.equalsIgnoreCase(previous.headers().get(CONNECTION))) {
-            lastResponses.put(request.connection(), previous);
-            if (previous.ended()) {
-                LingeringClose.close(request.connection());
-            }
+        MultiMap previous = lastHeaders.put(request.connection(), request.response().headers());
+        if (previous != null && CLOSE.equalsIgnoreCase(previous.get(CONNECTION))) {
+            lastHeaders.put(request.connection(), previous);
+            LingeringClose.close(request.connection());
             return;
         }
         try {
@@ -93,7 +97,7 @@
     private void reject(HttpServerRequest request, String reason) {
         logger.atInfo().log("rejected malformed request: %s", reason);
         HttpServerResponse response = request.response();
-        lastResponses.put(request.connection(), response);
+        lastHeaders.put(request.connection(), response.headers());
         response.setStatusCode(BAD_REQUEST)
                 .putHeader(CONNECTION, CLOSE)
                 .end(reason)
