Read callers in small parts and costly ones in turns

Callers saw: while 150 connections sent bodies in chunks of one byte, readiness checks and ordinary requests were not answered or were refused with 503, also for seconds after these clients had gone. With 60 connections of 5,000 pipelined requests and a heap of 64 MB the process ran out of memory and hung.

Cause: Netty reads up to 1 MB of one connection before the event loop serves any other. That is 170,000 chunks of one byte, and one round over 150 connections stalled the loop for 1 to 3 s ("loop stalled: millis=2999"), so that polls of the store, checks and upstream calls timed out. Neither memory nor a queue was at its limit. The same 1 MB is some 13,000 pipelined requests, which were decoded at once although Vert.x stops reading when eight messages wait.

Now at most 16 KB of a connection are read before the others are. Connections whose read consisted of 256 fields, requests and chunks or more are read one after another, each after a pause as long as the read before it took, so that all of them get about half of the event loop's time. The number of parts, not the time, selects them, as ordinary reads take long on a throttled processor.

--- /dev/null
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionLimits.java
@@ -0,0 +1,8 @@
+package org.bronzewheel.http;
+
+/**
+ * The limits of all connections of one or several servers together. Used on one event loop only.
+ *
+ * @param turns limits the event loop's time for costly reads
+ */
+public record ConnectionLimits(ReadTurns turns) {}
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictHttpServer.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictHttpServer.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.bronzewheel.error.BronzewheelException;
@@ -27,6 +28,7 @@
     private final HttpServerOptions options;
     private final Supplier<ConnectionTimeouts> timeouts;
     private final Handler<HttpServerRequest> handler;
+    private final Optional<ConnectionLimits> limits;
 
     /**
      * The headers of the last response of each connection. The response itself holds its request,
@@ -37,9 +39,11 @@
     private StrictHttpServer(
             HttpServerOptions options,
             Supplier<ConnectionTimeouts> timeouts,
+            Optional<ConnectionLimits> limits,
             Handler<HttpServerRequest> handler) {
         this.options = options;
         this.timeouts = timeouts;
+        this.limits = limits;
         this.handler = handler;
     }
 
@@ -59,12 +63,42 @@
             HttpServerOptions options,
             Supplier<ConnectionTimeouts> timeouts,
             Handler<HttpServerRequest> handler) {
+        return create(vertx, options, timeouts, Optional.empty(), handler);
+    }
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param vertx the Vert.x instance that runs the server, with one event loop
+     * @param options the server options; protocols other than HTTP/1.1 are disabled in them, and
+     *     their idle timeout, which would cut off requests in progress
+     * @param timeouts supplies the timeouts of the connections, which are closed some time after
+     *     them
+     * @param limits the limits of all connections together
+     * @param handler the handler of requests with valid framing
+     * @return the server
+     */
+    public static HttpServer create(
+            Vertx vertx,
+            HttpServerOptions options,
+            Supplier<ConnectionTimeouts> timeouts,
+            ConnectionLimits limits,
+            Handler<HttpServerRequest> handler) {
+        return create(vertx, options, timeouts, Optional.of(limits), handler);
+    }
+
+    private static HttpServer create(
+            Vertx vertx,
+            HttpServerOptions options,
+            Supplier<ConnectionTimeouts> timeouts,
+            Optional<ConnectionLimits> limits,
+            Handler<HttpServerRequest> handler) {
         // With HTTP/2 upgrades enabled, the decoder would be installed only after the first bytes.
         options.setHttp2ClearTextEnabled(false)
                 .setPerMessageWebSocketCompressionSupported(false)
                 .setPerFrameWebSocketCompressionSupported(false)
                 .setIdleTimeout(0);
-        StrictHttpServer strict = new StrictHttpServer(options, timeouts, handler);
+        StrictHttpServer strict = new StrictHttpServer(options, timeouts, limits, handler);
         return vertx.createHttpServer(options)
                 .connectionHandler(strict::configureConnection)
                 .requestHandler(strict::handleRequest)
@@ -76,6 +110,7 @@
         StrictRequestDecoder.install(connection, options);
         IdleConnectionHandler.install(connection, timeouts);
         connection.closeHandler(closed -> lastHeaders.remove(connection));
+        limits.ifPresent(all -> ConnectionGuard.install(connection, all));
     }
 
     private void handleRequest(HttpServerRequest request) {
--- /dev/null
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
@@ -0,0 +1,98 @@
+package org.bronzewheel.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests the limits of all connections of a server together. */
+class ConnectionLimitsTest {
+    private static final String HEAD = "POST %s HTTP/1.1\r\nHost: h\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+    private static final int READ_MILLIS = 10_000;
+
+    private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
+    private final List<Socket> sockets = new ArrayList<>();
+    private ConnectionLimits limits;
+    private HttpServer server;
+
+    private void start() {
+        limits = new ConnectionLimits(new ReadTurns());
+        server =
+                StrictHttpServer.create(
+                                vertx,
+                                new HttpServerOptions().setMaxHeaderSize(1 << 20),
+                                () -> new ConnectionTimeouts(60_000, 60_000),
+                                limits,
+                                this::handle)
+                        .listen(0, "127.0.0.1")
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .join();
+    }
+
+    private void handle(HttpServerRequest request) {
+        request.body().onSuccess(body -> request.response().end("got " + body.length()));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.actualPort());
+        sockets.add(socket);
+        socket.setSoTimeout(READ_MILLIS);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String receive(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("the connection ended after " + head);
+            }
+            head.append((char) next);
+        }
+        String length = head.toString().replaceAll("(?s).*content-length: ([0-9]+).*", "$1");
+        byte[] body = socket.getInputStream().readNBytes(Integer.parseInt(length));
+        return new String(body, StandardCharsets.ISO_8859_1);
+    }
+
+    // A connection that waits for its turn must be read again.
+    @Test
+    void aBodyInChunksOfOneByteIsReceivedInTurns() throws Exception {
+        start();
+        int chunks = 50_000;
+        List<Socket> senders = List.of(connect(), connect(), connect());
+        for (Socket sender : senders) {
+            send(
+                    sender,
+                    HEAD.formatted("/x") + CHUNKED + "1\r\nx\r\n".repeat(chunks) + "0\r\n\r\n");
+        }
+        for (Socket sender : senders) {
+            assertThat(receive(sender)).isEqualTo("got " + chunks);
+        }
+        assertThat(limits.turns().delayedReads()).isGreaterThan(0);
+    }
+}
