Bound the memory of request heads over all connections

Callers saw: after 150 unfinished heads of legal size, each of some 4,000 fields of four bytes, nothing was answered any more (a heap of 64 MB; 600 heads with a heap of 160 MB). The process stayed alive.

Cause: such a field becomes objects of some 250 bytes, so that a head of 16 KB takes about a megabyte, and no limit counted heads. OutOfMemoryError then ended the event loop, the acceptor and the log writer.

Trailers count as well. At the limit the connection whose heads occupy most is closed, so that callers with ordinary heads are not affected. A limit on the fields of one head was not chosen, as it would refuse requests inside maxHeaderBytes.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
@@ -2,11 +2,16 @@
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.util.concurrent.Future;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 
 /** Keeps one connection inside the limits of all connections. */
-final class ConnectionGuard {
+final class ConnectionGuard extends ChannelDuplexHandler {
     /**
      * The bytes of one connection that are read and handled before other connections are. Netty's
      * default of up to 1 MB became some 170,000 chunks or 13,000 requests.
@@ -16,19 +21,52 @@
     private static final int MIN_READ_BYTES = 1 << 10;
     private static final int FIRST_READ_BYTES = 4 << 10;
 
-    private ConnectionGuard() {}
+    private final Channel channel;
+    private final ConnectionProgress progress;
+    private final HeadMemory.Connection heads;
+    private long endedResponses;
+
+    private ConnectionGuard(Channel channel, ConnectionLimits limits, ConnectionProgress progress) {
+        this.channel = channel;
+        this.progress = progress;
+        heads = limits.heads().add(this::close);
+    }
 
     /**
      * Adds the limits to a connection; called before the first byte is read, after the other
      * handlers were installed.
      */
-    static void install(HttpConnection connection, ConnectionLimits limits) {
+    static void install(
+            HttpConnection connection, ConnectionLimits limits, ConnectionProgress progress) {
         Channel channel = ((ConnectionBase) connection).channel();
+        ChannelPipeline pipeline = channel.pipeline();
+        ConnectionGuard guard = new ConnectionGuard(channel, limits, progress);
         channel.config()
                 .setRecvByteBufAllocator(
                         new AdaptiveRecvByteBufAllocator(
                                         MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
                                 .maxMessagesPerRead(1));
-        channel.pipeline().get(StrictRequestDecoder.class).limit(limits.turns());
+        pipeline.addBefore("closeLogger", "connectionGuard", guard);
+        pipeline.get(StrictRequestDecoder.class).limit(guard.heads, limits.turns());
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
+            throws Exception {
+        super.write(context, message, promise);
+        while (endedResponses < progress.writtenResponses()) {
+            endedResponses++;
+            heads.responseEnded();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        heads.closed();
+        super.channelInactive(context);
+    }
+
+    void close() {
+        Future<?> unused = channel.close();
     }
 }
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionProgress.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionProgress.java
@@ -53,6 +53,11 @@
         return Math.max(0, receivedRequests - writtenResponses);
     }
 
+    /** Returns the number of complete responses that were written. */
+    long writtenResponses() {
+        return writtenResponses;
+    }
+
     /** Returns whether the head of a request was received, but not yet all of its body. */
     boolean isReceiving() {
         return receiving;
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/IdleConnectionHandler.java
@@ -63,11 +63,14 @@
      *
      * @param connection the connection
      * @param timeouts supplies its timeouts
+     * @param progress the progress of its requests, which this handler records
      */
-    static void install(HttpConnection connection, Supplier<ConnectionTimeouts> timeouts) {
+    static void install(
+            HttpConnection connection,
+            Supplier<ConnectionTimeouts> timeouts,
+            ConnectionProgress progress) {
         long checkIntervalMillis =
                 Math.min(STALL_MILLIS, Math.max(MIN_IDLE_MILLIS, timeouts.get().idleMillis()));
-        ConnectionProgress progress = new ConnectionProgress();
         ChannelPipeline pipeline = ((ConnectionBase) connection).channel().pipeline();
         pipeline.addBefore(VERTX_HANDLER, "closeLogger", new ConnectionCloseLogger(progress));
         pipeline.addBefore(
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictHttpServer.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictHttpServer.java
@@ -107,10 +107,11 @@
     }
 
     private void configureConnection(HttpConnection connection) {
+        ConnectionProgress progress = new ConnectionProgress();
         StrictRequestDecoder.install(connection, options);
-        IdleConnectionHandler.install(connection, timeouts);
+        IdleConnectionHandler.install(connection, timeouts, progress);
         connection.closeHandler(closed -> lastHeaders.remove(connection));
-        limits.ifPresent(all -> ConnectionGuard.install(connection, all));
+        limits.ifPresent(all -> ConnectionGuard.install(connection, all, progress));
     }
 
     private void handleRequest(HttpServerRequest request) {
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictRequestDecoder.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/StrictRequestDecoder.java
@@ -19,11 +19,18 @@
  * default decoder of Vert.x removes the Content-Length header, so that the ambiguity could not be
  * detected later.
  *
- * <p>It also counts the parts that a read consists of.
+ * <p>It also counts the memory of heads and the number of parts that a read consists of.
  */
 final class StrictRequestDecoder extends VertxHttpRequestDecoder {
+    /** The shortest field of a trailer has four bytes. */
+    private static final int MIN_FIELD_BYTES = 4;
+
+    private static final int NEWLINE_BYTES = 2;
+
+    private HeadMemory.Connection heads;
     private ReadTurns turns;
     private boolean inBody;
+    private boolean failed;
     private int parts;
     private long readNanos;
 
@@ -39,7 +46,8 @@
     }
 
     /** Sets the limits; called before the first byte is read. */
-    void limit(ReadTurns readTurns) {
+    void limit(HeadMemory.Connection headsOfConnection, ReadTurns readTurns) {
+        heads = headsOfConnection;
         turns = readTurns;
     }
 
@@ -49,6 +57,9 @@
             readNanos = System.nanoTime();
         }
         super.channelRead(context, message);
+        if (heads != null) {
+            heads.setUndecoded(actualReadableBytes());
+        }
     }
 
     @Override
@@ -66,7 +77,7 @@
         int start = in.readerIndex();
         int before = out.size();
         super.decode(context, in, out);
-        if (turns != null) {
+        if (heads != null && !failed) {
             count(in, start, out, before);
         }
     }
@@ -75,7 +86,12 @@
         int bytes = in.readerIndex() - start;
         parts += out.size() - before;
         if (!inBody && bytes > 0) {
-            parts += lines(in, start, bytes);
+            int lines = lines(in, start, bytes);
+            parts += lines;
+            heads.decoded(bytes, lines);
+        } else if (out.size() == before && bytes > NEWLINE_BYTES) {
+            // The size of a chunk or fields of a trailer.
+            heads.decoded(bytes, bytes / MIN_FIELD_BYTES);
         }
         for (int i = before; i < out.size(); i++) {
             countPart((HttpObject) out.get(i));
@@ -84,11 +100,15 @@
 
     private void countPart(HttpObject part) {
         if (part instanceof HttpRequest) {
+            heads.headCompleted();
             inBody = true;
+        } else {
+            heads.skipped();
         }
         if (part instanceof LastHttpContent) {
             inBody = false;
         }
+        failed |= part.decoderResult().isFailure();
     }
 
     private static int lines(ByteBuf in, int start, int bytes) {
--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
@@ -1,6 +1,7 @@
 package org.bronzewheel.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -19,7 +20,11 @@
 /** Tests the limits of all connections of a server together. */
 class ConnectionLimitsTest {
     private static final String HEAD = "POST %s HTTP/1.1\r\nHost: h\r\n";
+    private static final String NO_BODY = "Content-Length: 0\r\n\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String SHORT_FIELD = "a:\r\n";
+    private static final int FIELDS = 1_000;
+    private static final long HEAD_BYTES = 100_000;
     private static final int READ_MILLIS = 10_000;
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -28,7 +33,7 @@
     private HttpServer server;
 
     private void start() {
-        limits = new ConnectionLimits(new ReadTurns());
+        limits = new ConnectionLimits(new HeadMemory(HEAD_BYTES), new ReadTurns());
         server =
                 StrictHttpServer.create(
                                 vertx,
@@ -79,6 +84,49 @@
         return new String(body, StandardCharsets.ISO_8859_1);
     }
 
+    private static String call(Socket socket) throws IOException {
+        send(socket, HEAD.formatted("/x") + NO_BODY);
+        return receive(socket);
+    }
+
+    // A head of 16 KB became about a megabyte of objects, of which no limit knew.
+    @Test
+    void theConnectionWithTheLargestHeadIsClosedWhenThereIsNoMemoryForMore() throws Exception {
+        start();
+        Socket ordinary = connect();
+        send(ordinary, HEAD.formatted("/x"));
+        Socket large = connect();
+        send(large, HEAD.formatted("/x") + SHORT_FIELD.repeat(FIELDS));
+        assertThrows(IOException.class, () -> receive(large));
+        send(ordinary, NO_BODY);
+        assertThat(receive(ordinary)).isEqualTo("got 0");
+        assertThat(limits.heads().closedConnections()).isEqualTo(1);
+    }
+
+    // Trailers are fields as well, but are sent after the head.
+    @Test
+    void theFieldsOfATrailerCount() throws Exception {
+        start();
+        Socket large = connect();
+        send(large, HEAD.formatted("/x") + CHUNKED + "0\r\n" + SHORT_FIELD.repeat(FIELDS));
+        assertThrows(IOException.class, () -> receive(large));
+    }
+
+    // Memory that is not released would make the server refuse everything after a while.
+    @Test
+    void theMemoryOfAHeadIsReleasedWithItsResponse() throws Exception {
+        start();
+        Socket socket = connect();
+        for (int i = 0; i < FIELDS; i++) {
+            assertThat(call(socket)).isEqualTo("got 0");
+        }
+        Socket left = connect();
+        send(left, HEAD.formatted("/x") + SHORT_FIELD);
+        left.close();
+        assertThat(call(socket)).isEqualTo("got 0");
+        assertThat(limits.heads().closedConnections()).isEqualTo(0);
+    }
+
     // A connection that waits for its turn must be read again.
     @Test
     void aBodyInChunksOfOneByteIsReceivedInTurns() throws Exception {
