Bound the number of callers' connections

Callers saw: 1,200 idle connections to a process with 600 descriptors took all of them; nobody else could connect, and no upstream could be reached, until they timed out.

A new connection beyond that takes the place of another one: of one without a completed request rather than of one with, and of the one that has been silent for longest. A connection that waits for a response keeps its place. New ones are refused only if all do: otherwise idle connections could lock out all other callers.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
@@ -22,12 +22,14 @@
     private static final int FIRST_READ_BYTES = 4 << 10;
 
     private final Channel channel;
+    private final ConnectionLimits limits;
     private final ConnectionProgress progress;
     private final HeadMemory.Connection heads;
     private long endedResponses;
 
     private ConnectionGuard(Channel channel, ConnectionLimits limits, ConnectionProgress progress) {
         this.channel = channel;
+        this.limits = limits;
         this.progress = progress;
         heads = limits.heads().add(this::close);
     }
@@ -48,6 +50,13 @@
                                 .maxMessagesPerRead(1));
         pipeline.addBefore("closeLogger", "connectionGuard", guard);
         pipeline.get(StrictRequestDecoder.class).limit(guard.heads, limits.turns());
+        limits.connections().add(guard);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        limits.connections().used(this);
+        super.channelReadComplete(context);
     }
 
     @Override
@@ -57,11 +66,13 @@
         while (endedResponses < progress.writtenResponses()) {
             endedResponses++;
             heads.responseEnded();
+            limits.connections().used(this);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
+        limits.connections().remove(this);
         heads.closed();
         super.channelInactive(context);
     }
@@ -69,4 +80,14 @@
     void close() {
         Future<?> unused = channel.close();
     }
+
+    /** Returns whether a whole request waits for its response. */
+    boolean isWaiting() {
+        return progress.isWaiting();
+    }
+
+    /** Returns whether a request has been answered. */
+    boolean hasBeenAnswered() {
+        return endedResponses > 0;
+    }
 }
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionLimits.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionLimits.java
@@ -3,7 +3,8 @@
 /**
  * The limits of all connections of one or several servers together. Used on one event loop only.
  *
+ * @param connections limits their number
  * @param heads limits the memory of their request heads
  * @param turns limits the event loop's time for costly reads
  */
-public record ConnectionLimits(HeadMemory heads, ReadTurns turns) {}
+public record ConnectionLimits(OpenConnections connections, HeadMemory heads, ReadTurns turns) {}
--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
@@ -14,6 +14,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -29,11 +31,17 @@
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
     private final List<Socket> sockets = new ArrayList<>();
+    private final CountDownLatch held = new CountDownLatch(1);
     private ConnectionLimits limits;
     private HttpServer server;
+    private volatile HttpServerRequest heldRequest;
 
-    private void start() {
-        limits = new ConnectionLimits(new HeadMemory(HEAD_BYTES), new ReadTurns());
+    private void start(int maxConnections) {
+        limits =
+                new ConnectionLimits(
+                        new OpenConnections(maxConnections),
+                        new HeadMemory(HEAD_BYTES),
+                        new ReadTurns());
         server =
                 StrictHttpServer.create(
                                 vertx,
@@ -48,6 +56,11 @@
     }
 
     private void handle(HttpServerRequest request) {
+        if (request.path().equals("/held")) {
+            heldRequest = request;
+            held.countDown();
+            return;
+        }
         request.body().onSuccess(body -> request.response().end("got " + body.length()));
     }
 
@@ -92,7 +105,7 @@
     // A head of 16 KB became about a megabyte of objects, of which no limit knew.
     @Test
     void theConnectionWithTheLargestHeadIsClosedWhenThereIsNoMemoryForMore() throws Exception {
-        start();
+        start(10);
         Socket ordinary = connect();
         send(ordinary, HEAD.formatted("/x"));
         Socket large = connect();
@@ -106,7 +119,7 @@
     // Trailers are fields as well, but are sent after the head.
     @Test
     void theFieldsOfATrailerCount() throws Exception {
-        start();
+        start(10);
         Socket large = connect();
         send(large, HEAD.formatted("/x") + CHUNKED + "0\r\n" + SHORT_FIELD.repeat(FIELDS));
         assertThrows(IOException.class, () -> receive(large));
@@ -115,7 +128,7 @@
     // Memory that is not released would make the server refuse everything after a while.
     @Test
     void theMemoryOfAHeadIsReleasedWithItsResponse() throws Exception {
-        start();
+        start(10);
         Socket socket = connect();
         for (int i = 0; i < FIELDS; i++) {
             assertThat(call(socket)).isEqualTo("got 0");
@@ -127,10 +140,39 @@
         assertThat(limits.heads().closedConnections()).isEqualTo(0);
     }
 
+    // Without a limit, idle connections used up the descriptors.
+    @Test
+    void aNewConnectionTakesThePlaceOfTheUnusedOneThatHasBeenSilentForLongest() throws Exception {
+        start(3);
+        Socket answered = connect();
+        assertThat(call(answered)).isEqualTo("got 0");
+        Socket oldest = connect();
+        Socket newer = connect();
+        Socket newest = connect();
+        assertThat(call(newest)).isEqualTo("got 0");
+        assertThat(oldest.getInputStream().read()).isEqualTo(-1);
+        assertThat(call(newer)).isEqualTo("got 0");
+        assertThat(call(answered)).isEqualTo("got 0");
+        assertThat(limits.connections().replaced()).isEqualTo(1);
+    }
+
+    // A request that may be running must keep its connection.
+    @Test
+    void aConnectionThatWaitsForItsResponseKeepsItsPlace() throws Exception {
+        start(1);
+        Socket waiting = connect();
+        send(waiting, HEAD.formatted("/held") + NO_BODY);
+        assertThat(held.await(READ_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+        assertThat(connect().getInputStream().read()).isEqualTo(-1);
+        heldRequest.response().end("held");
+        assertThat(receive(waiting)).isEqualTo("held");
+        assertThat(limits.connections().refused()).isEqualTo(1);
+    }
+
     // A connection that waits for its turn must be read again.
     @Test
     void aBodyInChunksOfOneByteIsReceivedInTurns() throws Exception {
-        start();
+        start(10);
         int chunks = 50_000;
         List<Socket> senders = List.of(connect(), connect(), connect());
         for (Socket sender : senders) {
