Test cold upstreams with fleets and owners that have just started

Cause: routers that know nobody yet each own every limit; no test held them against what a cold upstream sustains.

Change: ColdFleet starts without settling and restarts routers; two more tests, for a fleet that starts together with the upstream and for an owner that restarts. The settings of the routers give their number.

--- a/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleet.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleet.java
@@ -44,7 +44,7 @@
     private static final long PATIENCE_MILLIS = 500;
     private static final double PATIENT_SHARE = 0.2;
     private static final int RANKS = 3;
-    private static final int ASSUMED_ROUTERS = 12;
+    private static final int MIN_ASSUMED_ROUTERS = 12;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final ServiceEntry SERVICE =
             new ServiceEntry(
@@ -56,21 +56,28 @@
     private final VirtualPeers peers = new VirtualPeers(scheduler);
     private final List<Router> routers = new ArrayList<>();
     private final List<Long> arrivals = new ArrayList<>();
+    private final int assumedRouters;
     private final double demandPerSecond;
     private long coldUntilMillis;
     private long incarnation = 1;
 
-    /** Creates a fleet whose routers know each other and no upstream yet. */
+    /** Creates a fleet whose routers have just started; their settings give their number. */
     ColdFleet(int size, double demandPerSecond, long seed) {
         this.random = new SplittableRandom(seed);
+        this.assumedRouters = Math.max(MIN_ASSUMED_ROUTERS, size);
         this.demandPerSecond = demandPerSecond;
         for (int i = 0; i < size; i++) {
             routers.add(new Router("vm-" + i));
         }
-        advance(SETTLE_MILLIS);
         scheduleDemand();
     }
 
+    /** Waits until the routers know each other. */
+    ColdFleet settle() {
+        advance(SETTLE_MILLIS);
+        return this;
+    }
+
     private void scheduleDemand() {
         double pauseMillis =
                 -Math.log(1 - random.nextDouble()) * MILLIS_PER_SECOND / demandPerSecond;
@@ -150,6 +157,18 @@
         routers.remove(index).end();
     }
 
+    /** Ends a router without notice and starts it anew on its VM after a while. */
+    void restart(int index, long afterMillis) {
+        Router ended = routers.remove(index);
+        ended.end();
+        loop.after(
+                afterMillis,
+                () -> {
+                    peers.heal(ended.vmId);
+                    routers.add(new Router(ended.vmId));
+                });
+    }
+
     /** Cuts the first routers off from the others; 0 makes the fleet whole again. */
     void cut(int count) {
         Set<String> side = new HashSet<>();
@@ -197,7 +216,7 @@
                             vmId,
                             incarnation++,
                             List.of("vm-0", "vm-1", "vm-2"),
-                            ASSUMED_ROUTERS,
+                            assumedRouters,
                             random.split(),
                             loop.nowMillis());
             heartbeats =
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleetTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleetTest.java
@@ -27,7 +27,7 @@
     private static final long NOTICE_MILLIS = ColdFleet.ENTRY_MILLIS + ColdFleet.MAX_READ_MILLIS;
 
     private static ColdFleet fleet(long seed) {
-        return new ColdFleet(ROUTERS, DEMAND_PER_SECOND, seed);
+        return new ColdFleet(ROUTERS, DEMAND_PER_SECOND, seed).settle();
     }
 
     private static void assertWithinBound(ColdFleet fleet, long fromMillis, long toMillis) {
@@ -40,7 +40,7 @@
     @ParameterizedTest
     @CsvSource({"1,1", "9,1", "9,2", "60,1", "60,2", "60,3"})
     void aFleetStaysWithinTheRateOfAColdUpstreamAndUsesIt(int size, long seed) {
-        ColdFleet fleet = new ColdFleet(size, DEMAND_PER_SECOND, seed);
+        ColdFleet fleet = new ColdFleet(size, DEMAND_PER_SECOND, seed).settle();
         long startMillis = fleet.nowMillis();
         fleet.startUpstream(COLD_MILLIS);
         fleet.advance(COLD_MILLIS);
@@ -94,6 +94,30 @@
                 .isGreaterThan(0);
     }
 
+    // Guards against routers that know nobody yet and each grant the whole rate.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aFleetThatStartsTogetherWithTheUpstreamStaysWithinTheRate(long seed) {
+        ColdFleet fleet = new ColdFleet(ROUTERS, DEMAND_PER_SECOND, seed);
+        fleet.startUpstream(COLD_MILLIS);
+        fleet.advance(COLD_MILLIS);
+        assertWithinBound(fleet, 0, COLD_MILLIS);
+        assertThat(fleet.arrivals(0, COLD_MILLIS)).isGreaterThan(0);
+    }
+
+    // Guards against a restarted owner whose new bucket adds to what its successor grants.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void anOwnerThatRestartsStaysWithinTheRate(long seed) {
+        ColdFleet fleet = fleet(seed);
+        long startMillis = fleet.nowMillis();
+        fleet.startUpstream(COLD_MILLIS);
+        fleet.advance(PART_MILLIS);
+        fleet.restart(fleet.owner(), 500 * seed);
+        fleet.advance(COLD_MILLIS - PART_MILLIS);
+        assertWithinBound(fleet, startMillis, startMillis + COLD_MILLIS);
+    }
+
     // Guards against an owner without the entry, which granted every request.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
