--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionLimits.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionLimits.java
@@ -7,4 +7,14 @@
  * @param heads limits the memory of their request heads
  * @param turns limits the event loop's time for costly reads
  */
-public record ConnectionLimits(OpenConnections connections, HeadMemory heads, ReadTurns turns) {}
+public record ConnectionLimits(OpenConnections connections, HeadMemory heads, ReadTurns turns) {
+    /**
+     * Returns limits for another server, which has a number of connections of its own.
+     *
+     * @param maxConnections the maximum number of its connections
+     * @return the limits
+     */
+    public ConnectionLimits withConnections(int maxConnections) {
+        return new ConnectionLimits(new OpenConnections(maxConnections), heads, turns);
+    }
+}
