Keep the placement experiment free of wire classes

Cause: ModulesTest failed, as PlacementFleet serialized load reports itself; bronzewheel-measure may not depend on bronzewheel-wire.

Evidence: ModulesTest 6, PlacementExperimentTest 6, LoadReporterTest 8, AnnouncementDecoderTest 24, ReportedLoadDecoderTest 26 passed.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/PlacementFleet.java
@@ -1,6 +1,5 @@
 package org.bronzewheel.measure;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
@@ -20,7 +19,6 @@
 import org.bronzewheel.upstreams.Upstream;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
-import org.bronzewheel.wire.UpstreamLoads;
 
 /**
  * Routers that place the requests of deployment B on model engines with the selector of the product
@@ -245,25 +243,17 @@
         }
 
         private void beat() {
-            byte[] report = loads.own().orElseThrow().toByteArray();
+            var report = loads.own().orElseThrow();
             List<Router> targets = new ArrayList<>(routers);
             targets.remove(this);
             for (int i = 0; i < FANOUT && !targets.isEmpty(); i++) {
                 Router target = targets.remove(own.nextInt(targets.size()));
-                reportBytes += report.length;
-                loop.afterMillis(NETWORK_MILLIS, () -> target.receive(report));
+                reportBytes += loads.reportBytes();
+                loop.afterMillis(NETWORK_MILLIS, () -> target.loads.received(report, nowMillis()));
             }
             loop.afterMillis(BEAT_MILLIS, this::beat);
         }
 
-        private void receive(byte[] report) {
-            try {
-                loads.received(UpstreamLoads.parseFrom(report), nowMillis());
-            } catch (InvalidProtocolBufferException e) {
-                throw new IllegalStateException(e);
-            }
-        }
-
         void send(Request request) {
             Prompt prompt =
                     new Prompt(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/LoadReporter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/LoadReporter.java
@@ -26,6 +26,7 @@
     private final Supplier<List<Upstream>> upstreams;
     private final LongToIntFunction otherRouters;
     private final OtherRoutersLoad others;
+    private volatile int reportBytes;
 
     /**
      * Creates an exchange.
@@ -60,7 +61,18 @@
                                         .addCalls(upstream.callsInFlight())
                                         .addPromptTokens(
                                                 Math.max(0, upstream.pendingPromptTokens())));
-        return Optional.of(report.build());
+        UpstreamLoads own = report.build();
+        reportBytes = own.getSerializedSize();
+        return Optional.of(own);
+    }
+
+    /**
+     * Returns the size of the last report of this router.
+     *
+     * @return the size in bytes; 0 before the first report
+     */
+    public int reportBytes() {
+        return reportBytes;
     }
 
     @Override
