--- a/bronzewheel-serving/src/test/java/org/bronzewheel/observing/EngineLoadObserverTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/observing/EngineLoadObserverTest.java
@@ -26,7 +26,7 @@
             new EngineLoadObserver(catalog, table, others, loop);
 
     private Upstream upstream(String id, String service) {
-        table.put(new UpstreamEntry(id, service, "127.0.0.1:1", "a", 24, 1, false));
+        table.put(new UpstreamEntry(id, service, "127.0.0.1:1", "a", 24, 1, false), 0);
         return table.known(id).orElseThrow();
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/peering/HeartbeatLoadTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/peering/HeartbeatLoadTest.java
@@ -54,7 +54,8 @@
         Router(String vmId, int firstUpstream, int upstreams, Set<String> backlogReaders) {
             for (int i = firstUpstream; i < firstUpstream + upstreams; i++) {
                 table.put(
-                        new UpstreamEntry("engine-" + i, "llm", "127.0.0.1:1", "a", 24, 1, false));
+                        new UpstreamEntry("engine-" + i, "llm", "127.0.0.1:1", "a", 24, 1, false),
+                        0);
             }
             PeerTransport transport = peers.add(vmId);
             SeedMembership membership =
