Rank requests by the priority of their workspace, then by that of their route

Cause: the configuration says that the priority of a workspace takes precedence over that of the route.

Change: EffectiveRanks computes the rank from the catalog, without gaps, as 0 to 5 for two workspace priorities and three routes. Stage jobs, reported waits, permits, FirstEventWaits, Retry-After, unmet demand and the urgency at engines use it. With equal or no priorities of workspaces all of these are unchanged. More than five ranks are spread over the urgencies 1 to 9. An owner reports the wait of each rank of the configuration, up to 16, in place of 4; ranks beyond take the last one, so an underestimate admits and the owner still decides.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Catalog.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Catalog.java
@@ -18,6 +18,7 @@
     private final Map<String, ServiceEntry> services = new HashMap<>();
     private final Map<String, WorkspaceEntry> workspacesByKey = new HashMap<>();
     private final boolean requiresKeys;
+    private final EffectiveRanks ranks;
 
     /**
      * Creates a catalog.
@@ -39,6 +40,7 @@
         this.workspaces = List.copyOf(workspaces);
         this.limits = limits;
         this.requiresKeys = !workspaces.isEmpty();
+        this.ranks = new EffectiveRanks(this.routes, this.workspaces);
         for (ServiceRoute route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
@@ -98,6 +100,15 @@
         return workspaces;
     }
 
+    /**
+     * Returns the ranks of requests.
+     *
+     * @return the ranks by workspace and route
+     */
+    public EffectiveRanks ranks() {
+        return ranks;
+    }
+
     /**
      * Finds the route with the longest matching path prefix.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/WorkspaceEntry.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/WorkspaceEntry.java
@@ -8,6 +8,16 @@
  *
  * @param name the name of the workspace
  * @param keys the API keys
- * @param priority the priority, 0 being the highest; empty to use the priority of the route
+ * @param priority the priority, 0 being the highest; empty to count as the least urgent priority of
+ *     the configuration
  */
-public record WorkspaceEntry(String name, List<String> keys, OptionalInt priority) {}
+public record WorkspaceEntry(String name, List<String> keys, OptionalInt priority) {
+    /**
+     * Describes the priority for the log.
+     *
+     * @return the number, or "none"
+     */
+    public String describePriority() {
+        return priority.isPresent() ? Integer.toString(priority.getAsInt()) : "none";
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -3,9 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.bronzewheel.catalog.Catalog;
+import org.bronzewheel.catalog.EffectiveRank;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
@@ -51,6 +51,7 @@
     private final CallerRequest request;
     private final ServiceRoute route;
     private final Optional<WorkspaceEntry> workspace;
+    private final EffectiveRank rank;
     private final CallerExchange exchange;
     private final long arrivedMillis;
     private final Consumer<RequestExecution> onEnd;
@@ -82,6 +83,7 @@
             CallerRequest request,
             ServiceRoute route,
             Optional<WorkspaceEntry> workspace,
+            EffectiveRank rank,
             CallerExchange exchange,
             long arrivedMillis,
             Consumer<RequestExecution> onEnd) {
@@ -91,6 +93,7 @@
         this.request = request;
         this.route = route;
         this.workspace = workspace;
+        this.rank = rank;
         this.exchange = exchange;
         this.arrivedMillis = arrivedMillis;
         this.onEnd = onEnd;
@@ -107,6 +110,7 @@
                         context,
                         request,
                         route,
+                        rank.value(),
                         arrivedMillis,
                         firstAnswerDeadlineMillis,
                         this::guard,
@@ -151,7 +155,9 @@
                                 .formatted(
                                         route.name(),
                                         rank(),
-                                        describeWorkspaceRank(),
+                                        workspace
+                                                .map(WorkspaceEntry::describePriority)
+                                                .orElse("none"),
                                         expectedMillis,
                                         route.objectiveMillis(),
                                         firstAnswerDeadlineMillis - arrivedMillis,
@@ -276,16 +282,8 @@
                 .filter(newer -> newer.name().equals(route.name()));
     }
 
-    private int rank() {
-        return route.priority();
-    }
-
-    private String describeWorkspaceRank() {
-        return workspace
-                .map(WorkspaceEntry::priority)
-                .filter(OptionalInt::isPresent)
-                .map(priority -> Integer.toString(priority.getAsInt()))
-                .orElse("none");
+    int rank() {
+        return rank.value();
     }
 
     private void dispatch() {
@@ -447,7 +445,7 @@
                         request,
                         deadlineAtMillis - nowMillis,
                         workspace.map(WorkspaceEntry::name),
-                        engine ? Optional.of(Math.min(9, 1 + 2 * rank())) : Optional.empty(),
+                        engine ? Optional.of(rank.engineUrgency()) : Optional.empty(),
                         stages.handles(),
                         relay.resumeAfter(),
                         route.retryRule() != RetryRule.AT_MOST_ONCE,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -30,6 +30,7 @@
     private final ServingContext context;
     private final CallerRequest request;
     private final ServiceRoute route;
+    private final int rank;
     private final long arrivedMillis;
     private final Consumer<Runnable> guard;
     private final Runnable onReady;
@@ -45,6 +46,7 @@
     /**
      * Creates the stages of a request.
      *
+     * @param rank the rank of the request, 0 first
      * @param guard runs each step that a stage calls
      * @param onReady called when all results are available
      * @param onFailure called with the reason why there will be none
@@ -53,6 +55,7 @@
             ServingContext context,
             CallerRequest request,
             ServiceRoute route,
+            int rank,
             long arrivedMillis,
             long deadlineAtMillis,
             Consumer<Runnable> guard,
@@ -61,6 +64,7 @@
         this.context = context;
         this.request = request;
         this.route = route;
+        this.rank = rank;
         this.arrivedMillis = arrivedMillis;
         this.deadlineAtMillis = deadlineAtMillis;
         this.guard = guard;
@@ -154,7 +158,7 @@
                                     context.stages()
                                             .reportUnmetDemand(
                                                     route.stages().get(stage).service(),
-                                                    route.priority(),
+                                                    rank,
                                                     progress.piecesOf(stage)));
         }
     }
@@ -166,7 +170,7 @@
     }
 
     private StageWait expectedWait(String service) {
-        return context.stages().expectedWait(service, route.priority());
+        return context.stages().expectedWait(service, rank);
     }
 
     /** Returns the expected time from the end of a stage to the first part of the response. */
@@ -226,7 +230,7 @@
                         step.after().isEmpty() ? request.pieceKey() : Optional.empty(),
                         progress.inputsOf(stage),
                         step.resultBytes(),
-                        route.priority(),
+                        rank,
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
                         millisAfterStage(stage),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RetryAfter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RetryAfter.java
@@ -28,7 +28,7 @@
      * @param reopeningMillis the time from the first to the last upstream that becomes available,
      *     in milliseconds; retries are spread over it
      * @param remainingMillis the remaining time of the caller, in milliseconds
-     * @param rank the rank of its route; 0 is the most urgent
+     * @param rank the rank of the request; 0 is the most urgent
      * @param point a random number in [0, 1)
      */
     static long delayMillis(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -136,6 +136,7 @@
                         request,
                         route.get(),
                         workspace,
+                        catalog.get().ranks().of(route.get(), workspace),
                         exchange,
                         nowMillis,
                         running::remove);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -82,10 +82,7 @@
                                 execution.relay()::occupiedBytes,
                                 () -> execution.guard(this::giveUp));
         if (engine) {
-            execution
-                    .shared()
-                    .engineWaits()
-                    .sent(service, execution.route().priority(), sentMillis);
+            execution.shared().engineWaits().sent(service, execution.rank(), sentMillis);
         }
         try {
             call = context.upstreamClient().send(request, this);
@@ -121,7 +118,7 @@
             execution
                     .shared()
                     .engineWaits()
-                    .ended(service, execution.route().priority(), false, loop.nowMillis());
+                    .ended(service, execution.rank(), false, loop.nowMillis());
         }
         execution.attemptEnded();
         return true;
@@ -274,10 +271,7 @@
         promptRead = true;
         trial.began(loop.nowMillis());
         upstream.promptTokensRead(promptTokens);
-        execution
-                .shared()
-                .engineWaits()
-                .ended(service, execution.route().priority(), true, loop.nowMillis());
+        execution.shared().engineWaits().ended(service, execution.rank(), true, loop.nowMillis());
     }
 
     @Override
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.peering.Backlog;
@@ -34,7 +35,14 @@
 public final class SharedStages implements StageService {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_LOST_OWNERS = 3;
-    private static final int ADVERTISED_RANKS = 4;
+    private static final int MIN_ADVERTISED_RANKS = 4;
+
+    /**
+     * Bounds the size of a backlog; a submitter takes the wait of the last reported rank for any
+     * rank after it, and the owner decides by the actual rank.
+     */
+    private static final int MAX_ADVERTISED_RANKS = 16;
+
     private static final int TICKS_PER_LOG = 10;
     private static final long SUBMITTER_EXPIRY_MILLIS = 5_000;
 
@@ -52,6 +60,7 @@
     private final SeedMembership membership;
     private final SharedRetryBudget budget;
     private final Loop loop;
+    private final IntSupplier ranks;
     private final DispatcherFactory newDispatcher;
     private final Map<String, StageDispatcher> dispatchers = new HashMap<>();
     private final Set<String> owned = new HashSet<>();
@@ -71,11 +80,13 @@
             SeedMembership membership,
             SharedRetryBudget budget,
             Loop loop,
+            IntSupplier ranks,
             DispatcherFactory newDispatcher) {
         this.transport = transport;
         this.membership = membership;
         this.budget = budget;
         this.loop = loop;
+        this.ranks = ranks;
         this.newDispatcher = newDispatcher;
         transport.serve(
                 Channel.STAGE,
@@ -172,12 +183,14 @@
      * @return the backlogs by service
      */
     public Map<String, Backlog> ownBacklogs() {
+        int advertisedRanks =
+                Math.max(MIN_ADVERTISED_RANKS, Math.min(MAX_ADVERTISED_RANKS, ranks.getAsInt()));
         Map<String, Backlog> backlogs = new HashMap<>();
         dispatchers.forEach(
                 (service, dispatcher) -> {
                     if (isOwner(service)) {
                         List<Long> byRank = new ArrayList<>();
-                        for (int rank = 0; rank < ADVERTISED_RANKS; rank++) {
+                        for (int rank = 0; rank < advertisedRanks; rank++) {
                             byRank.add(dispatcher.expectedWaitMillis(rank));
                         }
                         backlogs.put(service, new Backlog(byRank, dispatcher.expectedCallMillis()));
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDependencies.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDependencies.java
@@ -43,6 +43,7 @@
                 membership,
                 budget,
                 loop,
+                this::ranks,
                 (service, releaseInputs) ->
                         new StageDispatcher(
                                 service,
@@ -55,6 +56,10 @@
                                 releaseInputs));
     }
 
+    private int ranks() {
+        return catalog.current().map(current -> current.ranks().count()).orElse(0);
+    }
+
     private Optional<StagePool> pool(String service) {
         return catalog.current()
                 .flatMap(current -> current.service(service))
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -4,10 +4,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.bronzewheel.catalog.CallerLimits;
@@ -55,6 +57,8 @@
     final List<Submitted> jobs = new ArrayList<>();
     final List<StageResult> released = new ArrayList<>();
     final Map<String, Integer> unmetPieces = new HashMap<>();
+    final Set<Integer> unmetRanks = new HashSet<>();
+    final Set<Integer> waitRanks = new HashSet<>();
     boolean failsAtEnd;
     final List<Refusal> refusals = new ArrayList<>();
     final StringBuilder body = new StringBuilder();
@@ -171,6 +175,14 @@
     }
 
     ServingHarness with(long version, ServiceRoute route, List<String> keys) {
+        return with(version, route, new WorkspaceEntry("w", keys, OptionalInt.empty()));
+    }
+
+    ServingHarness withWorkspaces(ServiceRoute route, WorkspaceEntry... workspaces) {
+        return with(1, route, workspaces);
+    }
+
+    private ServingHarness with(long version, ServiceRoute route, WorkspaceEntry... workspaces) {
         catalog.applyIfNewer(
                 new Catalog(
                         version,
@@ -183,7 +195,7 @@
                                         route.streaming()
                                                 ? Optional.of(new EnginePool(8, 1_000))
                                                 : Optional.empty())),
-                        List.of(new WorkspaceEntry("w", keys, OptionalInt.empty())),
+                        List.of(workspaces),
                         new CallerLimits(1, 1, 1, 1)));
         catalog.confirm(version, loop.now());
         if (!upstreams.isLoaded()) {
@@ -299,10 +311,12 @@
     @Override
     public void reportUnmetDemand(String service, int rank, int pieces) {
         unmetPieces.merge(service, pieces, Integer::sum);
+        unmetRanks.add(rank);
     }
 
     @Override
     public StageWait expectedWait(String service, int rank) {
+        waitRanks.add(rank);
         return new StageWait(expectedWaitMillis, CALL_MILLIS, 0);
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
@@ -39,6 +39,7 @@
     final class Router implements StagePort {
         final String vmId;
         final SeedMembership membership;
+        final CatalogState catalog = new CatalogState(4_000);
         final SharedStages stages;
         final List<List<StageItem>> calls = new ArrayList<>();
         final List<String> freed = new ArrayList<>();
@@ -68,7 +69,6 @@
             UpstreamTable upstreams = new UpstreamTable(2_000);
             upstreams.replaceAll(
                     List.of(new UpstreamEntry("u", SERVICE, "10.0.0.1:80", "d", 1, 0, false)), 0);
-            CatalogState catalog = new CatalogState(4_000);
             catalog.applyIfNewer(
                     new Catalog(
                             1,
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
@@ -4,9 +4,15 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
 import java.util.stream.IntStream;
+import org.bronzewheel.catalog.CallerLimits;
+import org.bronzewheel.catalog.Catalog;
+import org.bronzewheel.catalog.RetryRule;
+import org.bronzewheel.catalog.ServiceRoute;
+import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.loop.StallingScheduler;
 import org.bronzewheel.membership.RendezvousHash;
@@ -231,4 +237,61 @@
         assertThat(wait.ageMillis()).isAtMost(350);
         assertThat(owner().stages.submitters()).contains(submitter.vmId);
     }
+
+    // Guards against the less urgent ranks being told the wait of a more urgent one.
+    @Test
+    void waitIsReportedForEachRankOfTheConfiguration() {
+        routers(10);
+        submitters().get(0).submit("a", 1);
+        advance(50);
+        assertThat(reportedRanks()).isEqualTo(4);
+        ranks(2, 3, 3);
+        assertThat(reportedRanks()).isEqualTo(9);
+        ranks(3, 9, 3);
+        assertThat(reportedRanks()).isEqualTo(16);
+    }
+
+    private int reportedRanks() {
+        return owner().stages.ownBacklogs().get(SERVICE).waitMillis().size();
+    }
+
+    private void ranks(long version, int workspacePriorities, int routePriorities) {
+        List<WorkspaceEntry> workspaces =
+                IntStream.range(0, workspacePriorities)
+                        .mapToObj(
+                                priority ->
+                                        new WorkspaceEntry(
+                                                "w" + priority,
+                                                List.of(),
+                                                OptionalInt.of(priority)))
+                        .toList();
+        List<ServiceRoute> routes =
+                IntStream.range(0, routePriorities)
+                        .mapToObj(
+                                priority ->
+                                        new ServiceRoute(
+                                                "r" + priority,
+                                                "h",
+                                                "/" + priority,
+                                                false,
+                                                RetryRule.IDEMPOTENT,
+                                                1_000,
+                                                100,
+                                                0,
+                                                0,
+                                                priority,
+                                                1,
+                                                List.of(),
+                                                List.of(),
+                                                false))
+                        .toList();
+        owner().catalog
+                .applyIfNewer(
+                        new Catalog(
+                                version,
+                                routes,
+                                owner().catalog.current().get().services(),
+                                workspaces,
+                                new CallerLimits(1, 1, 1, 1)));
+    }
 }
