--- /dev/null
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/shedding/package-info.java
@@ -0,0 +1,2 @@
+/** The choice of queued tasks that are delayed or given up when the capacity is insufficient. */
+package org.bronzewheel.shedding;
