Delay and shed the tasks of a stage service by their cost to callers

Cause: in a burst the queue of a stage service serves by rank and objective whatever a task needs, so that one large task makes several small ones late.

Change: where workspaces have different priorities, StageTriage asks LoadShedding before each call. Within a rank the tasks are served in the order of the decision; tasks that cannot meet their deadline there fail at once, and a new request that would be shed is refused before it queues. Its Retry-After lasts until it could meet its objective. Shares, the oldest-first rule and the place of late tasks behind the next rank stay. A log line a second and two gauges tell what was displaced and shed. Elsewhere the order is as before. StageDispatcher is shorter.

StageDispatcherTest (40), LoadSheddingTest (8 properties, 8 examples), ShedRequestTest, SharedStagesSoakTest pass.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/shedding/LoadShedding.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/shedding/LoadShedding.java
@@ -18,9 +18,14 @@
  * <p>Ranks are decided from the most urgent one on, each with the capacity that the ranks before it
  * leave, so that no rank displaces a more urgent one. Within a rank, as many tasks as possible are
  * kept on time (Moore-Hodgson): tasks are added by due date, and whenever one would be late, the
- * one with most work is given up. Tasks that are given up are delayed until after the on-time tasks
- * of the next rank. Of the delayed tasks of a rank, as many as possible meet their deadline, those
- * with the least remaining work first. A task that cannot meet its deadline behind them is shed.
+ * one with most work is given up. The tasks on time are served by objective if all are still on
+ * time then, as this prefers requests near completion, and by due date otherwise.
+ *
+ * <p>The tasks that are given up are displaced behind the others of their rank. They precede the
+ * next rank, because they are on time after all if the capacity is underestimated. Tasks that
+ * cannot meet their objective at any place are late and follow the tasks on time of the next rank.
+ * Of displaced and of late tasks as many as possible meet their deadline, those with the least
+ * remaining work first. A task that cannot meet its deadline behind them is shed.
  *
  * <p>A task waits for the work that is ahead of it, or for that of its own rank at the rank's
  * guaranteed share, whichever is shorter. Tasks that arrive later do not count. The time of a
@@ -29,10 +34,10 @@
  * @param <T> the type of a task
  */
 public final class LoadShedding<T> {
-    /** The queue order: delayed tasks of a rank are behind the on-time tasks of the next one. */
+    /** The queue order: late tasks of a rank are behind the tasks of the next one. */
     private static final int RANK_STEP = 2;
 
-    private static final int DELAYED_PENALTY = 3;
+    private static final int LATE_PENALTY = 3;
 
     private final Comparator<QueuedTask<T>> tieBreak =
             Comparator.comparingDouble((QueuedTask<T> queued) -> queued.workMillis())
@@ -42,12 +47,16 @@
     private final Comparator<QueuedTask<T>> leastRemainingWork =
             Comparator.comparingDouble((QueuedTask<T> queued) -> queued.remainingWorkMillis())
                     .thenComparing(tieBreak);
+    private final Comparator<QueuedTask<T>> byObjective =
+            Comparator.comparingLong((QueuedTask<T> queued) -> queued.objectiveAtMillis())
+                    .thenComparing(tieBreak);
     private final Comparator<QueuedTask<T>> mostWork = tieBreak.reversed();
 
     private final PoolCapacity capacity;
     private final double startMillis;
     private final List<T> order = new ArrayList<>();
-    private final List<T> delayed = new ArrayList<>();
+    private final List<T> displaced = new ArrayList<>();
+    private final List<T> late = new ArrayList<>();
     private final List<T> shed = new ArrayList<>();
     private double aheadMillis;
 
@@ -56,9 +65,12 @@
         this.startMillis = nowMillis + capacity.blockedMillis();
     }
 
-    /** The tasks of a rank that are given up, and the work of its on-time tasks. */
-    private record Rank<T>(
-            double share, double onTimeMillis, int delayedOrder, List<QueuedTask<T>> late) {}
+    /** The late tasks of a rank, and the work of its other tasks. */
+    private record Rank<T>(int rank, double share, double aheadMillis, List<QueuedTask<T>> late) {
+        int lateOrder() {
+            return RANK_STEP * rank + LATE_PENALTY;
+        }
+    }
 
     /** A task and the work that may be ahead of it. */
     private record Limited<T>(QueuedTask<T> queued, double limitMillis) {
@@ -93,35 +105,48 @@
         List<Rank<T>> pending = new ArrayList<>();
         byRank.forEach(
                 (rank, ofRank) -> {
-                    while (!pending.isEmpty() && pending.get(0).delayedOrder() < RANK_STEP * rank) {
+                    while (!pending.isEmpty() && pending.get(0).lateOrder() < RANK_STEP * rank) {
                         delay(pending.remove(0));
                     }
                     pending.add(keepOnTime(rank, ofRank));
                 });
         pending.forEach(this::delay);
-        return new SheddingDecision<>(order, delayed, shed);
+        return new SheddingDecision<>(order, displaced, late, shed);
     }
 
+    /** Places the tasks of a rank that are not late. */
     private Rank<T> keepOnTime(int rank, List<QueuedTask<T>> tasks) {
         double share = capacity.guaranteedShare().applyAsDouble(rank);
         double beforeMillis = aheadMillis;
-        Choice<T> choice = choose(tasks, queued -> onTimeLimitMillis(queued, share, beforeMillis));
-        choice.kept().forEach(kept -> place(kept.queued()));
-        return new Rank<>(
-                share,
-                aheadMillis - beforeMillis,
-                RANK_STEP * rank + DELAYED_PENALTY,
-                choice.givenUp());
+        List<QueuedTask<T>> lateOfRank = new ArrayList<>();
+        List<QueuedTask<T>> others = new ArrayList<>();
+        for (QueuedTask<T> queued : tasks) {
+            (latestOnTimeStartMillis(queued) < startMillis ? lateOfRank : others).add(queued);
+        }
+        Choice<T> choice = choose(others, queued -> onTimeLimitMillis(queued, share, beforeMillis));
+        ordered(choice.kept(), byObjective).forEach(this::place);
+        placeInTime(choice.givenUp(), share, aheadMillis - beforeMillis, displaced);
+        return new Rank<>(rank, share, aheadMillis - beforeMillis, lateOfRank);
     }
 
-    /** Places the late tasks of a rank, and sheds those that cannot meet their deadline. */
     private void delay(Rank<T> rank) {
+        placeInTime(rank.late(), rank.share(), rank.aheadMillis(), late);
+    }
+
+    /**
+     * Places tasks of a rank that are not on time, and sheds those that cannot meet their deadline.
+     *
+     * @param ofRankMillis the work of the rank that is ahead of them
+     * @param placed receives the tasks that are not shed
+     */
+    private void placeInTime(
+            List<QueuedTask<T>> tasks, double share, double ofRankMillis, List<T> placed) {
         double beforeMillis = aheadMillis;
         ToDoubleFunction<QueuedTask<T>> limit =
-                queued -> deadlineLimitMillis(queued, rank, beforeMillis);
-        Choice<T> choice = choose(rank.late(), limit);
-        for (QueuedTask<T> queued : leastWorkFirst(choice.kept())) {
-            delayed.add(queued.task());
+                queued -> deadlineLimitMillis(queued, share, ofRankMillis, beforeMillis);
+        Choice<T> choice = choose(tasks, limit);
+        for (QueuedTask<T> queued : ordered(choice.kept(), leastRemainingWork)) {
+            placed.add(queued.task());
             place(queued);
         }
         List<QueuedTask<T>> others = new ArrayList<>(choice.givenUp());
@@ -130,7 +155,7 @@
             if (aheadMillis - beforeMillis > limit.applyAsDouble(queued)) {
                 shed.add(queued.task());
             } else {
-                delayed.add(queued.task());
+                placed.add(queued.task());
                 place(queued);
             }
         }
@@ -142,30 +167,31 @@
     }
 
     /**
-     * Returns the work of the same rank that may be ahead of a task that meets its objective and
-     * its deadline. At the guaranteed share, its own work counts, as it is not done in parallel.
+     * Returns the work of the same rank that may be ahead of a task that meets its objective. At
+     * the guaranteed share, its own work counts, as it is not done in parallel.
      */
     private double onTimeLimitMillis(QueuedTask<T> queued, double share, double beforeMillis) {
-        double latestStartMillis =
-                Math.min(
-                        queued.objectiveAtMillis() - queued.laterMillis() - capacity.callMillis(),
-                        latestStartMillis(queued));
-        double leftMillis = latestStartMillis - startMillis;
-        double byRank = leftMillis - beforeMillis;
-        double byShare = leftMillis * share - queued.workMillis();
-        return leftMillis < 0 ? leftMillis : Math.max(byRank, byShare);
+        double leftMillis = latestOnTimeStartMillis(queued) - startMillis;
+        return Math.max(leftMillis - beforeMillis, leftMillis * share - queued.workMillis());
     }
 
-    /** Returns the delayed work of the same rank that may be ahead of a task. */
-    private double deadlineLimitMillis(QueuedTask<T> queued, Rank<T> rank, double beforeMillis) {
+    /** Returns the work of the tasks placed with a task that may be ahead of it. */
+    private double deadlineLimitMillis(
+            QueuedTask<T> queued, double share, double ofRankMillis, double beforeMillis) {
         double leftMillis = latestStartMillis(queued) - startMillis;
         double byRank = leftMillis - beforeMillis;
-        double byShare = leftMillis * rank.share() - rank.onTimeMillis();
-        return leftMillis < 0 || rank.share() <= 0
+        double byShare = leftMillis * share - ofRankMillis;
+        return leftMillis < 0 || share <= 0
                 ? Math.min(leftMillis, byRank)
                 : Math.max(byRank, byShare);
     }
 
+    private double latestOnTimeStartMillis(QueuedTask<T> queued) {
+        return Math.min(
+                queued.objectiveAtMillis() - queued.laterMillis() - capacity.callMillis(),
+                latestStartMillis(queued));
+    }
+
     private double latestStartMillis(QueuedTask<T> queued) {
         return queued.deadlineAtMillis() - queued.leastLaterMillis() - capacity.leastCallMillis();
     }
@@ -195,16 +221,17 @@
         return new Choice<>(byDueDate, List.copyOf(givenUp));
     }
 
-    /** Returns tasks by their remaining work if all are in time then, or else by due date. */
-    private List<QueuedTask<T>> leastWorkFirst(List<Limited<T>> byDueDate) {
-        List<Limited<T>> byWork = new ArrayList<>(byDueDate);
-        byWork.sort(Comparator.comparing(Limited::queued, leastRemainingWork));
+    /** Returns tasks in an order if all are in time then, or else by due date. */
+    private List<QueuedTask<T>> ordered(
+            List<Limited<T>> byDueDate, Comparator<QueuedTask<T>> wanted) {
+        List<Limited<T>> sorted = new ArrayList<>(byDueDate);
+        sorted.sort(Comparator.comparing(Limited::queued, wanted));
         double totalMillis = 0;
         boolean inTime = true;
-        for (Limited<T> limited : byWork) {
+        for (Limited<T> limited : sorted) {
             inTime &= totalMillis <= limited.limitMillis();
             totalMillis += limited.queued().workMillis();
         }
-        return (inTime ? byWork : byDueDate).stream().map(Limited::queued).toList();
+        return (inTime ? sorted : byDueDate).stream().map(Limited::queued).toList();
     }
 }
--- a/bronzewheel-decision/src/test/java/org/bronzewheel/shedding/LoadSheddingTest.java
+++ b/bronzewheel-decision/src/test/java/org/bronzewheel/shedding/LoadSheddingTest.java
@@ -157,6 +157,12 @@
         return named;
     }
 
+    private static Set<String> delayed(SheddingDecision<String> decision) {
+        Set<String> delayed = new HashSet<>(decision.displaced());
+        delayed.addAll(decision.late());
+        return delayed;
+    }
+
     // Guards against a policy that makes more requests late than the order that it replaces.
     @Property
     void noRankHasFewerTasksOnTimeThanInThePlainOrders(@ForAll("queues") Queue queue) {
@@ -180,14 +186,14 @@
                 queue.onTime(queue.of(decision.order())).values().stream()
                         .mapToInt(Integer::intValue)
                         .sum();
-        assertThat(onTime).isAtLeast(decision.order().size() - decision.delayed().size());
+        assertThat(onTime).isAtLeast(decision.order().size() - delayed(decision).size());
     }
 
     // Guards against a choice that is not the best one of Moore and Hodgson.
     @Property(tries = 300)
     void noOrderHasMoreTasksOnTimeThanTheDecision(@ForAll("smallQueuesOfOneRank") Queue queue) {
         SheddingDecision<String> decision = queue.decide();
-        int kept = decision.order().size() - decision.delayed().size();
+        int kept = decision.order().size() - delayed(decision).size();
         assertThat(kept).isAtLeast(mostOnTime(queue, new ArrayList<>(), queue.tasks()));
     }
 
@@ -217,7 +223,7 @@
 
     private static List<QueuedTask<String>> onTimeUpTo(int rank, Queue queue) {
         SheddingDecision<String> decision = queue.decide();
-        Set<String> delayed = new HashSet<>(decision.delayed());
+        Set<String> delayed = delayed(decision);
         return queue.of(decision.order()).stream()
                 .filter(t -> t.rank() <= rank && !delayed.contains(t.task()))
                 .toList();
@@ -238,7 +244,7 @@
         all.addAll(decision.shed());
         assertThat(all)
                 .containsExactlyElementsIn(queue.tasks().stream().map(QueuedTask::task).toList());
-        assertThat(decision.order()).containsAtLeastElementsIn(decision.delayed());
+        assertThat(decision.order()).containsAtLeastElementsIn(delayed(decision));
     }
 
     // Guards against requests that are shed although there is time for them.
@@ -246,13 +252,11 @@
     void taskIsShedOnlyIfItsDeadlineCannotBeMetBehindTheTasksAheadOfIt(
             @ForAll("queues") Queue queue) {
         SheddingDecision<String> decision = queue.decide();
-        Set<String> delayed = new HashSet<>(decision.delayed());
         for (QueuedTask<String> shed : queue.of(decision.shed())) {
             double ahead = 0;
             double ofRank = 0;
             for (QueuedTask<String> kept : queue.of(decision.order())) {
-                int place = 2 * kept.rank() + (delayed.contains(kept.task()) ? 3 : 0);
-                if (place <= 2 * shed.rank() + 3) {
+                if (place(kept, queue) <= place(shed, queue)) {
                     ahead += kept.workMillis();
                     ofRank += kept.rank() == shed.rank() ? kept.workMillis() : 0;
                 }
@@ -264,6 +268,12 @@
         }
     }
 
+    /** Returns the place of the group of a task: behind the next rank if it is late anywhere. */
+    private static int place(QueuedTask<String> queued, Queue queue) {
+        boolean late = queue.latestOnTimeStart(queued) < NOW + queue.capacity().blockedMillis();
+        return 2 * queued.rank() + (late ? 3 : 0);
+    }
+
     // Guards against an order in which a task that could meet its deadline is shed.
     @Property
     void nothingIsShedWhereAllDeadlinesAreFar(@ForAll("queues") Queue queue) {
@@ -299,11 +309,11 @@
                                 task("b", 0, 10, 70),
                                 task("c", 0, 10, 80)));
         assertThat(decision.order()).containsExactly("a", "b", "c", "large").inOrder();
-        assertThat(decision.delayed()).containsExactly("large");
+        assertThat(decision.displaced()).containsExactly("large");
     }
 
     @Test
-    void delayedTasksFollowTheNextRankButPrecedeTheOneAfterIt() {
+    void lateTasksFollowTheNextRankButPrecedeTheOneAfterIt() {
         SheddingDecision<String> decision =
                 decide(
                         List.of(
@@ -313,6 +323,29 @@
         assertThat(decision.order()).containsExactly("next", "late", "last").inOrder();
     }
 
+    // Guards against urgent requests that less urgent ones pass because the capacity is
+    // underestimated.
+    @Test
+    void displacedTasksPrecedeTheNextRank() {
+        SheddingDecision<String> decision =
+                decide(
+                        List.of(
+                                task("large", 0, 100, 50),
+                                task("a", 0, 60, 90),
+                                task("b", 0, 20, 100),
+                                task("next", 1, 10, 5_000)));
+        assertThat(decision.order()).containsExactly("a", "b", "large", "next").inOrder();
+        assertThat(decision.displaced()).containsExactly("large");
+    }
+
+    // Guards against new requests that pass those near completion without need.
+    @Test
+    void tasksOnTimeAreOrderedByObjectiveWhereAllAreOnTimeThen() {
+        List<QueuedTask<String>> tasks =
+                List.of(task("new", 0, 10, 900, 9_000, 800), task("old", 0, 10, 500));
+        assertThat(decide(tasks).order()).containsExactly("old", "new").inOrder();
+    }
+
     @Test
     void delayedTasksAreOrderedByTheWorkThatIsLeftOfTheirRequests() {
         SheddingDecision<String> decision =
@@ -349,7 +382,7 @@
         List<QueuedTask<String>> tasks =
                 List.of(task("urgent", 0, 1_000, 500), task("other", 1, 10, 200));
         PoolCapacity shared = new PoolCapacity(0, CALL, LEAST_CALL, rank -> 0.25);
-        assertThat(decide(tasks).delayed()).containsExactly("other");
-        assertThat(LoadShedding.decide(tasks, shared, NOW).delayed()).isEmpty();
+        assertThat(decide(tasks).displaced()).containsExactly("other");
+        assertThat(LoadShedding.decide(tasks, shared, NOW).displaced()).isEmpty();
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/CatalogState.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/CatalogState.java
@@ -65,6 +65,15 @@
         return Optional.ofNullable(catalog);
     }
 
+    /**
+     * Returns whether requests are delayed and shed by their cost to callers.
+     *
+     * @return whether the current catalog gives workspaces different priorities
+     */
+    public boolean shedsByCost() {
+        return catalog != null && catalog.ranks().distinguishWorkspaces();
+    }
+
     /**
      * Returns the age of the last confirmation.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -723,11 +723,11 @@
         long excessMillis =
                 Math.max(
                         Math.max(permitRetryMillis, availability.firstMillis()),
-                        expectedMillis()
-                                - Math.round(
-                                        MAX_WAIT_SHARE
-                                                * route.firstResponseTimeoutMillis(
-                                                        remainingMillis)));
+                        RetryAfter.excessMillis(
+                                expectedMillis(),
+                                MAX_WAIT_SHARE * route.firstResponseTimeoutMillis(remainingMillis),
+                                route.objectiveMillis(),
+                                context.catalog().shedsByCost()));
         long retryAfterMillis =
                 RetryAfter.delayMillis(
                         excessMillis,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RetryAfter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RetryAfter.java
@@ -20,6 +20,23 @@
 
     private RetryAfter() {}
 
+    /**
+     * Returns the time by which the queues are too long for a request, in milliseconds; negative if
+     * they are not.
+     *
+     * @param expectedMillis the expected time in the queues, in milliseconds
+     * @param maxWaitMillis the time in the queues with which a request is admitted, in milliseconds
+     * @param objectiveMillis the latency objective of the request, in milliseconds
+     * @param shedsByCost whether the owners of queues refuse requests that would only delay others;
+     *     there is room for a request once it can meet its objective
+     */
+    static long excessMillis(
+            long expectedMillis, double maxWaitMillis, long objectiveMillis, boolean shedsByCost) {
+        double roomMillis =
+                shedsByCost ? Math.min(maxWaitMillis, (double) objectiveMillis) : maxWaitMillis;
+        return expectedMillis - Math.round(roomMillis);
+    }
+
     /**
      * Returns the delay in milliseconds.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/SharedStages.java
@@ -72,6 +72,7 @@
     private final Map<String, Map<Integer, Integer>> unmetPieces = new HashMap<>();
 
     private int ticks;
+    private long shedByFormerDispatchers;
 
     private record ReceivedBacklog(Backlog backlog, long atMillis) {}
 
@@ -254,6 +255,25 @@
                 .orElse(0);
     }
 
+    /**
+     * Returns the number of jobs that were shed or refused by their cost to callers.
+     *
+     * @return the number of jobs at services of this router, since its start
+     */
+    public long shedJobs() {
+        return shedByFormerDispatchers
+                + dispatchers.values().stream().mapToLong(StageDispatcher::shedTasks).sum();
+    }
+
+    /**
+     * Returns the number of jobs that will miss their objective because others are served first.
+     *
+     * @return the number of jobs in the queues of this router
+     */
+    public int displacedJobs() {
+        return dispatchers.values().stream().mapToInt(StageDispatcher::displacedTasks).sum();
+    }
+
     /** Resubmits jobs of owners that are no longer live and dispatches queued pieces. */
     public void tick() {
         List<String> live = membership.live(loop.nowMillis());
@@ -291,6 +311,7 @@
                     service, owner(service, Set.of()), handedOverTasks.size());
         }
         if (dispatcher.openJobs() == 0) {
+            shedByFormerDispatchers += dispatcher.shedTasks();
             dispatchers.remove(service);
         }
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDependencies.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDependencies.java
@@ -53,7 +53,8 @@
                                 port,
                                 budget,
                                 loop,
-                                releaseInputs));
+                                releaseInputs,
+                                catalog::shedsByCost));
     }
 
     private int ranks() {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.bronzewheel.catalog.StagePool;
@@ -60,6 +61,7 @@
     private final StageOrder order = new StageOrder();
     private final RankShares shares = new RankShares();
     private final QueueWaitEstimator waitEstimator = new QueueWaitEstimator(shares);
+    private final StageTriage triage;
     private final DrainMeter drain = new DrainMeter();
     private final InputRetention inputRetention = new InputRetention();
     private final TimeEstimate callTime = new TimeEstimate();
@@ -79,7 +81,8 @@
             StagePort port,
             SharedRetryBudget budget,
             Loop loop,
-            Consumer<List<StageResult>> releaseInputs) {
+            Consumer<List<StageResult>> releaseInputs,
+            BooleanSupplier shedsByCost) {
         this.service = service;
         this.pools = pools;
         this.upstreams = upstreams;
@@ -88,6 +91,7 @@
         this.budget = budget;
         this.loop = loop;
         this.releaseInputs = releaseInputs;
+        this.triage = new StageTriage(shedsByCost, order, waitEstimator, shares);
     }
 
     /**
@@ -128,19 +132,7 @@
         if (workers.isEmpty() && upstreams.isLoaded()) {
             return true;
         }
-        QueueWaitEstimator.Queue queue = queue(limits);
-        double onTimeMillis =
-                blockedMillis(queue.nowMillis())
-                        + waitEstimator.onTimeWaitMillis(job.rank(), queue)
-                        + limits.callMillis()
-                        + job.laterMillis();
-        double lateMillis =
-                blockedMillis(queue.nowMillis())
-                        + waitEstimator.lateWaitMillis(job.rank(), queue)
-                        + limits.callMillis()
-                        + job.leastLaterMillis();
-        return queue.nowMillis() + onTimeMillis > job.objectiveAtMillis()
-                && queue.nowMillis() + lateMillis > job.deadlineAtMillis();
+        return triage.isInfeasible(task, load(limits));
     }
 
     /** Records demand that was not submitted because the requests were refused earlier. */
@@ -309,6 +301,7 @@
      * @param owner whether this router still owns the service
      */
     void logState(boolean owner) {
+        triage.report().log(service);
         if (tasks.isEmpty()) {
             return;
         }
@@ -348,6 +341,16 @@
                 .orElse(0);
     }
 
+    /** Returns the tasks that were shed or refused for lack of capacity since the start. */
+    long shedTasks() {
+        return triage.report().shedTasks();
+    }
+
+    /** Returns the tasks that will miss their objective because of other tasks. */
+    int displacedTasks() {
+        return order.plan().displaced().size();
+    }
+
     int openJobs() {
         return tasks.size();
     }
@@ -359,6 +362,11 @@
                 .orElse(0L);
     }
 
+    private StageTriage.Load load(StagePool limits) {
+        return new StageTriage.Load(
+                queue(limits), blockedMillis(loop.nowMillis()), limits.callMillis());
+    }
+
     private QueueWaitEstimator.Queue queue(StagePool limits) {
         return new QueueWaitEstimator.Queue(
                 tasks, callMillis(limits), millisPerPiece(limits), loop.nowMillis());
@@ -435,42 +443,26 @@
             int waiting = task.waiting().size();
             long latestMillis = task.job().deadlineAtMillis() - task.job().leastLaterMillis();
             if (waiting > 0 && nowMillis > latestMillis) {
-                counters.count(PieceCounters.Event.LATE, task.job().rank(), waiting);
-                fail(task, StageFailure.LATE);
+                failLate(task);
             }
         }
     }
 
     /** Fails the tasks that cannot meet their deadline given the tasks ahead of them. */
     private void failLate(StagePool limits, long nowMillis) {
-        double pieceMillis = millisPerPiece(limits);
-        long blockedMillis = blockedMillis(nowMillis);
-        int ahead = 0;
-        Map<Integer, Integer> aheadOfRank = new HashMap<>();
-        for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
+        for (StageTask task : List.copyOf(tasks)) {
             int waiting = task.waiting().size();
             if (waiting > 0 && task.haveInputsExpired(nowMillis)) {
                 counters.count(PieceCounters.Event.INPUT_GONE, waiting);
                 fail(task, StageFailure.INPUT_GONE);
-                continue;
-            }
-            int rank = task.job().rank();
-            int sameRankAhead = aheadOfRank.getOrDefault(rank, 0);
-            double doneMillis =
-                    nowMillis
-                            + blockedMillis
-                            + waitEstimator.minWaitMillis(
-                                    rank, ahead, sameRankAhead, pieceMillis, nowMillis)
-                            + limits.callMillis();
-            double latest = task.job().deadlineAtMillis() - (double) task.job().leastLaterMillis();
-            if (waiting > 0 && doneMillis > latest) {
-                counters.count(PieceCounters.Event.LATE, rank, waiting);
-                fail(task, StageFailure.LATE);
-            } else {
-                ahead += waiting;
-                aheadOfRank.put(rank, sameRankAhead + waiting);
             }
         }
+        triage.update(load(limits), this::failLate);
+    }
+
+    private void failLate(StageTask task) {
+        counters.count(PieceCounters.Event.LATE, task.job().rank(), task.waiting().size());
+        fail(task, StageFailure.LATE);
     }
 
     /** Returns when the first input of a job expires; {@link Long#MAX_VALUE} if it has none. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageOrder.java
@@ -14,7 +14,8 @@
  * new ones. A task that will miss its objective moves behind the on-time tasks of the next rank, as
  * finishing it somewhat less late has little value. Tasks of a rank with unused credit of its share
  * go first, so that no rank starves, and every few calls the oldest task goes first, so that no
- * late task starves.
+ * late task starves. Within on-time and within late tasks of a rank, the tasks of a {@link
+ * StagePlan} are in its order instead of that of their objectives.
  */
 final class StageOrder {
     private static final int RANK_STEP = 2;
@@ -27,6 +28,16 @@
     private static final long LARGE_TRANSFER_BYTES = 100_000;
 
     private int calls;
+    private StagePlan plan = StagePlan.NONE;
+
+    /** Orders by a plan from now on. */
+    void follow(StagePlan newPlan) {
+        plan = newPlan;
+    }
+
+    StagePlan plan() {
+        return plan;
+    }
 
     /** Returns the tasks by rank and objective. */
     static List<StageTask> byRank(List<StageTask> tasks, double callMillis, long nowMillis) {
@@ -56,6 +67,7 @@
         ordered.sort(
                 Comparator.<StageTask>comparingInt(task -> rank(task, callMillis, nowMillis))
                         .thenComparing(task -> prefersOtherDomain(task, failureDomain, nowMillis))
+                        .thenComparingInt(plan::place)
                         .thenComparingLong(task -> task.job().objectiveAtMillis()));
         ordered = coveredByCreditFirst(ordered, shares, batch);
         if (calls % OLDEST_FIRST_EVERY == 0) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RetryAfterTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RetryAfterTest.java
@@ -38,4 +38,12 @@
         assertThat(RetryAfter.delayMillis(1_000, 2_000, 15_000, 0, 0.9)).isEqualTo(3_050);
         assertThat(RetryAfter.delayMillis(1_000, 2_000, 15_000, 1, 0.0)).isEqualTo(1_750);
     }
+
+    // Guards against a retry that is refused again because it could not meet its objective yet.
+    @Test
+    void thereIsRoomForARequestOnceItIsAdmittedAndNotShed() {
+        assertThat(RetryAfter.excessMillis(2_000, 1_500, 500, false)).isEqualTo(500);
+        assertThat(RetryAfter.excessMillis(2_000, 1_500, 500, true)).isEqualTo(1_500);
+        assertThat(RetryAfter.excessMillis(2_000, 400, 500, true)).isEqualTo(1_600);
+    }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -34,6 +34,7 @@
     private final List<String> freed = new ArrayList<>();
     private final List<StageResult> inputsReleased = new ArrayList<>();
     private boolean first;
+    private boolean shedsByCost;
     private Optional<StagePool> pool = Optional.of(POOL);
     private final StageDispatcher dispatcher =
             new StageDispatcher(
@@ -44,7 +45,8 @@
                     new Port(),
                     new SharedRetryBudget(0, 100, 10_000, 1),
                     loop,
-                    inputsReleased::addAll);
+                    inputsReleased::addAll,
+                    () -> shedsByCost);
 
     /** A call in progress. */
     private record Call(UpstreamEntry target, List<StageItem> items, StageCallListener listener) {
@@ -618,7 +620,8 @@
                         new Port(),
                         new SharedRetryBudget(0, 100, 10_000, 1),
                         stallingLoop,
-                        inputsReleased::addAll);
+                        inputsReleased::addAll,
+                        () -> shedsByCost);
         upstreams("u");
         Outcome outcome = new Outcome();
         stalled.submit(
@@ -704,4 +707,76 @@
         calls.get(0).done();
         assertThat(outcome.results).hasSize(1);
     }
+
+    /** Submits one large job, then small ones with a later objective, behind a running call. */
+    private void largeBeforeSmall(int smallJobs, long smallObjectiveMillis) {
+        upstreams("u");
+        submit("busy", 4, 0, 10, 9_000);
+        advance(279);
+        submit("large", 8, 0, 10, 900, 9_000, List.of());
+        for (int i = 0; i < smallJobs; i++) {
+            submit("small" + i, 2, 0, 10, smallObjectiveMillis, 9_000, List.of());
+        }
+        advance(1);
+        calls.get(0).done();
+        advance(1);
+    }
+
+    // Guards against one large request that makes several small ones late.
+    @Test
+    void smallJobsPrecedeALargeOneThatWouldMakeThemLateWhereWorkspacesDiffer() {
+        shedsByCost = true;
+        largeBeforeSmall(4, 1_300);
+        assertThat(calls.get(1).ids())
+                .containsExactly("small0/0", "small0/1", "small1/0", "small1/1");
+        assertThat(dispatcher.displacedTasks()).isEqualTo(1);
+        assertThat(dispatcher.shedTasks()).isEqualTo(0);
+    }
+
+    // Guards against a change for configurations that do not use the priority of workspaces.
+    @Test
+    void orderIsByObjectiveWhereWorkspacesDoNotDiffer() {
+        largeBeforeSmall(4, 1_300);
+        assertThat(calls.get(1).ids()).containsExactly("large/0", "large/1", "large/2", "large/3");
+        assertThat(dispatcher.displacedTasks()).isEqualTo(0);
+    }
+
+    // Guards against a policy that changes the order although all are on time.
+    @Test
+    void orderIsByObjectiveWhereAllAreOnTime() {
+        shedsByCost = true;
+        largeBeforeSmall(1, 1_600);
+        assertThat(calls.get(1).ids()).containsExactly("large/0", "large/1", "large/2", "large/3");
+        assertThat(dispatcher.displacedTasks()).isEqualTo(0);
+    }
+
+    // Guards against a refused request that has started work.
+    @Test
+    void requestThatWouldBeShedIsRefusedAtOnceWithoutACall() {
+        shedsByCost = true;
+        overload();
+        first = true;
+        int callsBefore = calls.size();
+        Outcome refused = submit("new", 1, 1, 10, 1_000, 6_000, List.of());
+        advance(1);
+        assertThat(refused.failure).isEqualTo(StageFailure.LATE);
+        assertThat(dispatcher.shedTasks()).isEqualTo(1);
+        assertThat(calls).hasSize(callsBefore);
+        assertThat(calls.stream().flatMap(call -> call.ids().stream()).toList())
+                .doesNotContain("new/0");
+    }
+
+    // Guards against requests of an urgent workspace that are refused behind less urgent ones.
+    @Test
+    void urgentRequestIsAcceptedWhereALessUrgentOneIsRefused() {
+        shedsByCost = true;
+        overload();
+        first = true;
+        dispatcher.cancel("urgent29");
+        Outcome lessUrgent = submit("less urgent", 1, 5, 10, 1_000, 6_000, List.of());
+        Outcome urgent = submit("more urgent", 1, 0, 10, 900, 60_000, List.of());
+        advance(1);
+        assertThat(lessUrgent.failure).isEqualTo(StageFailure.LATE);
+        assertThat(urgent.failure).isNull();
+    }
 }
