--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -3,9 +3,9 @@
 import com.google.common.flogger.FluentLogger;
 import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.bronzewheel.catalog.Catalog;
+import org.bronzewheel.catalog.EffectiveRank;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.WorkspaceEntry;
@@ -50,6 +50,7 @@
     private final CallerRequest request;
     private final ServiceRoute route;
     private final Optional<WorkspaceEntry> workspace;
+    private final EffectiveRank rank;
     private final CallerExchange exchange;
     private final long arrivedMillis;
     private final Consumer<RequestExecution> onEnd;
@@ -81,6 +82,7 @@
             CallerRequest request,
             ServiceRoute route,
             Optional<WorkspaceEntry> workspace,
+            EffectiveRank rank,
             CallerExchange exchange,
             long arrivedMillis,
             Consumer<RequestExecution> onEnd) {
@@ -90,6 +92,7 @@
         this.request = request;
         this.route = route;
         this.workspace = workspace;
+        this.rank = rank;
         this.exchange = exchange;
         this.arrivedMillis = arrivedMillis;
         this.onEnd = onEnd;
@@ -103,6 +106,7 @@
                         context,
                         request,
                         route,
+                        rank.value(),
                         arrivedMillis,
                         firstAnswerDeadlineMillis,
                         this::guard,
@@ -147,7 +151,9 @@
                                 .formatted(
                                         route.name(),
                                         rank(),
-                                        describeWorkspaceRank(),
+                                        workspace
+                                                .map(WorkspaceEntry::describePriority)
+                                                .orElse("none"),
                                         expectedMillis,
                                         route.objectiveMillis(),
                                         firstAnswerDeadlineMillis - arrivedMillis,
@@ -272,16 +278,8 @@
                 .filter(newer -> newer.name().equals(route.name()));
     }
 
-    private int rank() {
-        return route.priority();
-    }
-
-    private String describeWorkspaceRank() {
-        return workspace
-                .map(WorkspaceEntry::priority)
-                .filter(OptionalInt::isPresent)
-                .map(priority -> Integer.toString(priority.getAsInt()))
-                .orElse("none");
+    int rank() {
+        return rank.value();
     }
 
     private void dispatch() {
@@ -443,7 +441,7 @@
                         request,
                         deadlineAtMillis - nowMillis,
                         workspace.map(WorkspaceEntry::name),
-                        engine ? Optional.of(Math.min(9, 1 + 2 * rank())) : Optional.empty(),
+                        engine ? Optional.of(rank.engineUrgency()) : Optional.empty(),
                         stages.handles(),
                         relay.resumeAfter(),
                         route.retryRule() != RetryRule.AT_MOST_ONCE,
@@ -721,11 +719,11 @@
         long excessMillis =
                 Math.max(
                         Math.max(permitRetryMillis, availability.firstMillis()),
-                        expectedMillis()
-                                - Math.round(
-                                        MAX_WAIT_SHARE
-                                                * route.firstResponseTimeoutMillis(
-                                                        remainingMillis)));
+                        RetryAfter.excessMillis(
+                                expectedMillis(),
+                                MAX_WAIT_SHARE * route.firstResponseTimeoutMillis(remainingMillis),
+                                route.objectiveMillis(),
+                                context.catalog().shedsByCost()));
         long retryAfterMillis =
                 RetryAfter.delayMillis(
                         excessMillis,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RetryAfter.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RetryAfter.java
@@ -20,6 +20,23 @@
 
     private RetryAfter() {}
 
+    /**
+     * Returns the time by which the queues are too long for a request, in milliseconds; negative if
+     * they are not.
+     *
+     * @param expectedMillis the expected time in the queues, in milliseconds
+     * @param maxWaitMillis the time in the queues with which a request is admitted, in milliseconds
+     * @param objectiveMillis the latency objective of the request, in milliseconds
+     * @param shedsByCost whether the owners of queues refuse requests that would only delay others;
+     *     there is room for a request once it can meet its objective
+     */
+    static long excessMillis(
+            long expectedMillis, double maxWaitMillis, long objectiveMillis, boolean shedsByCost) {
+        double roomMillis =
+                shedsByCost ? Math.min(maxWaitMillis, (double) objectiveMillis) : maxWaitMillis;
+        return expectedMillis - Math.round(roomMillis);
+    }
+
     /**
      * Returns the delay in milliseconds.
      *
@@ -28,7 +45,7 @@
      * @param reopeningMillis the time from the first to the last upstream that becomes available,
      *     in milliseconds; retries are spread over it
      * @param remainingMillis the remaining time of the caller, in milliseconds
-     * @param rank the rank of its route; 0 is the most urgent
+     * @param rank the rank of the request; 0 is the most urgent
      * @param point a random number in [0, 1)
      */
     static long delayMillis(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDependencies.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDependencies.java
@@ -43,6 +43,7 @@
                 membership,
                 budget,
                 loop,
+                this::ranks,
                 (service, releaseInputs) ->
                         new StageDispatcher(
                                 service,
@@ -52,7 +53,12 @@
                                 port,
                                 budget,
                                 loop,
-                                releaseInputs));
+                                releaseInputs,
+                                catalog::shedsByCost));
+    }
+
+    private int ranks() {
+        return catalog.current().map(current -> current.ranks().count()).orElse(0);
     }
 
     private Optional<StagePool> pool(String service) {
