Give up the newest of equal tasks; refuse at the door only what the estimates call late, too

Between tasks with the same work the request id decided, so that new ones could pass an older one at each decision; and requests were refused that the estimates by the recent service rate, rightly, called on time.

Change: among tasks with the same work the one with the latest objective is given up. The owner refuses a request that the decision delays only if the estimates used without the policy refuse it.

--- a/bronzewheel-decision/src/main/java/org/bronzewheel/shedding/LoadShedding.java
+++ b/bronzewheel-decision/src/main/java/org/bronzewheel/shedding/LoadShedding.java
@@ -50,7 +50,12 @@
     private final Comparator<QueuedTask<T>> byObjective =
             Comparator.comparingLong((QueuedTask<T> queued) -> queued.objectiveAtMillis())
                     .thenComparing(tieBreak);
-    private final Comparator<QueuedTask<T>> mostWork = tieBreak.reversed();
+
+    /** Of tasks with the same work, the one that has waited least is given up. */
+    private final Comparator<QueuedTask<T>> mostWork =
+            Comparator.comparingDouble((QueuedTask<T> queued) -> queued.workMillis())
+                    .thenComparing(byObjective)
+                    .reversed();
 
     private final PoolCapacity capacity;
     private final double startMillis;
--- a/bronzewheel-decision/src/test/java/org/bronzewheel/shedding/LoadSheddingTest.java
+++ b/bronzewheel-decision/src/test/java/org/bronzewheel/shedding/LoadSheddingTest.java
@@ -312,6 +312,19 @@
         assertThat(decision.displaced()).containsExactly("large");
     }
 
+    // Guards against a request that new ones of the same size pass at each decision.
+    @Test
+    void taskWithTheLatestObjectiveIsDisplacedAmongThoseOfTheSameSize() {
+        SheddingDecision<String> decision =
+                decide(
+                        List.of(
+                                task("z oldest", 0, 100, 30),
+                                task("y", 0, 100, 130),
+                                task("x newest", 0, 100, 140)));
+        assertThat(decision.order()).containsExactly("z oldest", "y", "x newest").inOrder();
+        assertThat(decision.displaced()).containsExactly("x newest");
+    }
+
     @Test
     void lateTasksFollowTheNextRankButPrecedeTheOneAfterIt() {
         SheddingDecision<String> decision =
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTriage.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageTriage.java
@@ -86,19 +86,22 @@
         double callEndMillis = queue.nowMillis() + load.blockedMillis() + load.leastCallMillis();
         double lateMillis =
                 callEndMillis + waits.lateWaitMillis(job.rank(), queue) + job.leastLaterMillis();
-        boolean missesDeadline = lateMillis > job.deadlineAtMillis();
-        if (shedsByCost()) {
-            SheddingDecision<StageTask> decision = decideWith(task, load);
-            boolean infeasible =
-                    decision.shed().contains(task) || (decision.isDelayed(task) && missesDeadline);
-            if (infeasible) {
-                report.recordRefused(task);
-            }
-            return infeasible;
-        }
         double onTimeMillis =
                 callEndMillis + waits.onTimeWaitMillis(job.rank(), queue) + job.laterMillis();
-        return onTimeMillis > job.objectiveAtMillis() && missesDeadline;
+        boolean infeasible =
+                onTimeMillis > job.objectiveAtMillis() && lateMillis > job.deadlineAtMillis();
+        if (!shedsByCost()) {
+            return infeasible;
+        }
+        // The estimates also know the recent service rate, which may be higher than the decision
+        // assumes; refusing by the decision alone refused requests that would be on time.
+        SheddingDecision<StageTask> decision = decideWith(task, load);
+        boolean refused =
+                decision.shed().contains(task) || (infeasible && decision.isDelayed(task));
+        if (refused) {
+            report.recordRefused(task);
+        }
+        return refused;
     }
 
     private SheddingDecision<StageTask> decideWith(StageTask candidate, Load load) {
