Compare what callers get with and without load shedding in virtual time

An experiment with two workspaces on three profiles and one with a single service and uneven requests: bursts of 2.5 and 6 times the usual load, and a quiet load, by rank and size.

--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/Experiments.java
@@ -35,6 +35,7 @@
                             Map.entry("stages", StageExperiment::run),
                             Map.entry("bursts", StageBurstExperiment::run),
                             Map.entry("shortage", StageShortageExperiment::run),
+                            Map.entry("shedding", LoadSheddingExperiment::run),
                             Map.entry("leaving", LeavingExperiment::run),
                             Map.entry("limits", LimitExperiment::run),
                             Map.entry("limited-engines", LimitExperiment::runEngines),
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageExperiment.java
@@ -100,7 +100,12 @@
             figures.put("rank " + rank, tally.onTimeShare(rank));
             figures.put("worth " + rank, tally.worthShare(rank));
             figures.put("answered " + rank, tally.answeredShare(rank));
+            figures.put("refused " + rank, tally.refusedShare(rank));
         }
+        figures.put("on time small", tally.onTimeShareOfSize(false));
+        figures.put("on time large", tally.onTimeShareOfSize(true));
+        figures.put("answered small", tally.answeredShareOfSize(false));
+        figures.put("answered large", tally.answeredShareOfSize(true));
         figures.put("worth", tally.worthShare());
         figures.put("answered", tally.answeredShare());
         figures.put("refused", tally.refusedShare());
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,7 @@
 import org.bronzewheel.catalog.ServiceEntry;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.ServiceShare;
+import org.bronzewheel.catalog.WorkspaceEntry;
 import org.bronzewheel.loop.Loop;
 import org.bronzewheel.measure.StageProfile.StageRoute;
 import org.bronzewheel.peering.HeartbeatService;
@@ -173,7 +175,7 @@
         if (dead.filter(d -> d == router).isPresent()) {
             return;
         }
-        tally.asked(route);
+        tally.asked(route, route.isLarge(pieces));
         new Caller(route, id, pieces).attempt(router, 1);
     }
 
@@ -219,7 +221,20 @@
                                                 0,
                                                 Optional.of(pool.limits()),
                                                 Optional.empty())));
-        return new Catalog(1, serviceRoutes(), services, List.of(), new CallerLimits(1, 1, 1, 1));
+        return new Catalog(
+                1, serviceRoutes(), services, workspaces(), new CallerLimits(1, 1, 1, 1));
+    }
+
+    /**
+     * Returns workspaces that enable load shedding; the requests are those of open routes, so that
+     * their order is that of the priorities of the routes in all variants.
+     */
+    private List<WorkspaceEntry> workspaces() {
+        return variant == StageVariant.OWNER_SHEDS
+                ? List.of(
+                        new WorkspaceEntry("first", List.of("first"), OptionalInt.of(0)),
+                        new WorkspaceEntry("second", List.of("second"), OptionalInt.of(1)))
+                : List.of();
     }
 
     /** One router, without its sockets. */
@@ -290,7 +305,7 @@
         }
 
         void start() {
-            if (variant == StageVariant.OWNER || variant == StageVariant.OWNER_DIES) {
+            if (variant != StageVariant.ALONE && variant != StageVariant.TURNS) {
                 network.start();
                 permits.start();
             }
@@ -420,7 +435,7 @@
 
         void answered() {
             ended = true;
-            tally.answered(route, loop.nowMillis() - askedMillis);
+            tally.answered(route, route.isLarge(pieces), loop.nowMillis() - askedMillis);
         }
 
         void refused(Refusal refusal, int number) {
@@ -432,7 +447,7 @@
             long afterMillis = refusal.retryAfterMillis().orElse(0);
             if (number > RETURNS || afterMillis > leftMillis() / 3) {
                 ended = true;
-                tally.refused();
+                tally.refused(route);
                 return;
             }
             Router next = routers.get(random.nextInt(routers.size()));
@@ -441,7 +456,7 @@
                     () -> {
                         if (dead.filter(d -> d == next).isPresent()) {
                             ended = true;
-                            tally.refused();
+                            tally.refused(route);
                         } else {
                             attempt(next, number + 1);
                         }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageProfile.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageProfile.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.measure;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.catalog.StageStep;
@@ -58,6 +59,27 @@
         private static final long LEAST_SILENCE_MILLIS = 2_000;
         private static final int SILENCE_OBJECTIVES = 4;
 
+        /** Returns whether a request has more pieces than the mean of its route. */
+        boolean isLarge(List<Integer> pieces) {
+            return pieces.stream().mapToInt(Integer::intValue).sum()
+                    > meanPieces.stream().mapToDouble(Double::doubleValue).sum();
+        }
+
+        /** Returns the requests of one of several workspaces, with a rank that says so. */
+        private StageRoute ofWorkspace(int workspace, int workspaces, int routes) {
+            return new StageRoute(
+                    name + "-" + workspace,
+                    requestsPerSecond / workspaces,
+                    workspace * routes + priority,
+                    objectiveMillis,
+                    deadlineMillis,
+                    worth,
+                    lateWorth,
+                    stages,
+                    meanPieces,
+                    workFactors);
+        }
+
         /** Returns the time without an event after which callers leave, in milliseconds. */
         long callerSilenceMillis() {
             return Math.max(LEAST_SILENCE_MILLIS, SILENCE_OBJECTIVES * objectiveMillis);
@@ -139,6 +161,41 @@
                 ikazeRoutes(32.1, 52.9, 52.1));
     }
 
+    /** One stage service whose requests differ much in size and deadline; not a deployment. */
+    static StageProfile uneven() {
+        List<StageStep> stages = List.of(new StageStep("render", List.of(), 10_000));
+        return new StageProfile(
+                "uneven",
+                6,
+                List.of("a", "b", "c"),
+                List.of(pool("render", 4, 12, 17.5, 100)),
+                List.of(
+                        unevenRoute("lookup", 10, 0, 1_500, 6_000, 1, stages),
+                        unevenRoute("digest", 6, 1, 2_500, 12_000, 6, stages),
+                        unevenRoute("report", 1.5, 2, 4_000, 15_000, 12, stages)));
+    }
+
+    private static StageRoute unevenRoute(
+            String name,
+            double requestsPerSecond,
+            int priority,
+            long objectiveMillis,
+            long deadlineMillis,
+            double meanPieces,
+            List<StageStep> stages) {
+        return new StageRoute(
+                name,
+                requestsPerSecond,
+                priority,
+                objectiveMillis,
+                deadlineMillis,
+                1,
+                0.15,
+                stages,
+                List.of(meanPieces),
+                List.of(1.0));
+    }
+
     private static List<StageRoute> ikazeRoutes(
             double digestsPerSecond, double questionsPerSecond, double lookupsPerSecond) {
         StageStep records = new StageStep("hr-sync", List.of(), 800_000);
@@ -204,6 +261,17 @@
         return List.of(branch, chain.get(0), chain.get(1), chain.get(2));
     }
 
+    /** Returns the deployment with its requests spread evenly over workspaces. */
+    StageProfile withWorkspaces(int workspaces) {
+        List<StageRoute> all = new ArrayList<>();
+        for (int workspace = 0; workspace < workspaces; workspace++) {
+            for (StageRoute route : routes) {
+                all.add(route.ofWorkspace(workspace, workspaces, routes.size()));
+            }
+        }
+        return new StageProfile(name, routers, failureDomains, pools, all);
+    }
+
     StageRoute route(String routeName) {
         return routes.stream().filter(r -> r.name().equals(routeName)).findFirst().orElseThrow();
     }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageTally.java
@@ -14,6 +14,10 @@
     private final Map<Integer, Long> askedOfRank = new TreeMap<>();
     private final Map<Integer, Long> answeredOfRank = new TreeMap<>();
     private final Map<Integer, Long> onTimeOfRank = new TreeMap<>();
+    private final Map<Integer, Long> refusedOfRank = new TreeMap<>();
+    private final Map<Boolean, Long> askedOfSize = new TreeMap<>();
+    private final Map<Boolean, Long> onTimeOfSize = new TreeMap<>();
+    private final Map<Boolean, Long> answeredOfSize = new TreeMap<>();
     private final Map<Integer, Double> owedOfRank = new TreeMap<>();
     private final Map<Integer, Double> earnedOfRank = new TreeMap<>();
     private long asked;
@@ -26,29 +30,33 @@
     private double owedWorth;
     private double earnedWorth;
 
-    void asked(StageRoute route) {
+    void asked(StageRoute route, boolean large) {
         asked++;
+        askedOfSize.merge(large, 1L, Long::sum);
         askedOfRank.merge(route.priority(), 1L, Long::sum);
         owedWorth += route.worth();
         owedOfRank.merge(route.priority(), route.worth(), Double::sum);
     }
 
-    void answered(StageRoute route, long millis) {
+    void answered(StageRoute route, boolean large, long millis) {
         answered++;
+        answeredOfSize.merge(large, 1L, Long::sum);
         answeredOfRank.merge(route.priority(), 1L, Long::sum);
         latencies.recordValue(Math.min(LONGEST_MILLIS, millis));
         boolean late = millis > route.objectiveMillis();
         double worth = late ? route.lateWorth() : route.worth();
         if (!late) {
             onTime++;
+            onTimeOfSize.merge(large, 1L, Long::sum);
             onTimeOfRank.merge(route.priority(), 1L, Long::sum);
         }
         earnedWorth += worth;
         earnedOfRank.merge(route.priority(), worth, Double::sum);
     }
 
-    void refused() {
+    void refused(StageRoute route) {
         refused++;
+        refusedOfRank.merge(route.priority(), 1L, Long::sum);
     }
 
     /** Books a refusal that came only after a time, of a first or of a further attempt. */
@@ -96,6 +104,22 @@
         return (double) answeredOfRank.getOrDefault(rank, 0L) / askedOfRank.getOrDefault(rank, 1L);
     }
 
+    double refusedShare(int rank) {
+        return (double) refusedOfRank.getOrDefault(rank, 0L) / askedOfRank.getOrDefault(rank, 1L);
+    }
+
+    /**
+     * Returns the share on time of the requests with more pieces than the mean, or of the others.
+     */
+    double onTimeShareOfSize(boolean large) {
+        return (double) onTimeOfSize.getOrDefault(large, 0L) / askedOfSize.getOrDefault(large, 1L);
+    }
+
+    double answeredShareOfSize(boolean large) {
+        return (double) answeredOfSize.getOrDefault(large, 0L)
+                / askedOfSize.getOrDefault(large, 1L);
+    }
+
     double refusedShare() {
         return (double) refused / asked;
     }
--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageVariant.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageVariant.java
@@ -8,6 +8,11 @@
     TURNS,
     /** Each service has one owner among the routers, which fills calls for all of them. */
     OWNER,
-    /** As the former, and the owner of most services dies in the middle. */
+    /**
+     * As the former, and workspaces have different priorities, so that the owner delays and sheds
+     * requests by their cost to callers.
+     */
+    OWNER_SHEDS,
+    /** As {@link #OWNER}, and the owner of most services dies in the middle. */
     OWNER_DIES
 }
