--- a/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleetTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleetTest.java
@@ -145,7 +145,7 @@
         assertWithinBound(fleet, coldMillis + NOTICE_MILLIS, coldMillis + COLD_MILLIS);
     }
 
-    // EVAC, FAILBACK: routers may learn of the return before the entries say that it is cold.
+    // Routers may learn of the return before the entries say that it is cold.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
     void anEvacuatedDomainGetsNothingAndReturnsWithARamp(long seed) {
@@ -165,7 +165,7 @@
                 .isGreaterThan(0);
     }
 
-    // FAILBACK: the evacuation may be requested while the upstream is cold.
+    // The evacuation may be requested while the upstream is cold.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void anUpstreamThatIsColdWhenItsDomainIsEvacuatedAndReturnsStaysWithinTheRate(long seed) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -415,7 +415,7 @@
         public void close() {}
     }
 
-    // EVAC: a router that starts or lost its history learns of an evacuation from the snapshot.
+    // A router that starts or lost its history learns of an evacuation from the snapshot.
     @Test
     void evacuationsAreReadFromSnapshotsAndChanges() {
         answer(snapshots, 5, version(1), new DomainEvacuated("d"), upstream("a"));
@@ -443,7 +443,7 @@
         }
     }
 
-    // EVAC: a copy may lack the key, which its writer needs a moment to write again.
+    // A copy may lack the key, which its writer needs a moment to write again.
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void evacuationThatTheCopyLacksStaysInForceUntilItsWriterHadTimeToWriteItAgain(
@@ -495,7 +495,7 @@
         assertThat(coldMillis("b")).isEqualTo(3_000);
     }
 
-    // FAILBACK: an entry in a copy is older than what this router has read before.
+    // An entry in a copy is older than what this router has read before.
     @Test
     void snapshotAfterAReturnFromACopyNeitherEndsNorRenewsAColdTime() {
         limitColdUpstreams();
@@ -510,7 +510,7 @@
         assertThat(coldMillis("b")).isEqualTo(1_500);
     }
 
-    // FAILBACK: the entries may still say that the upstreams are warm.
+    // The entries may still say that the upstreams are warm.
     @Test
     void upstreamsOfADomainThatReturnsCountAsCold() {
         limitColdUpstreams();
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
@@ -332,7 +332,7 @@
                 .isAtMost(inCalmTime + 8);
     }
 
-    // EVAC: in a large fleet most routers learn of an evacuation from the router that reads.
+    // In a large fleet most routers learn of an evacuation from the router that reads.
     @Test
     void evacuationsReachAFollowerThroughItsReader() {
         int before = follower.platformRequests;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
@@ -222,7 +222,7 @@
         return new UpstreamEntry(id, "s", "10.0.0.1:80", domain, 1, 0, false);
     }
 
-    // EVAC: nothing new may reach an upstream of the domain, whichever question leads there.
+    // Nothing new may reach an upstream of the domain, whichever question leads there.
     @Test
     void anUpstreamInAnEvacuatedDomainGetsNothingNewUntilTheDomainReturns() {
         table.replaceAll(List.of(entryIn("d", "a"), entryIn("e", "b")), 0);
@@ -253,7 +253,7 @@
         assertThat(table.evacuatedDomains()).isEqualTo(1);
     }
 
-    // EVAC: the copy may lack the key, which the operator writes again within the return grace.
+    // The copy may lack the key, which the operator writes again within the return grace.
     @Test
     void aDomainThatACopyLacksStaysEvacuatedForTheReturnGrace() {
         table.replaceAll(List.of(entryIn("d", "a"), entryIn("e", "b")), Set.of("d", "e"), 0);
@@ -384,7 +384,7 @@
         assertThat(coldMillis("a", 1_700)).isEqualTo(900);
     }
 
-    // EVAC, FAILBACK: the entries may say only later that the upstreams are cold.
+    // The entries may say only later that the upstreams are cold.
     @Test
     void upstreamsOfAReturnedDomainCountAsColdForTheColdStartUnlessTheirEntriesSayLonger() {
         limitColdUpstreams(8);
