Fail stage jobs at once when their service has no upstream

Callers saw requests that were admitted, ran their other stages and were refused seconds later, shortly before their deadline, while all upstreams of one stage service were in an evacuated domain.

Cause: the dispatcher refused at once only the first jobs of a request, and failed queued tasks only by their deadline; the admission looked only at the final service.

Now the owner fails all queued tasks of a service that has had no upstream for 1 s, while the table is loaded, and jobs that arrive later at once. An upstream that is replaced has no entry for a moment, and a submitter may have read a change up to a second before the owner, so that a shorter bound would fail jobs that can be served. A request one of whose stage services has no upstream is refused at admission. While no upstream can be reached, tasks whose deadline cannot be met after the next probe fail at once; others wait, as a service without queued tasks would not be probed.

Evidence: jobsOfAServiceWhoseUpstreamsAreAllEvacuatedFailWithinTheGap, aJobThatCannotWaitForTheNextProbeOfUnreachableUpstreamsFailsAtOnce and aRequestIsRefusedAtOnceIfAStageServiceHasNoUpstreamOutsideOfEvacuatedDomains failed before and pass now. The harness for requests lists an upstream for each stage service, as its requests would be refused otherwise.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -158,7 +158,7 @@
             refuse("the queues are too long for the deadline");
             return;
         }
-        if (!targets.opensWithin(service(), stages.expectedMillis())) {
+        if (!targets.canServe(route, service(), stages.expectedMillis())) {
             refuse("no upstream takes requests in time");
             return;
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestTargets.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Stream;
 import org.bronzewheel.catalog.ServiceEntry;
+import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.permits.PermitKind;
 import org.bronzewheel.upstreams.Prompt;
 import org.bronzewheel.upstreams.Upstream;
@@ -121,12 +122,22 @@
     }
 
     /** Returns whether an upstream of a service is not paused, or only for a short enough time. */
-    boolean opensWithin(String service, long millis) {
+    private boolean opensWithin(String service, long millis) {
         long nowMillis = context.loop().nowMillis();
         return context.upstreams().serving(service).stream()
                 .anyMatch(upstream -> upstream.blockedMillis(nowMillis) <= millis);
     }
 
+    /**
+     * Returns whether each stage service of a route has an upstream, and the service of the request
+     * has one that is not paused or opens within the time that the stages take.
+     */
+    boolean canServe(ServiceRoute route, String service, long stagesMillis) {
+        return opensWithin(service, stagesMillis)
+                && route.stages().stream()
+                        .noneMatch(step -> context.upstreams().serving(step.service()).isEmpty());
+    }
+
     /** Returns when the upstreams of a service may have permits again and their pauses end. */
     Availability availability(String service) {
         long nowMillis = context.loop().nowMillis();
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageBatch.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageBatch.java
@@ -8,6 +8,8 @@
 
 /** The pieces that go into one call. */
 final class StageBatch {
+    private static final double USABLE_SPACE_SHARE = 0.95;
+
     private final StagePool pool;
     private final long spaceBytes;
     private final List<Entry> entries = new ArrayList<>();
@@ -44,6 +46,32 @@
         return (int) Math.max(0, Math.min(pool.batch() - entries.size(), bySpace));
     }
 
+    /** Returns the space less a margin, as the sizes of results are approximate. */
+    static long usableSpace(StagePool pool) {
+        return Math.round(pool.roomBytes() * USABLE_SPACE_SHARE);
+    }
+
+    /** Returns the expected duration of a full call. */
+    static double fullCallMillis(StagePool pool) {
+        return pool.callMillis() + pool.batch() * pool.pieceMillis();
+    }
+
+    /** Returns the pieces as they are sent. */
+    List<StageItem> items(long nowMillis) {
+        return entries.stream().map(entry -> item(entry, nowMillis)).toList();
+    }
+
+    private static StageItem item(Entry entry, long nowMillis) {
+        StageJob job = entry.task().job();
+        return new StageItem(
+                job.requestId(),
+                job.stage(),
+                entry.piece(),
+                Math.max(1, job.deadlineAtMillis() - nowMillis),
+                job.key(),
+                job.inputs().stream().map(StageResult::handle).toList());
+    }
+
     /** Returns whether all pieces of a task are in this batch. */
     boolean containsAllPiecesOf(StageTask task) {
         return entries.stream().filter(entry -> entry.task() == task).count()
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -29,7 +29,6 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int MAX_FAILURES = 4;
     private static final double MIN_TOTAL_SPEED = 0.2;
-    private static final double USABLE_SPACE_SHARE = 0.95;
     private static final long SLOW_PROBE_INTERVAL_MILLIS = 2_500;
     private static final double TIMEOUT_FACTOR = 2.5;
     private static final long TIMEOUT_FLOOR_MILLIS = 700;
@@ -63,6 +62,7 @@
     private final InputRetention inputRetention = new InputRetention();
     private final TimeEstimate callTime = new TimeEstimate();
     private final PieceCounters counters = new PieceCounters();
+    private final UpstreamGap gap = new UpstreamGap();
     private final List<StageTask> tasks = new ArrayList<>();
     private final Map<String, StageWorker> workers = new LinkedHashMap<>();
     private final Map<String, List<String>> toFree = new HashMap<>();
@@ -165,7 +165,8 @@
                                         loop.nowMillis()
                                                 + Math.round(
                                                         FORMER_OWNER_CALLS
-                                                                * fullCallMillis(limits))));
+                                                                * StageBatch.fullCallMillis(
+                                                                        limits))));
     }
 
     /**
@@ -374,7 +375,10 @@
                         .filter(worker -> allClosed || !isClosed(worker.upstream()))
                         .mapToDouble(worker -> 1 / worker.slowness())
                         .sum();
-        double full = fullCallMillis(limits) / limits.batch() / Math.max(MIN_TOTAL_SPEED, speed);
+        double full =
+                StageBatch.fullCallMillis(limits)
+                        / limits.batch()
+                        / Math.max(MIN_TOTAL_SPEED, speed);
         return Math.max(full, drain.millisPerPiece(loop.nowMillis()));
     }
 
@@ -401,10 +405,6 @@
         }
     }
 
-    private static double fullCallMillis(StagePool limits) {
-        return limits.callMillis() + limits.batch() * limits.pieceMillis();
-    }
-
     /** Fails tasks that cannot be served in time and sends batches to idle upstreams. */
     void pump() {
         Optional<StagePool> limits = pool();
@@ -415,6 +415,9 @@
             return;
         }
         refreshWorkers();
+        if (gap.observe(workers.isEmpty() && upstreams.isLoaded(), nowMillis)) {
+            failUnserved();
+        }
         failLate(limits.get(), nowMillis);
         for (StageWorker worker : idle(limits.get(), nowMillis)) {
             fill(worker, limits.get(), nowMillis);
@@ -439,10 +442,21 @@
         }
     }
 
-    /** Fails the tasks that cannot meet their deadline given the tasks ahead of them. */
+    /** Fails the tasks with queued pieces, as the service has no upstream. */
+    private void failUnserved() {
+        tasks.stream()
+                .filter(task -> !task.waiting().isEmpty())
+                .toList()
+                .forEach(task -> fail(task, StageFailure.UPSTREAM_FAILED));
+    }
+
+    /**
+     * Fails the tasks that cannot meet their deadline given the tasks ahead of them and the time
+     * until an upstream can be called.
+     */
     private void failLate(StagePool limits, long nowMillis) {
         double pieceMillis = millisPerPiece(limits);
-        long blockedMillis = blockedMillis(nowMillis);
+        long blockedMillis = StageWorker.firstCallableMillis(workers.values(), nowMillis);
         int ahead = 0;
         Map<Integer, Integer> aheadOfRank = new HashMap<>();
         for (StageTask task : StageOrder.byRank(tasks, callMillis(limits), nowMillis)) {
@@ -560,7 +574,8 @@
 
     private void fill(StageWorker worker, StagePool limits, long nowMillis) {
         StageBatch batch =
-                new StageBatch(limits, usableSpace(limits) - worker.usedBytes(nowMillis));
+                new StageBatch(
+                        limits, StageBatch.usableSpace(limits) - worker.usedBytes(nowMillis));
         boolean probe = worker.needsProbe();
         String failureDomain = worker.upstream().entry().failureDomain();
         List<StageTask> eligible =
@@ -587,11 +602,6 @@
         }
     }
 
-    /** Returns the space less a margin, as the sizes of results are approximate. */
-    private static long usableSpace(StagePool limits) {
-        return Math.round(limits.roomBytes() * USABLE_SPACE_SHARE);
-    }
-
     /** Returns whether an upstream may run a task, given the task's preferred failure domain. */
     private boolean mayRun(StageWorker worker, StageTask task, StagePool limits, long nowMillis) {
         String wanted = task.job().failureDomain();
@@ -602,8 +612,7 @@
     }
 
     private void send(StageWorker worker, StageBatch batch, StagePool limits, long nowMillis) {
-        List<StageItem> items =
-                batch.entries().stream().map(entry -> item(entry, nowMillis)).toList();
+        List<StageItem> items = batch.items(nowMillis);
         worker.begin(batch.bytes(), nowMillis);
         worker.permit().use();
         double factor = worker.isSlow() ? SLOW_TIMEOUT_FACTOR : TIMEOUT_FACTOR;
@@ -627,17 +636,6 @@
                 .forEach(entry -> waitEstimator.recordSent(entry.task(), callMillis, nowMillis));
     }
 
-    private static StageItem item(StageBatch.Entry entry, long nowMillis) {
-        StageJob job = entry.task().job();
-        return new StageItem(
-                job.requestId(),
-                job.stage(),
-                entry.piece(),
-                Math.max(1, job.deadlineAtMillis() - nowMillis),
-                job.key(),
-                job.inputs().stream().map(StageResult::handle).toList());
-    }
-
     private void schedulePoll() {
         nextPoll.dispose();
         if (tasks.isEmpty()) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageFailure.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageFailure.java
@@ -6,7 +6,9 @@
     LATE,
     /** An input no longer exists. */
     INPUT_GONE,
-    /** The calls failed too often, or the retry budget was exhausted. */
+    /**
+     * The calls failed too often, the retry budget was exhausted, or the service has no upstream.
+     */
     UPSTREAM_FAILED,
     /** The owner of the service was lost, and the job could not be resubmitted. */
     OWNER_LOST
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -1,5 +1,6 @@
 package org.bronzewheel.stages;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -69,6 +70,20 @@
         return running < slots && isCallable(nowMillis);
     }
 
+    /** Returns the time until the first upstream may be called; 0 without upstreams. */
+    static long firstCallableMillis(Collection<StageWorker> workers, long nowMillis) {
+        return workers.stream()
+                .mapToLong(worker -> worker.notCallableMillis(nowMillis))
+                .min()
+                .orElse(0);
+    }
+
+    /** Returns how long the upstream is not called yet, because it is paused or unreachable. */
+    private long notCallableMillis(long nowMillis) {
+        long unreachableMillis = unreachablePauseMillis > 0 ? pausedUntilMillis - nowMillis : 0;
+        return Math.max(upstream.blockedMillis(nowMillis), unreachableMillis);
+    }
+
     private boolean isCallable(long nowMillis) {
         return nowMillis >= pausedUntilMillis
                 && upstream.blockedMillis(nowMillis) == 0
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/EvacuatedDomainTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/EvacuatedDomainTest.java
@@ -52,6 +52,23 @@
         assertThat(harness.refusalStatus()).isEqualTo(503);
     }
 
+    // Guards against requests whose other stages run in vain until their deadline.
+    @Test
+    void aRequestIsRefusedAtOnceIfAStageServiceHasNoUpstreamOutsideOfEvacuatedDomains() {
+        ServingHarness harness =
+                harness(
+                        RetryRule.RESUMABLE,
+                        true,
+                        2,
+                        new StageStep("t", List.of(), 10),
+                        new StageStep("v", List.of(), 10));
+        harness.upstreams.put(new UpstreamEntry("v1", "v", "10.0.0.1:80", "f", 1, 0, false), 0);
+        harness.upstreams.evacuate("f");
+        harness.request("key", List.of(1, 1));
+        assertThat(harness.jobs).isEmpty();
+        assertThat(harness.refusalStatus()).isEqualTo(503);
+    }
+
     @Test
     void aPermitForAnUpstreamThatWasEvacuatedMeanwhileIsNotUsed() {
         ServingHarness harness = harness(RetryRule.AT_MOST_ONCE, false, 1);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -228,6 +228,7 @@
     }
 
     ServingHarness request(String key, List<Integer> pieces, Optional<Long> timeoutMillis) {
+        addStageUpstreams();
         running =
                 engine.run(
                         new CallerRequest(
@@ -250,6 +251,31 @@
         return this;
     }
 
+    /** Lists an upstream for each stage service of which the test listed none. */
+    private void addStageUpstreams() {
+        catalog.current().stream()
+                .flatMap(current -> current.routes().stream())
+                .flatMap(route -> route.stages().stream())
+                .map(StageStep::service)
+                .filter(
+                        service ->
+                                upstreams.all().stream()
+                                        .noneMatch(u -> u.entry().service().equals(service)))
+                .distinct()
+                .forEach(
+                        service ->
+                                upstreams.put(
+                                        new UpstreamEntry(
+                                                "stage-" + service,
+                                                service,
+                                                "10.0.0.2:80",
+                                                "stages",
+                                                1,
+                                                0,
+                                                false),
+                                        loop.nowMillis()));
+    }
+
     Sent lastSend() {
         scheduler.advance(0);
         return sends.get(sends.size() - 1);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -464,6 +464,49 @@
         assertThat(calls.get(2).items()).hasSize(4);
     }
 
+    // Guards against jobs that wait for their deadline while nothing can serve them.
+    @Test
+    void jobsOfAServiceWhoseUpstreamsAreAllEvacuatedFailWithinTheGap() {
+        upstreams("u");
+        submit("busy", 4, 0, 10, 9_000);
+        advance(10);
+        Outcome waiting = submit("waiting", 1, 0, 10, 9_000);
+        advance(10);
+        upstreams.evacuate("d");
+        advance(1_100);
+        assertThat(waiting.failure).isEqualTo(StageFailure.UPSTREAM_FAILED);
+
+        Outcome later = submit("later", 1, 0, 10, 9_000);
+        advance(1);
+        assertThat(later.failure).isEqualTo(StageFailure.UPSTREAM_FAILED);
+    }
+
+    // Guards against jobs that fail between the old entry of an upstream and its new one.
+    @Test
+    void jobsWaitForAnUpstreamThatIsReplaced() {
+        upstreams("u");
+        advance(10);
+        upstreams.remove("u", loop.nowMillis());
+        Outcome outcome = submit("a", 1, 0, 10, 9_000);
+        advance(800);
+        assertThat(outcome.failure).isNull();
+        upstreams("v");
+        advance(100);
+        calls.get(0).done();
+        assertThat(outcome.results).hasSize(1);
+    }
+
+    // Guards against jobs that wait although the next probe comes too late for them.
+    @Test
+    void aJobThatCannotWaitForTheNextProbeOfUnreachableUpstreamsFailsAtOnce() {
+        upstreams("u");
+        Outcome tight = submit("tight", 1, 0, 10, 1_500);
+        Outcome patient = submit("patient", 1, 0, 10, 9_000);
+        refuseCallsTo("u", 1_000);
+        assertThat(tight.failure).isEqualTo(StageFailure.LATE);
+        assertThat(patient.failure).isNull();
+    }
+
     // Guards against a service that stands still because a fast upstream is listed, but gone.
     @ParameterizedTest
     @EnumSource(
