Count routers for ten minutes for the limits of cold upstreams

All routers together sent a cold upstream more than 1.5 times its rate and 5 more a second in a partition of more than 60 s, and after routers had restarted on a small side of a cut.

Cause: the fraction that an owner grants is relative to the largest number of live routers within 60 s, and to the assumed number for 3.9 s after a start. After that, each side takes itself for the whole fleet and grants all of the rate.

For cold limits, the fraction is now relative to the routers that were heard within 600 s and have not left, and after a start to the assumed number until that many have been heard, for 600 s at most. Announced limits are split as before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/peering/SeedMembership.java
@@ -54,6 +54,13 @@
     private static final long LOST_MILLIS = 600_000;
     private static final long COUNT_WINDOW_MILLIS = 60_000;
 
+    /**
+     * The time after a start for which the assumed number of routers counts as existing. It equals
+     * the time for which a router that was heard does, so that a cut is survived equally long with
+     * and without a restart.
+     */
+    private static final long ASSUMED_MILLIS = LOST_MILLIS;
+
     private final String self;
     private final long incarnation;
     private final long startedMillis;
@@ -68,6 +75,7 @@
     private int presentRouters;
     private boolean usesGossip;
     private int largestCount = 1;
+    private boolean heardAssumed;
     private long largestCountMillis;
     private long calledAtMillis;
     private long elapsedMillis;
@@ -179,6 +187,7 @@
         long receiveMillis = receiveMillis(nowMillis);
         hear(heartbeats.sender(), receiveMillis);
         heartbeats.others().forEach(heartbeat -> hear(heartbeat, receiveMillis));
+        heardAssumed = heardAssumed || heardRouters() >= assumedRouters;
         int count = live(nowMillis).size();
         if (count >= largestCount || nowMillis - largestCountMillis > COUNT_WINDOW_MILLIS) {
             largestCount = count;
@@ -359,6 +368,23 @@
         return Math.max(isNew ? assumedRouters : 1, largestCount);
     }
 
+    /**
+     * Returns the number of routers that may be running, whether this one reaches them or not.
+     *
+     * @param nowMillis the time, in milliseconds of the steady clock
+     * @return the number of routers, including this one, that were heard within ten minutes and
+     *     have not left; for ten minutes after the start at least the assumed number, unless that
+     *     many have been heard
+     */
+    public int existingRouters(long nowMillis) {
+        boolean assumes = !heardAssumed && nowMillis - startedMillis < ASSUMED_MILLIS;
+        return Math.max(assumes ? assumedRouters : 1, heardRouters());
+    }
+
+    private int heardRouters() {
+        return 1 + idsMatching(peer -> peer.wasHeard() && !peer.isLeaving()).size();
+    }
+
     private long beatPeriodMillis() {
         return usesGossip
                 ? Math.max(BEAT_MILLIS, BEAT_MILLIS * presentRouters / HEARTBEATS_PER_MESSAGE)
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
@@ -125,12 +125,20 @@
     }
 
     private OptionalDouble limit(PermitKind kind, String name) {
-        long nowMillis = loop.nowMillis();
         return kind == PermitKind.SEND
-                ? Limits.smaller(
-                        upstreams.perSecond(name, nowMillis),
-                        reportedCold.perSecond(name, nowMillis))
-                : upstreams.serviceLimit(name, nowMillis);
+                ? Limits.smaller(announcements.perSecond(name), coldPerSecond(name))
+                : upstreams.serviceLimit(name, loop.nowMillis());
+    }
+
+    /** Returns the limit of an upstream while it is cold, as read or reported. */
+    private OptionalDouble coldPerSecond(String upstreamId) {
+        long nowMillis = loop.nowMillis();
+        return Limits.smaller(
+                upstreams
+                        .coldLimit(upstreamId, nowMillis)
+                        .map(limit -> OptionalDouble.of(limit.perSecond()))
+                        .orElse(OptionalDouble.empty()),
+                reportedCold.perSecond(upstreamId, nowMillis));
     }
 
     @Override
@@ -285,11 +293,31 @@
         double reachable =
                 Math.max(1, membership.eligibleOwners(nowMillis) - unreachableUntilMillis.size());
         double fraction = Math.min(1, reachable / membership.routers(nowMillis));
+        double coldFraction = Math.min(1, reachable / membership.existingRouters(nowMillis));
+        fraction = Math.min(fraction, coldFraction * coldRatio(key));
         boolean isStableOwner = isSelf(membership.ownerOf(ownerKey(key), Set.of(), nowMillis));
         double granted = key.kind() == PermitKind.ENTRY ? ENTRY_FRACTION * fraction : fraction;
         return isStableOwner ? granted : PROVISIONAL_FRACTION * granted;
     }
 
+    /**
+     * Returns the ratio of the cold limit to the whole limit, which an announced limit may make
+     * smaller; infinite without a cold limit.
+     */
+    private double coldRatio(Key key) {
+        if (key.kind() == PermitKind.ENTRY) {
+            boolean anyIsCold =
+                    upstreams.serving(key.name()).stream()
+                            .anyMatch(u -> coldPerSecond(u.entry().id()).isPresent());
+            return anyIsCold ? 1 : Double.POSITIVE_INFINITY;
+        }
+        OptionalDouble cold = coldPerSecond(key.name());
+        OptionalDouble whole = limit(key.kind(), key.name());
+        return cold.isPresent() && whole.getAsDouble() > 0
+                ? cold.getAsDouble() / whole.getAsDouble()
+                : Double.POSITIVE_INFINITY;
+    }
+
     private void serve(byte[] bytes, SingleEmitter<byte[]> emitter) {
         PermitQuestion question;
         try {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/peering/SeedMembershipTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/peering/SeedMembershipTest.java
@@ -256,6 +256,41 @@
         }
     }
 
+    // Guards against sides of a long cut that each take themselves for the whole fleet.
+    @Test
+    void routersThatAreSilentForMinutesExistUntilTheyAreForgotten() {
+        create(ROUTERS);
+        steps(20, SeedMembershipTest::always);
+        steps(500_000 / (int) STEP_MILLIS, (from, to) -> (from < 3) == (to < 3));
+        assertThat(routers.get(0).routers(nowMillis)).isEqualTo(3);
+        // The assumed number still applies, as it is larger than the fleet.
+        assertThat(routers.get(0).existingRouters(nowMillis)).isEqualTo(20);
+        steps(150_000 / (int) STEP_MILLIS, (from, to) -> (from < 3) == (to < 3));
+        assertThat(routers.get(0).existingRouters(nowMillis)).isEqualTo(3);
+    }
+
+    // Guards against cold limits that stay restricted in a fleet that was scaled down in order.
+    @Test
+    void routersThatHaveLeftDoNotExist() {
+        create(20);
+        steps(40, SeedMembershipTest::always);
+        assertThat(routers.get(0).existingRouters(nowMillis)).isEqualTo(20);
+        for (int i = 15; i < 20; i++) {
+            routers.get(i).leave();
+        }
+        steps(20, SeedMembershipTest::always);
+        assertThat(routers.get(0).existingRouters(nowMillis)).isEqualTo(15);
+    }
+
+    // Guards against a router that starts on a side of a cut and grants what the whole fleet may.
+    @Test
+    void aRouterAssumesManyRoutersForTenMinutesUntilItHasHeardThem() {
+        create(3);
+        steps(20, SeedMembershipTest::always);
+        assertThat(routers.get(0).existingRouters(599_999)).isEqualTo(20);
+        assertThat(routers.get(0).existingRouters(600_000)).isEqualTo(3);
+    }
+
     @Test
     void aNewRouterAssumesManyRouters() {
         create(1);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleetTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleetTest.java
@@ -22,6 +22,7 @@
     private static final double DEMAND_PER_SECOND = 300;
     private static final long COLD_MILLIS = 15_000;
     private static final long PART_MILLIS = 4_000;
+    private static final long LONG_CUT_MILLIS = 70_000;
 
     /** The time until every router that reads the platform knows that the upstream is cold. */
     private static final long NOTICE_MILLIS = ColdFleet.ENTRY_MILLIS + ColdFleet.MAX_READ_MILLIS;
@@ -79,6 +80,36 @@
         assertWithinBound(fleet, startMillis, startMillis + COLD_MILLIS);
     }
 
+    // Guards against sides that take the other side for gone after a minute without it.
+    @ParameterizedTest
+    @CsvSource({"24,1", "24,2", "30,1", "30,2"})
+    void theSidesOfALongPartitionTogetherStayWithinTheRate(int cutOff, long seed) {
+        ColdFleet fleet = fleet(seed);
+        fleet.cut(cutOff);
+        fleet.advance(LONG_CUT_MILLIS);
+        long startMillis = fleet.nowMillis();
+        fleet.startUpstream(COLD_MILLIS);
+        fleet.advance(COLD_MILLIS);
+        assertWithinBound(fleet, startMillis, startMillis + COLD_MILLIS);
+        assertThat(fleet.arrivals(startMillis, startMillis + COLD_MILLIS)).isGreaterThan(0);
+    }
+
+    // Guards against routers that start on a side of a cut and take that side for the whole fleet.
+    @ParameterizedTest
+    @CsvSource({"3,1", "3,2", "3,3", "4,1", "4,2", "6,1", "6,2", "10,1"})
+    void routersThatRestartOnASideOfAPartitionStayWithinTheRate(int cutOff, long seed) {
+        ColdFleet fleet = fleet(seed);
+        fleet.cut(cutOff);
+        for (int i = 0; i < cutOff; i++) {
+            fleet.restart(0, 500);
+        }
+        fleet.advance(COLD_MILLIS);
+        long startMillis = fleet.nowMillis();
+        fleet.startUpstream(COLD_MILLIS);
+        fleet.advance(COLD_MILLIS);
+        assertWithinBound(fleet, startMillis, startMillis + COLD_MILLIS);
+    }
+
     // Guards against a next owner that grants while permits of the lost one are still in use.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
