Bound the memory of answers that callers do not read

Callers that requested large answers and did not read them filled the memory of the process. An answer left ResponseMemory when it was written, and nothing counted what its socket had not taken; Vert.x handled one more pipelined request while the channel was not writable.

Evidence: with the limit and PipelinedRequests switched off, 30 unread answers of 8 MB leave 251,661,120 unsent bytes in the process (ConnectionLimitsTest, bound 32 MB). With them the test passes. The unsent bytes of all connections are now counted against a quarter of the heap; at the limit the connection that has sent nothing for longest is closed, unless it is the only one. The next pipelined request waits until the answer before it is written and the channel is writable. A request that is held back counts as waiting, so that no timeout runs.

Not reproduced: endless pipelined requests to one connection.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.util.concurrent.Future;
@@ -25,6 +26,7 @@
     private final ConnectionLimits limits;
     private final ConnectionProgress progress;
     private final HeadMemory.Connection heads;
+    private final UnsentMemory.Connection unsent;
     private long endedResponses;
 
     private ConnectionGuard(Channel channel, ConnectionLimits limits, ConnectionProgress progress) {
@@ -32,6 +34,7 @@
         this.limits = limits;
         this.progress = progress;
         heads = limits.heads().add(this::close);
+        unsent = limits.unsent().add(this::pendingBytes, this::close);
     }
 
     /**
@@ -49,6 +52,8 @@
                                         MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
                                 .maxMessagesPerRead(1));
         pipeline.addBefore("closeLogger", "connectionGuard", guard);
+        // Behind the record of progress, so that requests that are held back count as waiting.
+        pipeline.addAfter("idleConnection", "pipelinedRequests", new PipelinedRequests(progress));
         pipeline.get(StrictRequestDecoder.class).limit(guard.heads, limits.turns());
         limits.connections().add(guard);
     }
@@ -62,7 +67,10 @@
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
             throws Exception {
-        super.write(context, message, promise);
+        ChannelPromise written = promise.unvoid();
+        written.addListener(sent -> unsent.sent());
+        super.write(context, message, written);
+        unsent.written();
         while (endedResponses < progress.writtenResponses()) {
             endedResponses++;
             heads.responseEnded();
@@ -74,9 +82,21 @@
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         limits.connections().remove(this);
         heads.closed();
+        unsent.closed();
         super.channelInactive(context);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) throws Exception {
+        unsent.sent();
+        super.channelWritabilityChanged(context);
+    }
+
+    private long pendingBytes() {
+        ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+        return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    }
+
     void close() {
         Future<?> unused = channel.close();
     }
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionLimits.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionLimits.java
@@ -5,9 +5,11 @@
  *
  * @param connections limits their number
  * @param heads limits the memory of their request heads
+ * @param unsent limits the memory of responses that callers do not read
  * @param turns limits the event loop's time for costly reads
  */
-public record ConnectionLimits(OpenConnections connections, HeadMemory heads, ReadTurns turns) {
+public record ConnectionLimits(
+        OpenConnections connections, HeadMemory heads, UnsentMemory unsent, ReadTurns turns) {
     /**
      * Returns limits for another server, which has a number of connections of its own.
      *
@@ -15,6 +17,6 @@
      * @return the limits
      */
     public ConnectionLimits withConnections(int maxConnections) {
-        return new ConnectionLimits(new OpenConnections(maxConnections), heads, turns);
+        return new ConnectionLimits(new OpenConnections(maxConnections), heads, unsent, turns);
     }
 }
--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
@@ -27,6 +27,11 @@
     private static final String SHORT_FIELD = "a:\r\n";
     private static final int FIELDS = 1_000;
     private static final long HEAD_BYTES = 100_000;
+    private static final long UNSENT_BYTES = 32 << 20;
+
+    /** More than the buffers of a socket hold. */
+    private static final int LARGE_BYTES = 8 << 20;
+
     private static final int READ_MILLIS = 10_000;
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -41,6 +46,7 @@
                 new ConnectionLimits(
                         new OpenConnections(maxConnections),
                         new HeadMemory(HEAD_BYTES),
+                        new UnsentMemory(UNSENT_BYTES),
                         new ReadTurns());
         server =
                 StrictHttpServer.create(
@@ -61,6 +67,10 @@
             held.countDown();
             return;
         }
+        if (request.path().equals("/large")) {
+            request.response().end("y".repeat(LARGE_BYTES));
+            return;
+        }
         request.body().onSuccess(body -> request.response().end("got " + body.length()));
     }
 
@@ -185,4 +195,31 @@
         }
         assertThat(limits.turns().delayedReads()).isGreaterThan(0);
     }
+
+    // Requests that are held back while a response is sent must be handled afterwards.
+    @Test
+    void pipelinedRequestsAreAllAnswered() throws Exception {
+        start(10);
+        int requests = 20;
+        Socket pipelining = connect();
+        send(pipelining, (HEAD.formatted("/large") + NO_BODY).repeat(requests));
+        for (int i = 0; i < requests; i++) {
+            assertThat(receive(pipelining)).hasLength(LARGE_BYTES);
+        }
+        assertThat(limits.unsent().closedConnections()).isEqualTo(0);
+    }
+
+    // Answers that no caller read filled the memory, one on each of many connections.
+    @Test
+    void theConnectionThatHasSentNothingForLongestIsClosedAtTheLimit() throws Exception {
+        start(100);
+        for (int i = 0; i < 30; i++) {
+            send(connect(), HEAD.formatted("/large") + NO_BODY);
+        }
+        Socket reading = connect();
+        send(reading, HEAD.formatted("/large") + NO_BODY);
+        assertThat(receive(reading)).hasLength(LARGE_BYTES);
+        assertThat(limits.unsent().occupiedBytes()).isAtMost(UNSENT_BYTES);
+        assertThat(limits.unsent().closedConnections()).isGreaterThan(0);
+    }
 }
