Keep connections whose answer is still being sent when others can give way

A caller that was still reading its answer lost its connection to a new one: a connection counted as unused once its answer was written. Connections with written answers that have not left the process now give way only if there is no other.

The new test of ConnectionLimitsTest fails without the condition (the unused connection was not closed, time-out after 10 s) and passes with it.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
@@ -106,6 +106,11 @@
         return progress.isWaiting();
     }
 
+    /** Returns whether a written response has not left this process yet. */
+    boolean isSending() {
+        return progress.isSending();
+    }
+
     /** Returns whether a request has been answered. */
     boolean hasBeenAnswered() {
         return endedResponses > 0;
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionProgress.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionProgress.java
@@ -63,8 +63,13 @@
         return receiving;
     }
 
+    /** Returns whether a written response has not left this process yet. */
+    boolean isSending() {
+        return flushedResponses < writtenResponses;
+    }
+
     /** Returns whether a request is being received or a response is being sent. */
     boolean isTransferring() {
-        return receiving || flushedResponses < writtenResponses;
+        return receiving || isSending();
     }
 }
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/OpenConnections.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/OpenConnections.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -13,7 +14,8 @@
  * <p>A new connection beyond the limit takes the place of another one: of one without a completed
  * request rather than of one with, and of the one that has been silent for longest. A connection
  * with a whole request that waits for its response keeps its place; if all do, the new one is
- * closed. Used on one event loop only.
+ * closed. One whose response is still being sent gives way only if there is no other. Used on one
+ * event loop only.
  */
 public final class OpenConnections {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -77,9 +79,8 @@
 
     private boolean replaceOne() {
         Optional<ConnectionGuard> victim =
-                Stream.concat(unanswered.stream(), answered.stream())
-                        .filter(connection -> !connection.isWaiting())
-                        .findFirst();
+                firstUnused(connection -> !connection.isSending())
+                        .or(() -> firstUnused(any -> true));
         if (victim.isPresent()) {
             replaced++;
             remove(victim.get());
@@ -90,6 +91,13 @@
         return victim.isPresent();
     }
 
+    private Optional<ConnectionGuard> firstUnused(Predicate<ConnectionGuard> condition) {
+        return Stream.concat(unanswered.stream(), answered.stream())
+                .filter(connection -> !connection.isWaiting())
+                .filter(condition)
+                .findFirst();
+    }
+
     /** Called when a connection was read or has been answered. */
     void used(ConnectionGuard connection) {
         if (unanswered.remove(connection) || answered.remove(connection)) {
--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
@@ -222,4 +222,20 @@
         assertThat(limits.unsent().occupiedBytes()).isAtMost(UNSENT_BYTES);
         assertThat(limits.unsent().closedConnections()).isGreaterThan(0);
     }
+
+    // A connection was closed in favor of a new one while its caller was still reading its
+    // response.
+    @Test
+    void aConnectionWhoseResponseIsBeingSentGivesWayOnlyIfThereIsNoOther() throws Exception {
+        start(2);
+        Socket reading = connect();
+        send(reading, HEAD.formatted("/large") + NO_BODY);
+        assertThat(reading.getInputStream().read()).isEqualTo('H');
+        Socket other = connect();
+        assertThat(call(other)).isEqualTo("got 0");
+        assertThat(call(connect())).isEqualTo("got 0");
+        assertThat(other.getInputStream().read()).isEqualTo(-1);
+        assertThat(receive(reading)).hasLength(LARGE_BYTES);
+        assertThat(limits.connections().replaced()).isEqualTo(1);
+    }
 }
