Spare connections that wait for an answer when request heads need memory

A request that was being served lost its connection when the heads of other callers filled the memory: the connection with the largest heads was closed, whole requests included. It is now chosen among connections without a whole request that waits; a waiting one is closed only if no other occupies memory.

The new test of ConnectionLimitsTest fails without the condition (the connection ended before the answer) and passes with it.

--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/ConnectionGuard.java
@@ -33,7 +33,7 @@
         this.channel = channel;
         this.limits = limits;
         this.progress = progress;
-        heads = limits.heads().add(this::close);
+        heads = limits.heads().add(progress::isWaiting, this::close);
         unsent = limits.unsent().add(this::pendingBytes, this::close);
     }
 
--- a/bronzewheel-http/src/main/java/org/bronzewheel/http/HeadMemory.java
+++ b/bronzewheel-http/src/main/java/org/bronzewheel/http/HeadMemory.java
@@ -5,15 +5,19 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 
 /**
  * The memory that the heads of requests occupy in this process, with a limit for all connections.
  *
  * <p>A head inside the limit on its bytes becomes some sixty times its size in objects if it is
  * made of very short fields. When the limit is reached, the connection whose heads occupy most is
- * closed, so that callers with ordinary heads are not affected. Used on one event loop only.
+ * closed, so that callers with ordinary heads are not affected. One with a whole request that waits
+ * for its response is closed only if no other occupies memory. Used on one event loop only.
  */
 public final class HeadMemory {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -59,6 +63,7 @@
 
     /** The heads of one connection. */
     final class Connection {
+        private final BooleanSupplier waiting;
         private final Runnable close;
         private final Deque<Long> requests = new ArrayDeque<>();
         private long unfinishedBytes;
@@ -66,7 +71,8 @@
         private long totalBytes;
         private boolean closed;
 
-        private Connection(Runnable close) {
+        private Connection(BooleanSupplier waiting, Runnable close) {
+            this.waiting = waiting;
             this.close = close;
         }
 
@@ -130,9 +136,14 @@
         }
     }
 
-    /** Adds a connection, which is closed by {@code close} if there is no room for its heads. */
-    Connection add(Runnable close) {
-        Connection connection = new Connection(close);
+    /**
+     * Adds a connection.
+     *
+     * @param waiting returns whether a whole request of it waits for its response
+     * @param close closes it if there is no room for its heads
+     */
+    Connection add(BooleanSupplier waiting, Runnable close) {
+        Connection connection = new Connection(waiting, close);
         connections.add(connection);
         return connection;
     }
@@ -140,8 +151,8 @@
     private void makeRoom() {
         while (occupiedBytes > limitBytes && !connections.isEmpty()) {
             Connection largest =
-                    connections.stream()
-                            .max(Comparator.comparingLong(connection -> connection.totalBytes))
+                    largest(connection -> !connection.waiting.getAsBoolean())
+                            .or(() -> largest(any -> true))
                             .orElseThrow();
             closedConnections++;
             logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
@@ -151,4 +162,11 @@
             largest.close.run();
         }
     }
+
+    private Optional<Connection> largest(Predicate<Connection> condition) {
+        return connections.stream()
+                .filter(connection -> connection.totalBytes > 0)
+                .filter(condition)
+                .max(Comparator.comparingLong(connection -> connection.totalBytes));
+    }
 }
--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
@@ -238,4 +238,18 @@
         assertThat(receive(reading)).hasLength(LARGE_BYTES);
         assertThat(limits.connections().replaced()).isEqualTo(1);
     }
+
+    // LOST: a request that was being served lost its connection to unfinished heads of others.
+    @Test
+    void aConnectionThatWaitsForItsResponseIsNotClosedForItsHeads() throws Exception {
+        start(10);
+        Socket waiting = connect();
+        send(waiting, HEAD.formatted("/held") + SHORT_FIELD.repeat(FIELDS / 4) + NO_BODY);
+        assertThat(held.await(READ_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+        Socket unfinished = connect();
+        send(unfinished, HEAD.formatted("/x") + SHORT_FIELD.repeat(FIELDS / 6));
+        assertThrows(IOException.class, () -> receive(unfinished));
+        heldRequest.response().end("held");
+        assertThat(receive(waiting)).isEqualTo("held");
+    }
 }
