--- a/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
+++ b/bronzewheel-http/src/test/java/org/bronzewheel/http/ConnectionLimitsTest.java
@@ -27,6 +27,11 @@
     private static final String SHORT_FIELD = "a:\r\n";
     private static final int FIELDS = 1_000;
     private static final long HEAD_BYTES = 100_000;
+    private static final long UNSENT_BYTES = 32 << 20;
+
+    /** More than the buffers of a socket hold. */
+    private static final int LARGE_BYTES = 8 << 20;
+
     private static final int READ_MILLIS = 10_000;
 
     private final Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1));
@@ -41,6 +46,7 @@
                 new ConnectionLimits(
                         new OpenConnections(maxConnections),
                         new HeadMemory(HEAD_BYTES),
+                        new UnsentMemory(UNSENT_BYTES),
                         new ReadTurns());
         server =
                 StrictHttpServer.create(
@@ -61,6 +67,10 @@
             held.countDown();
             return;
         }
+        if (request.path().equals("/large")) {
+            request.response().end("y".repeat(LARGE_BYTES));
+            return;
+        }
         request.body().onSuccess(body -> request.response().end("got " + body.length()));
     }
 
@@ -185,4 +195,61 @@
         }
         assertThat(limits.turns().delayedReads()).isGreaterThan(0);
     }
+
+    // Requests that are held back while a response is sent must be handled afterwards.
+    @Test
+    void pipelinedRequestsAreAllAnswered() throws Exception {
+        start(10);
+        int requests = 20;
+        Socket pipelining = connect();
+        send(pipelining, (HEAD.formatted("/large") + NO_BODY).repeat(requests));
+        for (int i = 0; i < requests; i++) {
+            assertThat(receive(pipelining)).hasLength(LARGE_BYTES);
+        }
+        assertThat(limits.unsent().closedConnections()).isEqualTo(0);
+    }
+
+    // Answers that no caller read filled the memory, one on each of many connections.
+    @Test
+    void theConnectionThatHasSentNothingForLongestIsClosedAtTheLimit() throws Exception {
+        start(100);
+        for (int i = 0; i < 30; i++) {
+            send(connect(), HEAD.formatted("/large") + NO_BODY);
+        }
+        Socket reading = connect();
+        send(reading, HEAD.formatted("/large") + NO_BODY);
+        assertThat(receive(reading)).hasLength(LARGE_BYTES);
+        assertThat(limits.unsent().occupiedBytes()).isAtMost(UNSENT_BYTES);
+        assertThat(limits.unsent().closedConnections()).isGreaterThan(0);
+    }
+
+    // A connection was closed in favor of a new one while its caller was still reading its
+    // response.
+    @Test
+    void aConnectionWhoseResponseIsBeingSentGivesWayOnlyIfThereIsNoOther() throws Exception {
+        start(2);
+        Socket reading = connect();
+        send(reading, HEAD.formatted("/large") + NO_BODY);
+        assertThat(reading.getInputStream().read()).isEqualTo('H');
+        Socket other = connect();
+        assertThat(call(other)).isEqualTo("got 0");
+        assertThat(call(connect())).isEqualTo("got 0");
+        assertThat(other.getInputStream().read()).isEqualTo(-1);
+        assertThat(receive(reading)).hasLength(LARGE_BYTES);
+        assertThat(limits.connections().replaced()).isEqualTo(1);
+    }
+
+    // LOST: a request that was being served lost its connection to unfinished heads of others.
+    @Test
+    void aConnectionThatWaitsForItsResponseIsNotClosedForItsHeads() throws Exception {
+        start(10);
+        Socket waiting = connect();
+        send(waiting, HEAD.formatted("/held") + SHORT_FIELD.repeat(FIELDS / 4) + NO_BODY);
+        assertThat(held.await(READ_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+        Socket unfinished = connect();
+        send(unfinished, HEAD.formatted("/x") + SHORT_FIELD.repeat(FIELDS / 6));
+        assertThrows(IOException.class, () -> receive(unfinished));
+        heldRequest.response().end("held");
+        assertThat(receive(waiting)).isEqualTo("held");
+    }
 }
