Restart the grace of an evacuation after an outage

A router sent new requests to a domain whose evacuation the operator had not withdrawn: the platform had returned from a copy without the key, was unavailable again during the 2 s in which the key can be written again, and the evacuation ended with the first tick after the platform was back.

Cause: an outage restarted the grace of removed upstreams only.

The end of an outage now restarts the grace of evacuations from when the platform was last known to be unavailable, if one is running or the copy has not been read yet, also after an outage too short for entries to expire.

Evidence: anOutageRestartsTheReturnGraceOfAnEvacuation, anOutageBeforeTheSnapshotRestartsTheReturnGraceOfAnEvacuation and anEvacuationDoesNotEndWhileASnapshotIsDue failed before and pass now. aShortOutageRestartsTheReturnGraceOfAnEvacuation was run with the fix only.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedFollower.java
@@ -428,6 +428,7 @@
     /** Reads a snapshot soon, or after a backoff if no poll has succeeded since the last ones. */
     private void readSnapshotNext() {
         needsSnapshot = true;
+        upstreams.snapshotDue();
         if (snapshotsInSequence > MAX_PROMPT_SNAPSHOTS) {
             retryLater();
         } else if (epoch() == position.epoch()) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EvacuatedDomains.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/EvacuatedDomains.java
@@ -20,6 +20,8 @@
     private final Set<String> domains = new HashSet<>();
     private final Map<String, Long> graceUntilMillis = new HashMap<>();
     private long keepUntilMillis = NEVER;
+    private boolean snapshotDue;
+    private boolean returnedSinceSnapshot;
 
     /**
      * Creates an instance without evacuated domains.
@@ -63,7 +65,30 @@
 
     /** Records that the platform has returned from a copy. */
     void platformReturned(long nowMillis) {
-        keepUntilMillis = nowMillis + returnGraceMillis;
+        snapshotDue = true;
+        returnedSinceSnapshot = true;
+        restartGrace(nowMillis);
+    }
+
+    /** Records that a complete list will be read, which may list evacuations again. */
+    void snapshotDue() {
+        snapshotDue = true;
+    }
+
+    /**
+     * Records the end of an outage, in which nobody could write again what a copy lacked. It has no
+     * effect unless a grace period is running or the state of a copy has not been read yet.
+     *
+     * @param startMillis when the platform was last known to be unavailable
+     */
+    void outageEnded(long startMillis) {
+        if (returnedSinceSnapshot || !graceUntilMillis.isEmpty()) {
+            restartGrace(startMillis);
+        }
+    }
+
+    private void restartGrace(long startMillis) {
+        keepUntilMillis = Math.max(keepUntilMillis, startMillis + returnGraceMillis);
         graceUntilMillis.replaceAll((domain, until) -> keepUntilMillis);
     }
 
@@ -74,6 +99,8 @@
      * @param listed the domains that the platform lists as evacuated
      */
     List<String> missing(Set<String> listed, long nowMillis) {
+        snapshotDue = false;
+        returnedSinceSnapshot = false;
         List<String> missing = domains.stream().filter(d -> !listed.contains(d)).sorted().toList();
         if (nowMillis >= keepUntilMillis) {
             return missing;
@@ -82,8 +109,11 @@
         return List.of();
     }
 
-    /** Returns the evacuated domains whose grace period is over. */
+    /** Returns the evacuated domains whose grace period is over; none while a snapshot is due. */
     List<String> expired(long nowMillis) {
+        if (snapshotDue) {
+            return List.of();
+        }
         return graceUntilMillis.entrySet().stream()
                 .filter(domain -> nowMillis >= domain.getValue())
                 .map(Map.Entry::getKey)
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/upstreams/UpstreamTable.java
@@ -162,11 +162,20 @@
      * @param nowMillis the time, in milliseconds of the steady clock
      */
     public void platformAnswered(long nowMillis) {
+        // Nobody can write in an outage, even if it is too short for an entry to expire.
+        if (outage.isOngoing()) {
+            evacuated.outageEnded(outage.unavailableMillis());
+        }
         if (outage.answered(nowMillis)) {
             restartGrace(outage.unavailableMillis());
         }
     }
 
+    /** Records that a complete list will be read; no evacuation ends by its grace before. */
+    public void snapshotDue() {
+        evacuated.snapshotDue();
+    }
+
     private void restartGrace(long startMillis) {
         graceStartMillis = startMillis;
         graceUntilMillis.replaceAll((id, until) -> startMillis + returnGraceMillis);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/upstreams/UpstreamTableTest.java
@@ -284,6 +284,64 @@
         assertThat(serving()).containsExactly("a");
     }
 
+    // Guards against an evacuation that ends before its key can be written again after an outage.
+    @Test
+    void anOutageRestartsTheReturnGraceOfAnEvacuation() {
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of("d"), 0);
+        table.platformReturned(1_000);
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of(), 1_100);
+        table.platformUnreachable(1_500);
+        table.platformUnreachable(5_000);
+        table.platformAnswered(5_100);
+        table.expire(6_999);
+        assertThat(serving()).isEmpty();
+        table.expire(7_000);
+        assertThat(serving()).containsExactly("a");
+    }
+
+    // Guards against an outage too short for entries to expire, in which no key can be written.
+    @Test
+    void aShortOutageRestartsTheReturnGraceOfAnEvacuation() {
+        UpstreamTable registered = new UpstreamTable(2_000, 2_400);
+        registered.replaceAll(List.of(entryIn("d", "a")), Set.of("d"), 0);
+        registered.platformAnswered(900);
+        registered.platformReturned(1_000);
+        registered.replaceAll(List.of(entryIn("d", "a")), Set.of(), 1_100);
+        registered.platformUnreachable(2_900);
+        registered.platformAnswered(3_000);
+        registered.expire(4_899);
+        assertThat(registered.serving("s")).isEmpty();
+        registered.expire(4_900);
+        assertThat(registered.serving("s")).hasSize(1);
+    }
+
+    // Guards against a first snapshot after an outage that ends the evacuation.
+    @Test
+    void anOutageBeforeTheSnapshotRestartsTheReturnGraceOfAnEvacuation() {
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of("d"), 0);
+        table.platformReturned(1_000);
+        table.platformUnreachable(1_100);
+        table.platformUnreachable(5_000);
+        table.platformAnswered(5_100);
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of(), 5_200);
+        assertThat(serving()).isEmpty();
+        table.expire(7_000);
+        assertThat(serving()).containsExactly("a");
+    }
+
+    // Guards against an evacuation that ends although its key may be in the snapshot to come.
+    @Test
+    void anEvacuationDoesNotEndWhileASnapshotIsDue() {
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of("d"), 0);
+        table.platformReturned(1_000);
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of(), 1_100);
+        table.platformReturned(2_000);
+        table.expire(4_500);
+        assertThat(serving()).isEmpty();
+        table.replaceAll(List.of(entryIn("d", "a")), Set.of(), 4_600);
+        assertThat(serving()).containsExactly("a");
+    }
+
     // The removal of the key is a statement of the operator, unlike its absence in a copy.
     @Test
     void aRemovedKeyEndsTheEvacuationAlsoRightAfterAReturnFromACopy() {
