Tell withheld stage calls from unreachable upstreams

After a pause of its only upstream a stage service got calls with one task each and pauses of up to 960 ms, although the upstream could be reached; the requests waited in its queue.

Cause: calls that the connection pool withholds from a paused, leaving or evacuated upstream reached the dispatcher as NOT_SENT, which doubles the pause for upstreams that cannot be reached and limits the next call to one task.

StageCallFailure.WITHHELD now stands for them. It spends no retry and pauses the upstream for the 120 ms of a rejected call, so that a call is not withheld in each round of the dispatcher; whether the upstream can be reached stays as known.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -147,7 +147,7 @@
         worker.recordFailure(failure, loop.nowMillis());
         Map<StageTask, List<Integer>> pieces = new LinkedHashMap<>();
         batch.entries().forEach(entry -> add(pieces, entry));
-        if (failure == StageCallFailure.NOT_SENT) {
+        if (failure == StageCallFailure.NOT_SENT || failure == StageCallFailure.WITHHELD) {
             // No upstream received the pieces, so that sending them again spends no retry.
             pieces.forEach((task, unsent) -> task.waiting().addAll(unsent));
         } else {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageWorker.java
@@ -139,18 +139,22 @@
     /** Pauses the upstream after a failed call, longer each time that it cannot be reached. */
     void recordFailure(StageCallFailure failure, long nowMillis) {
         unreachablePauseMillis =
-                failure == StageCallFailure.NOT_SENT
-                        ? Math.min(
-                                MAX_UNREACHABLE_PAUSE_MILLIS,
-                                Math.max(NOT_RUN_PAUSE_MILLIS, 2 * unreachablePauseMillis))
-                        : 0;
+                switch (failure) {
+                    case NOT_SENT ->
+                            Math.min(
+                                    MAX_UNREACHABLE_PAUSE_MILLIS,
+                                    Math.max(NOT_RUN_PAUSE_MILLIS, 2 * unreachablePauseMillis));
+                    // A withheld call does not show whether the upstream can be reached.
+                    case WITHHELD -> unreachablePauseMillis;
+                    case REJECTED, MISDIRECTED, BROKEN -> 0;
+                };
         if (failure == StageCallFailure.MISDIRECTED) {
             upstream.markMisdirected();
         }
         long pauseMillis =
                 switch (failure) {
                     case NOT_SENT -> unreachablePauseMillis;
-                    case REJECTED, MISDIRECTED -> NOT_RUN_PAUSE_MILLIS;
+                    case WITHHELD, REJECTED, MISDIRECTED -> NOT_RUN_PAUSE_MILLIS;
                     case BROKEN -> BROKEN_PAUSE_MILLIS;
                 };
         pausedUntilMillis = Math.max(pausedUntilMillis, nowMillis + pauseMillis);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -450,6 +450,24 @@
         assertThat(calls.size()).isAtMost(8);
     }
 
+    // Guards against a paused upstream that is treated as unreachable after its pause.
+    @Test
+    void anUpstreamThatWithheldCallsGetsFullCallsAfterwards() {
+        dispatcher = dispatcher(0);
+        upstreams("u");
+        for (int i = 0; i < 4; i++) {
+            submit("a" + i, 1, 0, 10, 9_000);
+        }
+        advance(1);
+        for (int i = 0; i < 3; i++) {
+            calls.get(i).listener().onFailure(StageCallFailure.WITHHELD, "paused");
+            advance(200);
+        }
+
+        assertThat(calls).hasSize(4);
+        assertThat(calls.get(3).items()).hasSize(4);
+    }
+
     @Test
     void anUpstreamThatAcceptsConnectionsAgainGetsFullCalls() {
         upstreams("u");
