Limit a cold upstream only by reports about its process

An upstream that restarted warm under its id stayed limited at the router that owned its limit: that router's callers waited for permits or were refused for what was left of the earlier process's cold time, up to 60 s.

Cause: ReportedCold kept what other routers reported in their questions by the id of the upstream, without the start time of the process.

PermitQuestion has the new optional field cold_started_millis, which is part of the key.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/permits/PeerPermits.java
@@ -138,7 +138,11 @@
                         .coldLimit(upstreamId, nowMillis)
                         .map(limit -> OptionalDouble.of(limit.perSecond()))
                         .orElse(OptionalDouble.empty()),
-                reportedCold.perSecond(upstreamId, nowMillis));
+                reportedCold.perSecond(upstreamId, startedMillis(upstreamId), nowMillis));
+    }
+
+    private long startedMillis(String upstreamId) {
+        return upstreams.known(upstreamId).map(u -> u.entry().startedMillis()).orElse(0L);
     }
 
     @Override
@@ -205,7 +209,8 @@
                 .ifPresent(
                         limit ->
                                 question.setColdRemainingMillis(limit.remainingMillis())
-                                        .setColdPerSecond(limit.perSecond()));
+                                        .setColdPerSecond(limit.perSecond())
+                                        .setColdStartedMillis(startedMillis(name)));
         return transport
                 .call(
                         owner,
@@ -263,6 +268,7 @@
                 && question.getColdPerSecond() > 0) {
             reportedCold.report(
                     question.getName(),
+                    question.getColdStartedMillis(),
                     new ColdLimit(question.getColdRemainingMillis(), question.getColdPerSecond()),
                     loop.nowMillis());
         }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleet.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleet.java
@@ -59,6 +59,7 @@
     private final int assumedRouters;
     private final double demandPerSecond;
     private long coldUntilMillis;
+    private long startedMillis = 1;
     private long incarnation = 1;
 
     /** Creates a fleet whose routers have just started; their settings give their number. */
@@ -108,6 +109,12 @@
         coldUntilMillis = nowMillis() + coldMillis;
     }
 
+    /** Restarts the upstream under its id; the new process is warm. */
+    void restartUpstreamWarm() {
+        startedMillis++;
+        coldUntilMillis = nowMillis();
+    }
+
     private void writeEntry() {
         UpstreamEntry entry =
                 new UpstreamEntry(
@@ -116,7 +123,7 @@
                         "10.0.0.1:80",
                         DOMAIN,
                         8,
-                        1,
+                        startedMillis,
                         false,
                         Math.max(0, coldUntilMillis - nowMillis()));
         publish(router -> router.table.put(entry, nowMillis()));
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleetTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/permits/ColdFleetTest.java
@@ -176,6 +176,21 @@
         assertWithinBound(fleet, coldMillis + NOTICE_MILLIS, coldMillis + COLD_MILLIS);
     }
 
+    // Guards against an owner that limits a process by what was reported of an earlier one.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void anUpstreamThatRestartsWarmIsUsedWithoutALimit(long seed) {
+        ColdFleet fleet = new ColdFleet(2, DEMAND_PER_SECOND, seed).settle();
+        fleet.startUpstream(COLD_MILLIS);
+        fleet.advance(PART_MILLIS);
+        fleet.restartUpstreamWarm();
+        fleet.advance(NOTICE_MILLIS);
+        long warmMillis = fleet.nowMillis();
+        fleet.advance(2_000);
+        assertThat(fleet.arrivals(warmMillis, warmMillis + 2_000))
+                .isAtLeast((int) (1.5 * DEMAND_PER_SECOND));
+    }
+
     // EVAC, FAILBACK: routers may learn of the return before the entries say that it is cold.
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestion.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestion.java
@@ -235,6 +235,33 @@
     return coldPerSecond_;
   }
 
+  public static final int COLD_STARTED_MILLIS_FIELD_NUMBER = 8;
+  private long coldStartedMillis_ = 0L;
+  /**
+   * <pre>
+   * When the cold process of the upstream started, in Unix milliseconds.
+   * </pre>
+   *
+   * <code>optional int64 cold_started_millis = 8;</code>
+   * @return Whether the coldStartedMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasColdStartedMillis() {
+    return ((bitField0_ & 0x00000008) != 0);
+  }
+  /**
+   * <pre>
+   * When the cold process of the upstream started, in Unix milliseconds.
+   * </pre>
+   *
+   * <code>optional int64 cold_started_millis = 8;</code>
+   * @return The coldStartedMillis.
+   */
+  @java.lang.Override
+  public long getColdStartedMillis() {
+    return coldStartedMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -270,6 +297,9 @@
     if (((bitField0_ & 0x00000004) != 0)) {
       output.writeDouble(7, coldPerSecond_);
     }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      output.writeInt64(8, coldStartedMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -301,6 +331,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(7, coldPerSecond_);
     }
+    if (((bitField0_ & 0x00000008) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, coldStartedMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -349,6 +383,11 @@
           != java.lang.Double.doubleToLongBits(
               other.getColdPerSecond())) return false;
     }
+    if (hasColdStartedMillis() != other.hasColdStartedMillis()) return false;
+    if (hasColdStartedMillis()) {
+      if (getColdStartedMillis()
+          != other.getColdStartedMillis()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -384,6 +423,11 @@
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           java.lang.Double.doubleToLongBits(getColdPerSecond()));
     }
+    if (hasColdStartedMillis()) {
+      hash = (37 * hash) + COLD_STARTED_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getColdStartedMillis());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -537,6 +581,7 @@
       entry_ = false;
       coldRemainingMillis_ = 0L;
       coldPerSecond_ = 0D;
+      coldStartedMillis_ = 0L;
       return this;
     }
 
@@ -597,6 +642,10 @@
         result.coldPerSecond_ = coldPerSecond_;
         to_bitField0_ |= 0x00000004;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.coldStartedMillis_ = coldStartedMillis_;
+        to_bitField0_ |= 0x00000008;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -635,6 +684,9 @@
       if (other.hasColdPerSecond()) {
         setColdPerSecond(other.getColdPerSecond());
       }
+      if (other.hasColdStartedMillis()) {
+        setColdStartedMillis(other.getColdStartedMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -696,6 +748,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 57
+            case 64: {
+              coldStartedMillis_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1192,6 +1249,62 @@
       return this;
     }
 
+    private long coldStartedMillis_ ;
+    /**
+     * <pre>
+     * When the cold process of the upstream started, in Unix milliseconds.
+     * </pre>
+     *
+     * <code>optional int64 cold_started_millis = 8;</code>
+     * @return Whether the coldStartedMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasColdStartedMillis() {
+      return ((bitField0_ & 0x00000080) != 0);
+    }
+    /**
+     * <pre>
+     * When the cold process of the upstream started, in Unix milliseconds.
+     * </pre>
+     *
+     * <code>optional int64 cold_started_millis = 8;</code>
+     * @return The coldStartedMillis.
+     */
+    @java.lang.Override
+    public long getColdStartedMillis() {
+      return coldStartedMillis_;
+    }
+    /**
+     * <pre>
+     * When the cold process of the upstream started, in Unix milliseconds.
+     * </pre>
+     *
+     * <code>optional int64 cold_started_millis = 8;</code>
+     * @param value The coldStartedMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setColdStartedMillis(long value) {
+
+      coldStartedMillis_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * When the cold process of the upstream started, in Unix milliseconds.
+     * </pre>
+     *
+     * <code>optional int64 cold_started_millis = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearColdStartedMillis() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      coldStartedMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PermitQuestion)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestionOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PermitQuestionOrBuilder.java
@@ -120,4 +120,23 @@
    * @return The coldPerSecond.
    */
   double getColdPerSecond();
+
+  /**
+   * <pre>
+   * When the cold process of the upstream started, in Unix milliseconds.
+   * </pre>
+   *
+   * <code>optional int64 cold_started_millis = 8;</code>
+   * @return Whether the coldStartedMillis field is set.
+   */
+  boolean hasColdStartedMillis();
+  /**
+   * <pre>
+   * When the cold process of the upstream started, in Unix milliseconds.
+   * </pre>
+   *
+   * <code>optional int64 cold_started_millis = 8;</code>
+   * @return The coldStartedMillis.
+   */
+  long getColdStartedMillis();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -211,102 +211,104 @@
       "_age_millis\030\003 \001(\003H\001\210\001\001\022\026\n\016started_millis" +
       "\030\004 \001(\003\022\037\n\022leaving_age_millis\030\005 \001(\003H\002\210\001\001B" +
       "\r\n\013_per_secondB\023\n\021_limit_age_millisB\025\n\023_" +
-      "leaving_age_millis\"\374\001\n\016PermitQuestion\022\014\n" +
+      "leaving_age_millis\"\266\002\n\016PermitQuestion\022\014\n" +
       "\004name\030\001 \001(\t\022\014\n\004rank\030\002 \001(\005\022\027\n\017patience_mi" +
       "llis\030\003 \001(\003\0226\n\tstatement\030\004 \001(\0132#.bronzewh" +
       "eel.wire.UpstreamStatement\022\r\n\005entry\030\005 \001(" +
       "\010\022\"\n\025cold_remaining_millis\030\006 \001(\003H\000\210\001\001\022\034\n" +
-      "\017cold_per_second\030\007 \001(\001H\001\210\001\001B\030\n\026_cold_rem" +
-      "aining_millisB\022\n\020_cold_per_second\"\207\001\n\013Pe" +
-      "rmitReply\022\017\n\007granted\030\001 \001(\010\022\032\n\022retry_afte" +
-      "r_millis\030\002 \001(\003\0226\n\tstatement\030\003 \001(\0132#.bron" +
-      "zewheel.wire.UpstreamStatement\022\023\n\013next_m" +
-      "illis\030\004 \001(\003\"_\n\010PeerBeat\022\r\n\005vm_id\030\001 \001(\t\022\023" +
-      "\n\013incarnation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\017\n\007lea" +
-      "ving\030\004 \001(\010\022\020\n\010capacity\030\005 \001(\005\"j\n\021Publishe" +
-      "dQuestion\022\026\n\016after_revision\030\001 \001(\003\022\023\n\013wai" +
-      "t_millis\030\002 \001(\003\022\030\n\013after_epoch\030\003 \001(\003H\000\210\001\001" +
-      "B\016\n\014_after_epoch\"\374\001\n\017PublishedAnswer\022:\n\007" +
-      "outcome\030\001 \001(\0162).bronzewheel.wire.Publish" +
-      "edAnswer.Outcome\022\020\n\010revision\030\002 \001(\003\022\022\n\nag" +
-      "e_millis\030\003 \001(\003\0220\n\007changes\030\004 \003(\0132\037.bronze" +
-      "wheel.wire.PublishedItem\022\022\n\005epoch\030\005 \001(\003H" +
-      "\000\210\001\001\"7\n\007Outcome\022\013\n\007CHANGES\020\000\022\020\n\014HISTORY_" +
-      "LOST\020\001\022\r\n\tNO_READER\020\002B\010\n\006_epoch\"\227\002\n\rPubl" +
-      "ishedItem\0225\n\007catalog\030\001 \001(\0132\".bronzewheel" +
-      ".wire.PublishedCatalogH\000\0227\n\010upstream\030\002 \001" +
-      "(\0132#.bronzewheel.wire.PublishedUpstreamH" +
-      "\000\022\032\n\020removed_upstream\030\003 \001(\tH\000\022;\n\nunreada" +
-      "ble\030\004 \001(\0132%.bronzewheel.wire.PublishedUn" +
-      "readableH\000\022\032\n\020evacuated_domain\030\005 \001(\tH\000\022\031" +
-      "\n\017returned_domain\030\006 \001(\tH\000B\006\n\004kind\"3\n\023Pub" +
-      "lishedUnreadable\022\014\n\004name\030\001 \001(\t\022\016\n\006reason" +
-      "\030\002 \001(\t\"\260\001\n\021PublishedUpstream\022\n\n\002id\030\001 \001(\t" +
-      "\022\017\n\007service\030\002 \001(\t\022\017\n\007address\030\003 \001(\t\022\026\n\016fa" +
-      "ilure_domain\030\004 \001(\t\022\r\n\005slots\030\005 \001(\005\022\026\n\016sta" +
-      "rted_millis\030\006 \001(\003\022\017\n\007leaving\030\007 \001(\010\022\035\n\025co" +
-      "ld_remaining_millis\030\010 \001(\003\"\370\001\n\020PublishedC" +
-      "atalog\022\017\n\007version\030\001 \001(\003\0220\n\006routes\030\002 \003(\0132" +
-      " .bronzewheel.wire.PublishedRoute\0224\n\010ser" +
-      "vices\030\003 \003(\0132\".bronzewheel.wire.Published" +
-      "Service\0228\n\nworkspaces\030\004 \003(\0132$.bronzewhee" +
-      "l.wire.PublishedWorkspace\0221\n\006limits\030\005 \001(" +
-      "\0132!.bronzewheel.wire.PublishedLimits\"\355\002\n" +
-      "\016PublishedRoute\022\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 " +
-      "\001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023" +
-      "\n\013repeat_rule\030\005 \001(\t\022\026\n\016timeout_millis\030\006 " +
-      "\001(\003\022\030\n\020objective_millis\030\007 \001(\003\022\034\n\024gap_obj" +
-      "ective_millis\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\024\n" +
-      "\014max_attempts\030\n \001(\005\0220\n\006shares\030\013 \003(\0132 .br" +
-      "onzewheel.wire.PublishedShare\0220\n\006stages\030" +
-      "\014 \003(\0132 .bronzewheel.wire.PublishedStage\022" +
-      "\014\n\004open\030\r \001(\010\022\035\n\025caller_silence_millis\030\016" +
-      " \001(\003\"1\n\016PublishedShare\022\017\n\007service\030\001 \001(\t\022" +
-      "\016\n\006weight\030\002 \001(\001\"F\n\016PublishedStage\022\017\n\007ser" +
-      "vice\030\001 \001(\t\022\r\n\005after\030\002 \003(\005\022\024\n\014result_byte" +
-      "s\030\003 \001(\003\"\343\001\n\020PublishedService\022\014\n\004name\030\001 \001" +
-      "(\t\022\027\n\017max_connections\030\002 \001(\005\0228\n\nstage_poo" +
-      "l\030\003 \001(\0132$.bronzewheel.wire.PublishedStag" +
-      "ePool\022:\n\013engine_pool\030\004 \001(\0132%.bronzewheel" +
-      ".wire.PublishedEnginePool\022\031\n\021cold_start_" +
-      "millis\030\005 \001(\003\022\027\n\017cold_per_second\030\006 \001(\001\"\227\001" +
-      "\n\022PublishedStagePool\022\r\n\005slots\030\001 \001(\005\022\r\n\005q" +
-      "ueue\030\002 \001(\005\022\r\n\005batch\030\003 \001(\005\022\023\n\013call_millis" +
-      "\030\004 \001(\001\022\024\n\014piece_millis\030\005 \001(\001\022\022\n\nroom_byt" +
-      "es\030\006 \001(\003\022\025\n\rresult_millis\030\007 \001(\003\":\n\023Publi" +
-      "shedEnginePool\022\r\n\005slots\030\001 \001(\005\022\024\n\014cache_t" +
-      "okens\030\002 \001(\003\"T\n\022PublishedWorkspace\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022\025\n\010priority\030\003 \001(\005H" +
-      "\000\210\001\001B\013\n\t_priority\"\177\n\017PublishedLimits\022\030\n\020" +
-      "max_header_bytes\030\001 \001(\005\022\026\n\016max_body_bytes" +
-      "\030\002 \001(\005\022\035\n\025header_timeout_millis\030\003 \001(\003\022\033\n" +
-      "\023idle_timeout_millis\030\004 \001(\003\"I\n\014StageBackl" +
-      "og\022\017\n\007service\030\001 \001(\t\022\023\n\013wait_millis\030\002 \003(\003" +
-      "\022\023\n\013call_millis\030\003 \001(\003\"\247\001\n\nStageFrame\022-\n\003" +
-      "job\030\001 \001(\0132\036.bronzewheel.wire.StageJobCal" +
-      "lH\000\0221\n\007release\030\002 \001(\0132\036.bronzewheel.wire." +
-      "StageReleaseH\000\022/\n\006cancel\030\003 \001(\0132\035.bronzew" +
-      "heel.wire.StageCancelH\000B\006\n\004body\"\303\003\n\014Stag" +
-      "eJobCall\022\022\n\nrequest_id\030\001 \001(\t\022\r\n\005stage\030\002 " +
-      "\001(\005\022\017\n\007service\030\003 \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003" +
-      "key\030\005 \001(\t\022-\n\006inputs\030\006 \003(\0132\035.bronzewheel." +
-      "wire.StageHandle\022\024\n\014result_bytes\030\007 \001(\003\022\014" +
-      "\n\004rank\030\010 \001(\005\022\035\n\025objective_left_millis\030\t " +
-      "\001(\003\022\034\n\024deadline_left_millis\030\n \001(\003\022\024\n\014lat" +
-      "er_millis\030\013 \001(\003\022\026\n\016failure_domain\030\014 \001(\t\022" +
-      "\032\n\022least_later_millis\030\r \001(\003\022E\n\014unmet_pie" +
-      "ces\030\016 \003(\0132/.bronzewheel.wire.StageJobCal" +
-      "l.UnmetPiecesEntry\022\r\n\005first\030\017 \001(\010\0322\n\020Unm" +
-      "etPiecesEntry\022\013\n\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(" +
-      "\005:\0028\001\"P\n\rStageJobReply\022\017\n\007failure\030\001 \001(\t\022" +
-      ".\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.Stag" +
-      "eHandle\"e\n\013StageHandle\022\014\n\004text\030\001 \001(\t\022\020\n\010" +
-      "maker_id\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\r" +
-      "\n\005bytes\030\004 \001(\003\022\017\n\007service\030\005 \001(\t\"O\n\014StageR" +
-      "elease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\013" +
-      "2\035.bronzewheel.wire.StageHandle\"2\n\013Stage" +
-      "Cancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 " +
-      "\001(\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
+      "\017cold_per_second\030\007 \001(\001H\001\210\001\001\022 \n\023cold_star" +
+      "ted_millis\030\010 \001(\003H\002\210\001\001B\030\n\026_cold_remaining" +
+      "_millisB\022\n\020_cold_per_secondB\026\n\024_cold_sta" +
+      "rted_millis\"\207\001\n\013PermitReply\022\017\n\007granted\030\001" +
+      " \001(\010\022\032\n\022retry_after_millis\030\002 \001(\003\0226\n\tstat" +
+      "ement\030\003 \001(\0132#.bronzewheel.wire.UpstreamS" +
+      "tatement\022\023\n\013next_millis\030\004 \001(\003\"_\n\010PeerBea" +
+      "t\022\r\n\005vm_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n" +
+      "\004beat\030\003 \001(\003\022\017\n\007leaving\030\004 \001(\010\022\020\n\010capacity" +
+      "\030\005 \001(\005\"j\n\021PublishedQuestion\022\026\n\016after_rev" +
+      "ision\030\001 \001(\003\022\023\n\013wait_millis\030\002 \001(\003\022\030\n\013afte" +
+      "r_epoch\030\003 \001(\003H\000\210\001\001B\016\n\014_after_epoch\"\374\001\n\017P" +
+      "ublishedAnswer\022:\n\007outcome\030\001 \001(\0162).bronze" +
+      "wheel.wire.PublishedAnswer.Outcome\022\020\n\010re" +
+      "vision\030\002 \001(\003\022\022\n\nage_millis\030\003 \001(\003\0220\n\007chan" +
+      "ges\030\004 \003(\0132\037.bronzewheel.wire.PublishedIt" +
+      "em\022\022\n\005epoch\030\005 \001(\003H\000\210\001\001\"7\n\007Outcome\022\013\n\007CHA" +
+      "NGES\020\000\022\020\n\014HISTORY_LOST\020\001\022\r\n\tNO_READER\020\002B" +
+      "\010\n\006_epoch\"\227\002\n\rPublishedItem\0225\n\007catalog\030\001" +
+      " \001(\0132\".bronzewheel.wire.PublishedCatalog" +
+      "H\000\0227\n\010upstream\030\002 \001(\0132#.bronzewheel.wire." +
+      "PublishedUpstreamH\000\022\032\n\020removed_upstream\030" +
+      "\003 \001(\tH\000\022;\n\nunreadable\030\004 \001(\0132%.bronzewhee" +
+      "l.wire.PublishedUnreadableH\000\022\032\n\020evacuate" +
+      "d_domain\030\005 \001(\tH\000\022\031\n\017returned_domain\030\006 \001(" +
+      "\tH\000B\006\n\004kind\"3\n\023PublishedUnreadable\022\014\n\004na" +
+      "me\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"\260\001\n\021PublishedUp" +
+      "stream\022\n\n\002id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\017\n\007a" +
+      "ddress\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005" +
+      "slots\030\005 \001(\005\022\026\n\016started_millis\030\006 \001(\003\022\017\n\007l" +
+      "eaving\030\007 \001(\010\022\035\n\025cold_remaining_millis\030\010 " +
+      "\001(\003\"\370\001\n\020PublishedCatalog\022\017\n\007version\030\001 \001(" +
+      "\003\0220\n\006routes\030\002 \003(\0132 .bronzewheel.wire.Pub" +
+      "lishedRoute\0224\n\010services\030\003 \003(\0132\".bronzewh" +
+      "eel.wire.PublishedService\0228\n\nworkspaces\030" +
+      "\004 \003(\0132$.bronzewheel.wire.PublishedWorksp" +
+      "ace\0221\n\006limits\030\005 \001(\0132!.bronzewheel.wire.P" +
+      "ublishedLimits\"\355\002\n\016PublishedRoute\022\014\n\004nam" +
+      "e\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n" +
+      "\tstreaming\030\004 \001(\010\022\023\n\013repeat_rule\030\005 \001(\t\022\026\n" +
+      "\016timeout_millis\030\006 \001(\003\022\030\n\020objective_milli" +
+      "s\030\007 \001(\003\022\034\n\024gap_objective_millis\030\010 \001(\003\022\020\n" +
+      "\010priority\030\t \001(\005\022\024\n\014max_attempts\030\n \001(\005\0220\n" +
+      "\006shares\030\013 \003(\0132 .bronzewheel.wire.Publish" +
+      "edShare\0220\n\006stages\030\014 \003(\0132 .bronzewheel.wi" +
+      "re.PublishedStage\022\014\n\004open\030\r \001(\010\022\035\n\025calle" +
+      "r_silence_millis\030\016 \001(\003\"1\n\016PublishedShare" +
+      "\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"F\n\016Pub" +
+      "lishedStage\022\017\n\007service\030\001 \001(\t\022\r\n\005after\030\002 " +
+      "\003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\343\001\n\020PublishedS" +
+      "ervice\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connections\030" +
+      "\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.bronzewheel." +
+      "wire.PublishedStagePool\022:\n\013engine_pool\030\004" +
+      " \001(\0132%.bronzewheel.wire.PublishedEngineP" +
+      "ool\022\031\n\021cold_start_millis\030\005 \001(\003\022\027\n\017cold_p" +
+      "er_second\030\006 \001(\001\"\227\001\n\022PublishedStagePool\022\r" +
+      "\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 " +
+      "\001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piece_millis" +
+      "\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rresult_mil" +
+      "lis\030\007 \001(\003\":\n\023PublishedEnginePool\022\r\n\005slot" +
+      "s\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n\022Publish" +
+      "edWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022" +
+      "\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017P" +
+      "ublishedLimits\022\030\n\020max_header_bytes\030\001 \001(\005" +
+      "\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025header_timeo" +
+      "ut_millis\030\003 \001(\003\022\033\n\023idle_timeout_millis\030\004" +
+      " \001(\003\"I\n\014StageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n" +
+      "\013wait_millis\030\002 \003(\003\022\023\n\013call_millis\030\003 \001(\003\"" +
+      "\247\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036.bronzewhee" +
+      "l.wire.StageJobCallH\000\0221\n\007release\030\002 \001(\0132\036" +
+      ".bronzewheel.wire.StageReleaseH\000\022/\n\006canc" +
+      "el\030\003 \001(\0132\035.bronzewheel.wire.StageCancelH" +
+      "\000B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\nrequest_id" +
+      "\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016" +
+      "\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 " +
+      "\003(\0132\035.bronzewheel.wire.StageHandle\022\024\n\014re" +
+      "sult_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025object" +
+      "ive_left_millis\030\t \001(\003\022\034\n\024deadline_left_m" +
+      "illis\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016fai" +
+      "lure_domain\030\014 \001(\t\022\032\n\022least_later_millis\030" +
+      "\r \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.bronzewhee" +
+      "l.wire.StageJobCall.UnmetPiecesEntry\022\r\n\005" +
+      "first\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001" +
+      " \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStageJobReply" +
+      "\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bro" +
+      "nzewheel.wire.StageHandle\"e\n\013StageHandle" +
+      "\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016fail" +
+      "ure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007servi" +
+      "ce\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007service\030\001 \001(" +
+      "\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.St" +
+      "ageHandle\"2\n\013StageCancel\022\022\n\nrequest_id\030\001" +
+      " \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.bronzewheel" +
+      ".wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -353,7 +355,7 @@
     internal_static_bronzewheel_wire_PermitQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PermitQuestion_descriptor,
-        new java.lang.String[] { "Name", "Rank", "PatienceMillis", "Statement", "Entry", "ColdRemainingMillis", "ColdPerSecond", });
+        new java.lang.String[] { "Name", "Rank", "PatienceMillis", "Statement", "Entry", "ColdRemainingMillis", "ColdPerSecond", "ColdStartedMillis", });
     internal_static_bronzewheel_wire_PermitReply_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_bronzewheel_wire_PermitReply_fieldAccessorTable = new
