--- /dev/null
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AnswerTimes.java
@@ -0,0 +1,102 @@
+package org.bronzewheel.serving;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * Estimates how long an attempt takes to its answer, or to the first event of a stream, by route
+ * and service.
+ *
+ * <p>An attempt that is given up shows that an answer takes longer. One upstream that does not
+ * answer may be broken; attempts that two upstreams leave unanswered, without an answer in between,
+ * raise the estimate, as the work of the route may have become longer. Confined to the serving
+ * loop.
+ */
+final class AnswerTimes {
+    private static final double SMOOTHING = 0.2;
+    private static final int MAX_ESTIMATES = 4_096;
+
+    private final Map<Key, Estimate> estimates =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Key, Estimate> eldest) {
+                    return size() > MAX_ESTIMATES;
+                }
+            };
+
+    private record Key(String route, String service) {}
+
+    private static final class Estimate {
+        private boolean answered;
+        private double answeredMillis;
+        private long unansweredMillis;
+        private String unansweredUpstream = "";
+        private boolean unansweredByTwo;
+
+        OptionalLong millis() {
+            if (!answered && !unansweredByTwo) {
+                return OptionalLong.empty();
+            }
+            return OptionalLong.of(Math.max(Math.round(answeredMillis), boundMillis()));
+        }
+
+        /** Returns the time that an answer takes at least, as far as unanswered attempts show. */
+        long boundMillis() {
+            return unansweredByTwo ? unansweredMillis : 0;
+        }
+    }
+
+    private Estimate estimate(String route, String service) {
+        return estimates.computeIfAbsent(new Key(route, service), unknown -> new Estimate());
+    }
+
+    /** Records an answer, or the first event of a stream. */
+    void recordAnswer(String route, String service, long elapsedMillis) {
+        Estimate estimate = estimate(route, service);
+        estimate.answeredMillis =
+                estimate.answered
+                        ? estimate.answeredMillis
+                                + SMOOTHING * (elapsedMillis - estimate.answeredMillis)
+                        : elapsedMillis;
+        estimate.answered = true;
+        estimate.unansweredMillis = 0;
+        estimate.unansweredUpstream = "";
+        estimate.unansweredByTwo = false;
+    }
+
+    /** Records that an attempt was given up without an answer. */
+    void recordNoAnswer(String route, String service, String upstreamId, long elapsedMillis) {
+        Estimate estimate = estimate(route, service);
+        estimate.unansweredMillis = Math.max(estimate.unansweredMillis, elapsedMillis);
+        estimate.unansweredByTwo |=
+                !estimate.unansweredUpstream.isEmpty()
+                        && !estimate.unansweredUpstream.equals(upstreamId);
+        estimate.unansweredUpstream = upstreamId;
+    }
+
+    /**
+     * Returns how long an attempt may remain silent before its upstream counts as silent.
+     *
+     * @param factor the multiple of the usual time that an answer may take
+     * @param objectiveMillis the latency objective of the route, in milliseconds, used before the
+     *     first answer
+     */
+    long patienceMillis(String route, String service, double factor, long objectiveMillis) {
+        Estimate estimate = estimate(route, service);
+        double usualMillis = estimate.answered ? factor * estimate.answeredMillis : objectiveMillis;
+        return Math.max(Math.round(usualMillis), estimate.boundMillis());
+    }
+
+    /**
+     * Returns the expected time of an attempt.
+     *
+     * @return the time in milliseconds; empty before the first answer, unless attempts at two
+     *     upstreams remained unanswered
+     */
+    OptionalLong expectedMillis(String route, String service) {
+        return estimate(route, service).millis();
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -35,6 +35,7 @@
     /** The interval at which a request that lost a silent attempt looks for an upstream. */
     private static final long REPLACEMENT_BACKOFF_MILLIS = 200;
 
+    private static final int UNKNOWN_ANSWER_FACTOR = 2;
     private static final int CONFLICT = 409;
     private static final String STOPS_BEFORE_ANSWER = "this router stops before it could answer";
 
@@ -551,8 +552,10 @@
 
     /** Returns whether the request may be sent to another upstream in place of its attempt. */
     boolean mayReplaceAttempt() {
-        return mayRepeat(loop.nowMillis())
-                && context.budget().canRetry(service(), loop.nowMillis())
+        long nowMillis = loop.nowMillis();
+        return mayRepeat(nowMillis)
+                && leavesTimeForNextAttempt(nowMillis)
+                && context.budget().canRetry(service(), nowMillis)
                 && !targets.availableWithoutPermit(service()).isEmpty();
     }
 
@@ -564,9 +567,25 @@
                 && shared.stopPlan().canComplete(route, nowMillis);
     }
 
+    /**
+     * Returns whether an attempt that begins now can be answered while the caller waits. Otherwise
+     * the silent attempt is more likely to be answered in time. Before the first answer of the
+     * route, an attempt is assumed to take twice as long as the silent one has taken so far.
+     */
+    private boolean leavesTimeForNextAttempt(long nowMillis) {
+        if (relay.hasStarted()) {
+            return true;
+        }
+        long expectedMillis =
+                shared.answerTimes()
+                        .expectedMillis(route.name(), service())
+                        .orElse(UNKNOWN_ANSWER_FACTOR * attempt.elapsedMillis());
+        return firstAnswerDeadlineMillis - nowMillis >= expectedMillis;
+    }
+
     /**
      * Cancels the attempt and sends the request to another upstream; does nothing if none can take
-     * it at once.
+     * it at once or answer it in time.
      *
      * @param retryTaken whether the retry budget has been charged for it
      * @return whether the attempt was replaced
@@ -575,7 +594,7 @@
         long nowMillis = loop.nowMillis();
         String service = service();
         Optional<Upstream> upstream =
-                mayRepeat(nowMillis)
+                mayRepeat(nowMillis) && leavesTimeForNextAttempt(nowMillis)
                         ? targets.chooseWithoutPermit(service, stages.prompt(), nowMillis)
                         : Optional.empty();
         if (upstream.isEmpty() || !(retryTaken || takeRetry())) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -35,6 +35,7 @@
         this.shared =
                 new ServingState(
                         new FirstEventWaits(),
+                        new AnswerTimes(),
                         new ReceiveClock(context.loop()),
                         new StopPlan(),
                         responseMemory);
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -26,6 +26,7 @@
     private static final long PLAIN_SILENCE_MILLIS = 400;
     private static final double PLAIN_SILENCE_FACTOR = 4;
     private static final int BUSY_PLAIN_SILENCE_FACTOR = 3;
+    private static final double ENGINE_SILENCE_FACTOR = 2;
 
     private final RequestExecution execution;
     private final ServingContext context;
@@ -39,6 +40,7 @@
     private final FirstEventTimer firstEvent;
     private final long sentMillis;
     private final long sentReceiveMillis;
+    private final boolean resumes;
     private long lastHeardMillis;
     private long patienceMillis;
     private long lastCheckMillis;
@@ -66,6 +68,7 @@
         this.sentMillis = loop.nowMillis();
         this.receiveClock = execution.shared().receiveClock();
         this.sentReceiveMillis = receiveClock.nowMillis();
+        this.resumes = execution.relay().hasStarted();
         this.firstEvent = new FirstEventTimer(context, upstream, execution.request());
         this.lastHeardMillis = sentReceiveMillis;
         this.lastCheckMillis = sentMillis;
@@ -100,8 +103,36 @@
         }
     }
 
-    /** Cancels the attempt at the upstream. */
+    /** Gives the attempt up and cancels it at the upstream. */
     void cancel() {
+        if (!ended && !resumes && !execution.relay().hasStarted()) {
+            execution
+                    .shared()
+                    .answerTimes()
+                    .recordNoAnswer(
+                            execution.route().name(),
+                            service,
+                            upstream.entry().id(),
+                            elapsedMillis());
+        }
+        cancelCall();
+    }
+
+    /** Returns the time since the request was sent, in milliseconds. */
+    long elapsedMillis() {
+        return loop.nowMillis() - sentMillis;
+    }
+
+    private void recordAnswer() {
+        if (!resumes) {
+            execution
+                    .shared()
+                    .answerTimes()
+                    .recordAnswer(execution.route().name(), service, elapsedMillis());
+        }
+    }
+
+    private void cancelCall() {
         if (end()) {
             call.dispose();
             report(Decision.ATTEMPT_FAILED);
@@ -127,7 +158,7 @@
     }
 
     private void report(Decision result) {
-        String millis = " millis=" + (loop.nowMillis() - sentMillis);
+        String millis = " millis=" + elapsedMillis();
         String detail =
                 head == null
                         ? "status=none " + connection + millis
@@ -171,7 +202,7 @@
             upstream.markMisdirected();
         }
         if (next.neverRan()) {
-            cancel();
+            cancelCall();
             execution.rejected(upstream, next.status());
         } else if (next.isSuccess() && (!next.signed() || next.encoded())) {
             reject("a success without the upstream's signature");
@@ -206,7 +237,7 @@
             return false;
         }
         execution.reportFailure(upstream, service, false);
-        cancel();
+        cancelCall();
         return true;
     }
 
@@ -223,7 +254,7 @@
     }
 
     private void abandon(String reason) {
-        cancel();
+        cancelCall();
         execution.reportFailure(upstream, service, true);
         if (!execution.failed(reason)) {
             execution.endWithoutAnswer(reason);
@@ -250,6 +281,9 @@
         if (ended) {
             return;
         }
+        if (first) {
+            recordAnswer();
+        }
         // Bytes of a stream that complete no event do not count as progress.
         if (!execution.route().streaming()
                 || execution.relay().forwardedEvents() > forwardedBefore) {
@@ -304,7 +338,10 @@
         if (head.status() >= SERVER_ERROR) {
             execution.reportFailure(upstream, service, false);
         } else {
-            upstream.recordSuccess((double) (loop.nowMillis() - sentMillis));
+            upstream.recordSuccess((double) elapsedMillis());
+        }
+        if (head.isSuccess() && !execution.route().streaming()) {
+            recordAnswer();
         }
         execution.relay().finish();
         // A stream that ends with its connection and has no events may be the end of its engine.
@@ -317,7 +354,7 @@
         }
         end();
         report(head.isSuccess() ? Decision.ATTEMPT_SUCCEEDED : Decision.ATTEMPT_FAILED);
-        execution.answered(loop.nowMillis() - sentMillis);
+        execution.answered(elapsedMillis());
     }
 
     @Override
@@ -380,7 +417,7 @@
         if (execution.relay().hasStarted()) {
             return STREAM_SILENCE_MILLIS;
         }
-        return engine ? ENGINE_SILENCE_MILLIS : plainSilenceMillis();
+        return engine ? engineSilenceMillis() : plainSilenceMillis();
     }
 
     private long requestSilenceMillis() {
@@ -388,12 +425,33 @@
             return 2 * STREAM_SILENCE_MILLIS;
         }
         return engine
-                ? BUSY_ENGINE_SILENCE_MILLIS
+                ? Math.max(BUSY_ENGINE_SILENCE_MILLIS, engineSilenceMillis())
                 : BUSY_PLAIN_SILENCE_FACTOR * plainSilenceMillis();
     }
 
+    /** An engine that runs nothing else sends nothing while it reads a prompt. */
+    private long engineSilenceMillis() {
+        return upstream.callsInFlight() > 1
+                ? ENGINE_SILENCE_MILLIS
+                : Math.max(ENGINE_SILENCE_MILLIS, routeSilenceMillis(ENGINE_SILENCE_FACTOR));
+    }
+
     private long plainSilenceMillis() {
         return Math.max(
-                PLAIN_SILENCE_MILLIS, Math.round(PLAIN_SILENCE_FACTOR * upstream.millisPerCall()));
+                Math.max(
+                        PLAIN_SILENCE_MILLIS,
+                        Math.round(PLAIN_SILENCE_FACTOR * upstream.millisPerCall())),
+                routeSilenceMillis(PLAIN_SILENCE_FACTOR));
+    }
+
+    private long routeSilenceMillis(double factor) {
+        return execution
+                .shared()
+                .answerTimes()
+                .patienceMillis(
+                        execution.route().name(),
+                        service,
+                        factor,
+                        execution.route().objectiveMillis());
     }
 }
