--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -229,6 +229,7 @@
                         progress.piecesOf(stage),
                         step.after().isEmpty() ? request.pieceKey() : Optional.empty(),
                         progress.inputsOf(stage),
+                        progress.exclusiveInputsOf(stage),
                         step.resultBytes(),
                         rank,
                         arrivedMillis + route.objectiveMillis(),
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -15,6 +15,7 @@
 /** The progress of one request through the stages of its route. */
 final class StageProgress {
     private static final long LARGE_RESULT_BYTES = 200_000;
+    private static final int NO_STAGE = -1;
 
     private final ServiceRoute route;
     private final List<Integer> pieces;
@@ -107,6 +108,20 @@
         return inputs;
     }
 
+    /**
+     * Returns the inputs of a stage that no other unfinished stage needs, and which may therefore
+     * be released once this stage has read them.
+     */
+    List<StageResult> exclusiveInputsOf(int stage) {
+        List<StageResult> inputs = new ArrayList<>();
+        for (int before : route.stages().get(stage).after()) {
+            if (consumersAreDoneExcept(before, stage)) {
+                inputs.addAll(results.getOrDefault(before, List.of()));
+            }
+        }
+        return inputs;
+    }
+
     /**
      * Returns the failure domain with most input bytes of a stage, if they are large enough to
      * matter.
@@ -153,7 +168,9 @@
         List<StageResult> used = new ArrayList<>();
         for (int stage = 0; stage < route.stages().size(); stage++) {
             List<StageResult> produced = results.getOrDefault(stage, List.of());
-            if (produced.isEmpty() || route.isLastStage(stage) || !consumersAreDone(stage)) {
+            if (produced.isEmpty()
+                    || route.isLastStage(stage)
+                    || !consumersAreDoneExcept(stage, NO_STAGE)) {
                 continue;
             }
             used.addAll(produced);
@@ -162,10 +179,11 @@
         return used;
     }
 
-    private boolean consumersAreDone(int stage) {
+    /** Returns whether all stages that need the results of a stage are done, leaving one out. */
+    private boolean consumersAreDoneExcept(int stage, int excluded) {
         for (int other = 0; other < route.stages().size(); other++) {
             StageStep step = route.stages().get(other);
-            if (step.after().contains(stage) && !isDone(other)) {
+            if (other != excluded && step.after().contains(stage) && !isDone(other)) {
                 return false;
             }
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -157,8 +157,8 @@
     }
 
     /**
-     * Releases the inputs of the tasks whose pieces are all in this call, as the upstream fetches
-     * inputs before it starts work.
+     * Releases the inputs that only tasks need whose pieces are all in this call, as the upstream
+     * fetches inputs before it starts work. Inputs of other stages, too, are left to the submitter.
      */
     private void releaseReadInputs() {
         if (ended) {
@@ -167,7 +167,7 @@
         batch.entries().stream()
                 .map(StageBatch.Entry::task)
                 .distinct()
-                .filter(task -> !task.job().inputs().isEmpty())
+                .filter(task -> !task.job().exclusiveInputs().isEmpty())
                 .filter(batch::containsAllPiecesOf)
                 .forEach(this::releaseInputs);
     }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCodec.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.bronzewheel.wire.StageHandle;
 import org.bronzewheel.wire.StageJobCall;
 import org.bronzewheel.wire.StageJobReply;
@@ -23,7 +24,7 @@
                 .setService(job.service())
                 .setPieces(job.pieces())
                 .setKey(job.key().orElse(""))
-                .addAllInputs(encode(job.inputs()))
+                .addAllInputs(encodeInputs(job))
                 .setResultBytes(job.resultBytes())
                 .setRank(job.rank())
                 .setObjectiveLeftMillis(job.objectiveAtMillis() - nowMillis)
@@ -49,6 +50,7 @@
                 call.getPieces(),
                 Optional.of(call.getKey()).filter(key -> !key.isEmpty()),
                 decode(call.getInputsList()),
+                decode(call.getInputsList().stream().filter(StageHandle::getExclusive).toList()),
                 call.getResultBytes(),
                 call.getRank(),
                 nowMillis + call.getObjectiveLeftMillis(),
@@ -67,20 +69,26 @@
         return StageJobReply.newBuilder().setFailure(failure.name()).build();
     }
 
-    static List<StageHandle> encode(List<StageResult> results) {
-        return results.stream()
-                .map(
-                        result ->
-                                StageHandle.newBuilder()
-                                        .setService(result.service())
-                                        .setText(result.handle())
-                                        .setMakerId(result.makerId())
-                                        .setFailureDomain(result.failureDomain())
-                                        .setBytes(result.bytes())
-                                        .build())
+    private static List<StageHandle> encodeInputs(StageJob job) {
+        Set<StageResult> exclusive = Set.copyOf(job.exclusiveInputs());
+        return job.inputs().stream()
+                .map(input -> encode(input).setExclusive(exclusive.contains(input)).build())
                 .toList();
     }
 
+    static List<StageHandle> encode(List<StageResult> results) {
+        return results.stream().map(result -> encode(result).build()).toList();
+    }
+
+    private static StageHandle.Builder encode(StageResult result) {
+        return StageHandle.newBuilder()
+                .setService(result.service())
+                .setText(result.handle())
+                .setMakerId(result.makerId())
+                .setFailureDomain(result.failureDomain())
+                .setBytes(result.bytes());
+    }
+
     static List<StageResult> decode(List<StageHandle> handles) {
         return handles.stream()
                 .map(
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -513,9 +513,9 @@
         }
     }
 
-    /** Releases the inputs of a task whose pieces have all read them. */
+    /** Releases the inputs that only a task needs whose pieces have all read them. */
     void releaseReadInputs(StageTask task) {
-        releaseInputs.accept(task.job().inputs());
+        releaseInputs.accept(task.job().exclusiveInputs());
     }
 
     private void refreshWorkers() {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageJob.java
@@ -12,6 +12,7 @@
  * @param pieces the number of pieces
  * @param key the key of the pieces, for a stage without inputs
  * @param inputs all results that the stage needs
+ * @param exclusiveInputs those of the inputs that no other stage of the request needs any more
  * @param resultBytes the approximate size of each result, in bytes
  * @param rank the rank of the request, 0 first
  * @param objectiveAtMillis the target time for the answer to the request, by the monotonic clock
@@ -28,6 +29,7 @@
         int pieces,
         Optional<String> key,
         List<StageResult> inputs,
+        List<StageResult> exclusiveInputs,
         long resultBytes,
         int rank,
         long objectiveAtMillis,
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
@@ -135,6 +135,7 @@
                             pieces,
                             Optional.of("k"),
                             List.of(),
+                            List.of(),
                             10,
                             0,
                             ownLoop.nowMillis() + 3_000,
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/StageDispatcherTest.java
@@ -40,6 +40,10 @@
     private final Set<Call> ended = new HashSet<>();
     private final List<String> freed = new ArrayList<>();
     private final List<StageResult> inputsReleased = new ArrayList<>();
+
+    /** The inputs that other stages need, too. */
+    private final Set<StageResult> shared = new HashSet<>();
+
     private boolean first;
     private boolean shedsByCost;
     private Optional<StagePool> pool = Optional.of(POOL);
@@ -155,6 +159,7 @@
                         pieces,
                         Optional.of("k"),
                         inputs,
+                        inputs.stream().filter(input -> !shared.contains(input)).toList(),
                         bytes,
                         rank,
                         now + objectiveMillis,
@@ -630,6 +635,21 @@
         assertThat(inputsReleased).containsExactly(input);
     }
 
+    // CONFIG: a result was freed while another stage of its request still needed it.
+    @Test
+    void inputsThatAnotherStageNeedsAreLeftToTheSubmitter() {
+        upstreams("u");
+        StageResult own = new StageResult("t", "own", "m", "d", 10);
+        StageResult ofBoth = new StageResult("t", "of both", "m", "d", 10);
+        shared.add(ofBoth);
+        submit("a", 2, 0, 10, 9_000, List.of(own, ofBoth));
+        advance(1_000);
+        assertThat(inputsReleased).containsExactly(own);
+        calls.get(0).done();
+        advance(1_000);
+        assertThat(inputsReleased).containsExactly(own);
+    }
+
     @Test
     void resultsOfACancelledRequestAreFreed() {
         upstreams("u");
@@ -865,6 +885,7 @@
                         1,
                         Optional.of("k"),
                         List.of(),
+                        List.of(),
                         10,
                         0,
                         9_000,
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -301,14 +301,14 @@
       "first\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001" +
       " \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStageJobReply" +
       "\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bro" +
-      "nzewheel.wire.StageHandle\"e\n\013StageHandle" +
+      "nzewheel.wire.StageHandle\"x\n\013StageHandle" +
       "\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016fail" +
       "ure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007servi" +
-      "ce\030\005 \001(\t\"O\n\014StageRelease\022\017\n\007service\030\001 \001(" +
-      "\t\022.\n\007handles\030\002 \003(\0132\035.bronzewheel.wire.St" +
-      "ageHandle\"2\n\013StageCancel\022\022\n\nrequest_id\030\001" +
-      " \001(\t\022\017\n\007service\030\002 \001(\tB\030\n\024org.bronzewheel" +
-      ".wireP\001b\006proto3"
+      "ce\030\005 \001(\t\022\021\n\texclusive\030\006 \001(\010\"O\n\014StageRele" +
+      "ase\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035." +
+      "bronzewheel.wire.StageHandle\"2\n\013StageCan" +
+      "cel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t" +
+      "B\030\n\024org.bronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -487,7 +487,7 @@
     internal_static_bronzewheel_wire_StageHandle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_StageHandle_descriptor,
-        new java.lang.String[] { "Text", "MakerId", "FailureDomain", "Bytes", "Service", });
+        new java.lang.String[] { "Text", "MakerId", "FailureDomain", "Bytes", "Service", "Exclusive", });
     internal_static_bronzewheel_wire_StageRelease_descriptor =
       getDescriptor().getMessageType(28);
     internal_static_bronzewheel_wire_StageRelease_fieldAccessorTable = new
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageHandle.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageHandle.java
@@ -223,6 +223,21 @@
     }
   }
 
+  public static final int EXCLUSIVE_FIELD_NUMBER = 6;
+  private boolean exclusive_ = false;
+  /**
+   * <pre>
+   * Of an input: whether no other stage of the request needs it any more.
+   * </pre>
+   *
+   * <code>bool exclusive = 6;</code>
+   * @return The exclusive.
+   */
+  @java.lang.Override
+  public boolean getExclusive() {
+    return exclusive_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -252,6 +267,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, service_);
     }
+    if (exclusive_ != false) {
+      output.writeBool(6, exclusive_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -272,6 +290,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, service_);
     }
+    if (exclusive_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, exclusive_);
+    }
     return size;
   }
   @java.lang.Override
@@ -306,6 +328,8 @@
         != other.getBytes()) return false;
     if (!getService()
         .equals(other.getService())) return false;
+    if (getExclusive()
+        != other.getExclusive()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -328,6 +352,9 @@
         getBytes());
     hash = (37 * hash) + SERVICE_FIELD_NUMBER;
     hash = (53 * hash) + getService().hashCode();
+    hash = (37 * hash) + EXCLUSIVE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getExclusive());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -468,6 +495,7 @@
       failureDomain_ = "";
       bytes_ = 0L;
       service_ = "";
+      exclusive_ = false;
       return this;
     }
 
@@ -516,6 +544,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.service_ = service_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.exclusive_ = exclusive_;
+      }
     }
 
     @java.lang.Override
@@ -553,6 +584,9 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (other.getExclusive() != false) {
+        setExclusive(other.getExclusive());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -602,6 +636,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 48: {
+              exclusive_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -939,6 +978,50 @@
       return this;
     }
 
+    private boolean exclusive_ ;
+    /**
+     * <pre>
+     * Of an input: whether no other stage of the request needs it any more.
+     * </pre>
+     *
+     * <code>bool exclusive = 6;</code>
+     * @return The exclusive.
+     */
+    @java.lang.Override
+    public boolean getExclusive() {
+      return exclusive_;
+    }
+    /**
+     * <pre>
+     * Of an input: whether no other stage of the request needs it any more.
+     * </pre>
+     *
+     * <code>bool exclusive = 6;</code>
+     * @param value The exclusive to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExclusive(boolean value) {
+
+      exclusive_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Of an input: whether no other stage of the request needs it any more.
+     * </pre>
+     *
+     * <code>bool exclusive = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExclusive() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      exclusive_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.StageHandle)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageHandleOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/StageHandleOrBuilder.java
@@ -63,4 +63,14 @@
    */
   com.google.protobuf.ByteString
       getServiceBytes();
+
+  /**
+   * <pre>
+   * Of an input: whether no other stage of the request needs it any more.
+   * </pre>
+   *
+   * <code>bool exclusive = 6;</code>
+   * @return The exclusive.
+   */
+  boolean getExclusive();
 }
