--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/StagePool.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/StagePool.java
@@ -18,4 +18,14 @@
         double callMillis,
         double pieceMillis,
         long roomBytes,
-        long resultMillis) {}
+        long resultMillis) {
+    /**
+     * Returns the expected duration of a call.
+     *
+     * @param pieces the number of pieces; those that exceed a full call run in other calls
+     * @return the time in milliseconds
+     */
+    public double expectedMillis(int pieces) {
+        return callMillis + Math.min(batch, pieces) * pieceMillis;
+    }
+}
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AnswerTimes.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AnswerTimes.java
@@ -32,6 +32,7 @@
     private static final class Estimate {
         private boolean answered;
         private double answeredMillis;
+        private long leastMillis;
         private long unansweredMillis;
         private String unansweredUpstream = "";
         private boolean unansweredByTwo;
@@ -61,6 +62,8 @@
                         ? estimate.answeredMillis
                                 + SMOOTHING * (elapsedMillis - estimate.answeredMillis)
                         : elapsedMillis;
+        estimate.leastMillis =
+                estimate.answered ? Math.min(estimate.leastMillis, elapsedMillis) : elapsedMillis;
         estimate.answered = true;
         estimate.unansweredMillis = 0;
         estimate.unansweredUpstream = "";
@@ -99,4 +102,9 @@
     OptionalLong expectedMillis(String route, String service) {
         return estimate(route, service).millis();
     }
+
+    /** Returns the time of the fastest attempt, in milliseconds; 0 before the first answer. */
+    long leastMillis(String route, String service) {
+        return estimate(route, service).leastMillis;
+    }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -25,6 +25,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long MIN_SEND_MILLIS = 5;
     private static final double MAX_WAIT_SHARE = 0.6;
+    private static final double MIN_QUEUE_SHARE = 0.25;
     private static final double MAX_PERMIT_WAIT_SHARE = 0.5;
     private static final double MAX_WAIT_AFTER_STAGES_SHARE = 0.3;
     private static final double MAX_ENTRY_WAIT_SHARE = 0.12;
@@ -110,6 +111,7 @@
                         rank.value(),
                         arrivedMillis,
                         firstAnswerDeadlineMillis,
+                        () -> shared.answerTimes().leastMillis(route.name(), service()),
                         this::guard,
                         this::stagesDone,
                         this::stagesFailed);
@@ -161,7 +163,7 @@
                                         stages.describeWaits(),
                                         request.promptParts()));
         context.budget().recordRequest(service(), 1, arrivedMillis);
-        if (expectedMillis > MAX_WAIT_SHARE * (firstAnswerDeadlineMillis - arrivedMillis)) {
+        if (isQueueTooLong(expectedMillis)) {
             refuse("the queues are too long for the deadline");
             return;
         }
@@ -183,6 +185,21 @@
         takeEntryPermit();
     }
 
+    /**
+     * Returns whether the queues are too long for the time that the caller waits. They may take
+     * what a share of that time leaves besides the work of the stages; stages whose work takes most
+     * of the time are still run while the queues take little of the rest.
+     */
+    private boolean isQueueTooLong(long expectedMillis) {
+        long callerWaitMillis = firstAnswerDeadlineMillis - arrivedMillis;
+        long workMillis = stages.leastMillis();
+        double maxQueueMillis =
+                Math.max(
+                        MAX_WAIT_SHARE * callerWaitMillis - workMillis,
+                        MIN_QUEUE_SHARE * (callerWaitMillis - workMillis));
+        return expectedMillis - workMillis > maxQueueMillis;
+    }
+
     /**
      * Starts the stages. If all upstreams of the service limit their requests, an entry permit is
      * taken first; otherwise most stage work would go to requests that never get a send permit.
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -2,9 +2,13 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
+import org.bronzewheel.catalog.ServiceEntry;
 import org.bronzewheel.catalog.ServiceRoute;
+import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.stages.StageFailure;
@@ -22,9 +26,6 @@
 final class RequestStages {
     private static final long ENGINE_MILLIS = 160;
 
-    /** The time of a stage without queueing. */
-    private static final long MIN_STAGE_MILLIS = 330;
-
     private static final int MAX_ROUNDS = 2;
 
     private final ServingContext context;
@@ -32,6 +33,7 @@
     private final ServiceRoute route;
     private final int rank;
     private final long arrivedMillis;
+    private final LongSupplier leastAnswerMillis;
     private final Consumer<Runnable> guard;
     private final Runnable onReady;
     private final Consumer<String> onFailure;
@@ -47,6 +49,7 @@
      * Creates the stages of a request.
      *
      * @param rank the rank of the request, 0 first
+     * @param leastAnswerMillis the least time of the request's upstream to its answer
      * @param guard runs each step that a stage calls
      * @param onReady called when all results are available
      * @param onFailure called with the reason why there will be none
@@ -58,6 +61,7 @@
             int rank,
             long arrivedMillis,
             long deadlineAtMillis,
+            LongSupplier leastAnswerMillis,
             Consumer<Runnable> guard,
             Runnable onReady,
             Consumer<String> onFailure) {
@@ -67,6 +71,7 @@
         this.rank = rank;
         this.arrivedMillis = arrivedMillis;
         this.deadlineAtMillis = deadlineAtMillis;
+        this.leastAnswerMillis = leastAnswerMillis;
         this.guard = guard;
         this.onReady = onReady;
         this.onFailure = onFailure;
@@ -166,7 +171,48 @@
     /** Returns the expected time until all results are available, from the queues of the stages. */
     long expectedMillis() {
         return progress.remainingMillis(
-                service -> expectedWait(service).waitMillis() + MIN_STAGE_MILLIS);
+                stage -> expectedWait(service(stage)).waitMillis() + leastMillis(stage));
+    }
+
+    /** Returns the time until all results are available if no stage has a queue. */
+    long leastMillis() {
+        return progress.remainingMillis(this::leastMillis);
+    }
+
+    /**
+     * Returns the time of a stage without queueing: as configured for a call with only the pieces
+     * of this request, or as observed lately, whichever is shorter; 0 if neither is known.
+     */
+    private long leastMillis(int stage) {
+        OptionalLong configured = configuredMillis(stage);
+        long observedMillis = expectedWait(service(stage)).callMillis();
+        if (observedMillis <= 0) {
+            return configured.orElse(0);
+        }
+        return Math.min(observedMillis, configured.orElse(observedMillis));
+    }
+
+    /** Returns the expected time of a stage: as observed lately, or else as configured. */
+    private long expectedMillis(int stage) {
+        StageWait wait = expectedWait(service(stage));
+        return wait.callMillis() > 0
+                ? wait.totalMillis()
+                : wait.waitMillis() + configuredMillis(stage).orElse(0);
+    }
+
+    private OptionalLong configuredMillis(int stage) {
+        Optional<StagePool> pool =
+                context.catalog()
+                        .current()
+                        .flatMap(catalog -> catalog.service(service(stage)))
+                        .flatMap(ServiceEntry::stagePool);
+        return pool.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(Math.round(pool.get().expectedMillis(progress.piecesOf(stage))));
+    }
+
+    private String service(int stage) {
+        return route.stages().get(stage).service();
     }
 
     private StageWait expectedWait(String service) {
@@ -176,8 +222,7 @@
     /** Returns the expected time from the end of a stage to the first part of the response. */
     private long millisAfterStage(int stage) {
         int unreadTokens = request.promptTokens() - prompt().sharedPrefixTokens();
-        long stagesMillis =
-                progress.millisAfter(stage, service -> expectedWait(service).totalMillis());
+        long stagesMillis = progress.millisAfter(stage, this::expectedMillis);
         return stagesMillis + ENGINE_MILLIS + EngineSelector.prefillMillis(unreadTokens);
     }
 
@@ -235,7 +280,8 @@
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
                         millisAfterStage(stage),
-                        ENGINE_MILLIS + progress.millisAfter(stage, service -> MIN_STAGE_MILLIS),
+                        leastAnswerMillis.getAsLong()
+                                + progress.millisAfter(stage, this::leastMillis),
                         progress.inputFailureDomain(stage).orElse(failureDomain),
                         !rerun && progress.hasNoResults());
         context.observer()
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.function.ToLongFunction;
+import java.util.function.IntToLongFunction;
 import java.util.stream.IntStream;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.StageStep;
@@ -199,8 +199,8 @@
                 .toList();
     }
 
-    /** Returns the time until all stages are done, given the time of a stage of each service. */
-    long remainingMillis(ToLongFunction<String> stageMillis) {
+    /** Returns the time until all stages are done, given the time of each stage. */
+    long remainingMillis(IntToLongFunction stageMillis) {
         return IntStream.range(0, route.stages().size())
                 .filter(stage -> !isDone(stage))
                 .mapToLong(stage -> stageMillis(stage, stageMillis))
@@ -209,7 +209,7 @@
     }
 
     /** Returns the time from the end of a stage until all stages that start after it are done. */
-    long millisAfter(int stage, ToLongFunction<String> stageMillis) {
+    long millisAfter(int stage, IntToLongFunction stageMillis) {
         return IntStream.range(0, route.stages().size())
                 .filter(other -> !isDone(other) && startsAfter(other, stage))
                 .mapToLong(other -> stageMillis(other, stageMillis))
@@ -217,9 +217,8 @@
                 .orElse(0);
     }
 
-    private long stageMillis(int stage, ToLongFunction<String> stageMillis) {
-        return stageMillis.applyAsLong(route.stages().get(stage).service())
-                + millisAfter(stage, stageMillis);
+    private long stageMillis(int stage, IntToLongFunction stageMillis) {
+        return stageMillis.applyAsLong(stage) + millisAfter(stage, stageMillis);
     }
 
     /** Returns whether a stage depends on another one or is deferred until that one is done. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageBatch.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageBatch.java
@@ -53,7 +53,7 @@
 
     /** Returns the expected duration of a full call. */
     static double fullCallMillis(StagePool pool) {
-        return pool.callMillis() + pool.batch() * pool.pieceMillis();
+        return pool.expectedMillis(pool.batch());
     }
 
     /** Returns the pieces as they are sent. */
@@ -101,6 +101,6 @@
     }
 
     double expectedMillis() {
-        return pool.callMillis() + entries.size() * pool.pieceMillis();
+        return pool.expectedMillis(entries.size());
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -49,6 +49,10 @@
     final StallingScheduler scheduler = new StallingScheduler();
     final Loop loop = new Loop(scheduler, () -> scheduler.now(TimeUnit.MILLISECONDS));
     long expectedWaitMillis;
+
+    /** What the owners of stages report; empty for {@link #expectedWaitMillis} and usual calls. */
+    Optional<StageWait> wait = Optional.empty();
+
     final CatalogState catalog = new CatalogState(LEASE_MILLIS);
     final UpstreamTable upstreams = new UpstreamTable(2_000);
     final PromptQuarantine quarantine = new PromptQuarantine();
@@ -347,7 +351,7 @@
     @Override
     public StageWait expectedWait(String service, int rank) {
         waitRanks.add(rank);
-        return new StageWait(expectedWaitMillis, CALL_MILLIS, 0);
+        return wait.orElse(new StageWait(expectedWaitMillis, CALL_MILLIS, 0));
     }
 
     @Override
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/StageProgressTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/StageProgressTest.java
@@ -3,15 +3,13 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
-import java.util.Map;
-import java.util.function.ToLongFunction;
+import java.util.function.IntToLongFunction;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.catalog.StageStep;
 import org.junit.jupiter.api.Test;
 
 class StageProgressTest {
-    private static final ToLongFunction<String> MILLIS =
-            Map.of("roster", 1_000L, "registry", 100L, "shop", 10L)::get;
+    private static final IntToLongFunction MILLIS = List.of(1_000L, 1_000L, 100L, 10L)::get;
 
     private static StageProgress progress(List<Integer> pieces) {
         return new StageProgress(
