Look for the stages after a stage among all numbers

All requests of a route whose first stage is listed after those that need it ended with 502, "an unexpected error".

Cause: stagesAfter looked at higher numbers only. A large first stage with the highest number counted as a short branch that waits for the others, which wait for it, and the times of both were computed from each other until the stack overflowed. With all numbers looked at, a stage waits only for stages on a longer way to the request, so the computation ends.

The new test of StageProgressTest ended with StackOverflowError before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageProgress.java
@@ -230,7 +230,7 @@
     /** Returns the number of stages after a stage on the longest path to the request. */
     int stagesAfter(int stage) {
         int longest = 0;
-        for (int other = stage + 1; other < route.stages().size(); other++) {
+        for (int other = 0; other < route.stages().size(); other++) {
             if (route.stages().get(other).after().contains(stage) && piecesOf(other) > 0) {
                 longest = Math.max(longest, 1 + stagesAfter(other));
             }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/StageProgressTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/StageProgressTest.java
@@ -46,4 +46,30 @@
         progress.complete(1, List.of());
         assertThat(progress.startReady()).containsExactly(0, 2);
     }
+
+    // Guards against requests that fail with a stack overflow, as the order of the stages of their
+    // route is not that of their numbers.
+    @Test
+    void aStageThatIsListedAfterThoseThatNeedItRunsBeforeThem() {
+        StageProgress progress =
+                new StageProgress(
+                        ServingHarness.route(
+                                RetryRule.IDEMPOTENT,
+                                true,
+                                2,
+                                List.of(
+                                        new StageStep("roster", List.of(3), 8_000),
+                                        new StageStep("registry", List.of(0), 60_000),
+                                        new StageStep("shop", List.of(1), 6_000),
+                                        new StageStep("roster", List.of(), 800_000))),
+                        List.of(1, 4, 6, 2));
+        IntToLongFunction millis = List.of(1_000L, 100L, 10L, 1_000L)::get;
+        assertThat(progress.remainingMillis(millis)).isEqualTo(2_110);
+        assertThat(progress.millisAfter(3, millis)).isEqualTo(1_110);
+        for (int stage : List.of(3, 0, 1, 2)) {
+            assertThat(progress.startReady()).containsExactly(stage);
+            progress.complete(stage, List.of());
+        }
+        assertThat(progress.isComplete()).isTrue();
+    }
 }
