Count no silence while a request is being written

An upload that its upstream reads for longer than the silence allowed was cut off and sent to a second upstream with less time, on routes that may be repeated.

Cause: silence counted from the sending of a request, while an upstream that still reads it cannot answer.

An upstream that stops reading fills its send buffer, and is left as before.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -39,8 +39,8 @@
     private final PromptTrial trial;
     private final FirstEventTimer firstEvent;
     private final long sentMillis;
-    private final long sentReceiveMillis;
     private final boolean resumes;
+    private long lastWrittenMillis;
     private long lastHeardMillis;
     private long patienceMillis;
     private long lastCheckMillis;
@@ -67,10 +67,10 @@
                 new PromptTrial(context.quarantine(), upstream, execution.request().promptParts());
         this.sentMillis = loop.nowMillis();
         this.receiveClock = execution.shared().receiveClock();
-        this.sentReceiveMillis = receiveClock.nowMillis();
+        this.lastWrittenMillis = receiveClock.nowMillis();
         this.resumes = execution.relay().hasStarted();
         this.firstEvent = new FirstEventTimer(context, upstream, execution.request());
-        this.lastHeardMillis = sentReceiveMillis;
+        this.lastHeardMillis = lastWrittenMillis;
         this.lastCheckMillis = sentMillis;
         this.patienceMillis = execution.nextEventDeadlineMillis() - sentMillis;
     }
@@ -186,6 +186,11 @@
         connection = use;
     }
 
+    @Override
+    public void onRequestProgress() {
+        lastWrittenMillis = receiveClock.nowMillis();
+    }
+
     @Override
     public void onHead(UpstreamHead next) {
         execution.guard(() -> receiveHead(next));
@@ -397,8 +402,8 @@
         long lateMillis = nowMillis - lastCheckMillis - CHECK_INTERVAL_MILLIS;
         lastCheckMillis = nowMillis;
         long receiveMillis = receiveClock.nowMillis();
-        long upstreamMillis = receiveMillis - upstream.lastReceivedMillis(sentReceiveMillis);
-        long requestMillis = receiveMillis - lastHeardMillis;
+        long upstreamMillis = receiveMillis - upstream.lastReceivedMillis(lastWrittenMillis);
+        long requestMillis = receiveMillis - Math.max(lastHeardMillis, lastWrittenMillis);
         if (upstreamMillis <= upstreamSilenceMillis() && requestMillis <= requestSilenceMillis()) {
             return;
         }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamListener.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamListener.java
@@ -9,6 +9,9 @@
      */
     default void onConnected(ConnectionUse use) {}
 
+    /** Called whenever a part of a long request was written. */
+    default void onRequestProgress() {}
+
     /**
      * Called with the head of the response.
      *
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SilentUpstreamTest.java
@@ -334,4 +334,34 @@
         harness.advance(10);
         assertThat(harness.refusalStatus()).isEqualTo(Refusal.BAD_GATEWAY);
     }
+
+    // CONFIG: an upload that took longer than the silence allowed was cut off and sent again.
+    @Test
+    void aRequestIsNotSilentWhileItIsBeingWritten() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2))
+                        .request();
+        for (int i = 0; i < 15; i++) {
+            harness.advance(100);
+            harness.sends.get(0).listener.onRequestProgress();
+        }
+        assertThat(harness.sends).hasSize(1);
+        harness.advance(100);
+        harness.sends.get(0).answer(200);
+        assertThat(harness.finished).isTrue();
+    }
+
+    @Test
+    void aRequestOfWhichNoMoreIsWrittenLeavesItsSilentUpstream() {
+        ServingHarness harness =
+                new ServingHarness(budget(9))
+                        .with(ServingHarness.route(RetryRule.IDEMPOTENT, false, 2))
+                        .request();
+        harness.advance(100);
+        harness.sends.get(0).listener.onRequestProgress();
+        harness.advance(700);
+        assertThat(harness.sends).hasSize(2);
+        assertThat(harness.sends.get(0).cancelled).isTrue();
+    }
 }
