--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -167,7 +167,7 @@
             refuse("the queues are too long for the deadline");
             return;
         }
-        if (!targets.canServe(route, service(), stages.expectedMillis())) {
+        if (!targets.canServe(route, service(), stages.leastQueuedMillis())) {
             refuse("no upstream takes requests in time");
             return;
         }
@@ -260,7 +260,7 @@
      * done.
      */
     private long expectedMillis() {
-        return stages.expectedMillis()
+        return stages.leastQueuedMillis()
                 + shared.engineWaits().expectedMillis(service(), rank(), loop.nowMillis());
     }
 
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestStages.java
@@ -2,13 +2,10 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
-import org.bronzewheel.catalog.ServiceEntry;
 import org.bronzewheel.catalog.ServiceRoute;
-import org.bronzewheel.catalog.StagePool;
 import org.bronzewheel.catalog.StageStep;
 import org.bronzewheel.serving.RequestObserver.Decision;
 import org.bronzewheel.stages.StageFailure;
@@ -168,61 +165,24 @@
         }
     }
 
-    /** Returns the expected time until all results are available, from the queues of the stages. */
-    long expectedMillis() {
-        return progress.remainingMillis(
-                stage -> expectedWait(service(stage)).waitMillis() + leastMillis(stage));
+    /** Returns the least time until all results are available, behind the queues of the stages. */
+    long leastQueuedMillis() {
+        return progress.remainingMillis(estimates()::leastQueuedMillis);
     }
 
-    /** Returns the time until all results are available if no stage has a queue. */
+    /** Returns the least time until all results are available if no stage has a queue. */
     long leastMillis() {
-        return progress.remainingMillis(this::leastMillis);
+        return progress.remainingMillis(estimates()::leastMillis);
     }
 
-    /**
-     * Returns the time of a stage without queueing: as configured for a call with only the pieces
-     * of this request, or as observed lately, whichever is shorter; 0 if neither is known.
-     */
-    private long leastMillis(int stage) {
-        OptionalLong configured = configuredMillis(stage);
-        long observedMillis = expectedWait(service(stage)).callMillis();
-        if (observedMillis <= 0) {
-            return configured.orElse(0);
-        }
-        return Math.min(observedMillis, configured.orElse(observedMillis));
-    }
-
-    /** Returns the expected time of a stage: as observed lately, or else as configured. */
-    private long expectedMillis(int stage) {
-        StageWait wait = expectedWait(service(stage));
-        return wait.callMillis() > 0
-                ? wait.totalMillis()
-                : wait.waitMillis() + configuredMillis(stage).orElse(0);
-    }
-
-    private OptionalLong configuredMillis(int stage) {
-        Optional<StagePool> pool =
-                context.catalog()
-                        .current()
-                        .flatMap(catalog -> catalog.service(service(stage)))
-                        .flatMap(ServiceEntry::stagePool);
-        return pool.isEmpty()
-                ? OptionalLong.empty()
-                : OptionalLong.of(Math.round(pool.get().expectedMillis(progress.piecesOf(stage))));
-    }
-
-    private String service(int stage) {
-        return route.stages().get(stage).service();
-    }
-
-    private StageWait expectedWait(String service) {
-        return context.stages().expectedWait(service, rank);
+    private StageEstimates estimates() {
+        return new StageEstimates(context, route, progress, rank);
     }
 
     /** Returns the expected time from the end of a stage to the first part of the response. */
-    private long millisAfterStage(int stage) {
+    private long millisAfterStage(int stage, StageEstimates estimates) {
         int unreadTokens = request.promptTokens() - prompt().sharedPrefixTokens();
-        long stagesMillis = progress.millisAfter(stage, this::expectedMillis);
+        long stagesMillis = progress.millisAfter(stage, estimates::expectedMillis);
         return stagesMillis + ENGINE_MILLIS + EngineSelector.prefillMillis(unreadTokens);
     }
 
@@ -239,10 +199,11 @@
      * estimate.
      */
     String describeWaits() {
+        StageEstimates estimates = estimates();
         return progress.pendingServices().stream()
                 .map(
                         service -> {
-                            StageWait wait = expectedWait(service);
+                            StageWait wait = estimates.reported(service);
                             return "%s:%d/%d"
                                     .formatted(service, wait.totalMillis(), wait.ageMillis());
                         })
@@ -266,6 +227,7 @@
 
     private void submit(int stage) {
         StageStep step = route.stages().get(stage);
+        StageEstimates estimates = estimates();
         StageJob job =
                 new StageJob(
                         request.id(),
@@ -279,9 +241,9 @@
                         rank,
                         arrivedMillis + route.objectiveMillis(),
                         deadlineAtMillis,
-                        millisAfterStage(stage),
+                        millisAfterStage(stage, estimates),
                         leastAnswerMillis.getAsLong()
-                                + progress.millisAfter(stage, this::leastMillis),
+                                + progress.millisAfter(stage, estimates::leastMillis),
                         progress.inputFailureDomain(stage).orElse(failureDomain),
                         !rerun && progress.hasNoResults());
         context.observer()
@@ -302,7 +264,8 @@
         StageWaiter(int stage, StageProgress round) {
             this.stage = stage;
             this.round = round;
-            this.toldMillis = expectedWait(route.stages().get(stage).service()).totalMillis();
+            this.toldMillis =
+                    estimates().reported(route.stages().get(stage).service()).totalMillis();
         }
 
         @Override
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageCall.java
@@ -157,8 +157,8 @@
     }
 
     /**
-     * Releases the inputs that only tasks need whose pieces are all in this call, as the upstream
-     * fetches inputs before it starts work. Inputs of other stages, too, are left to the submitter.
+     * Releases the exclusive inputs of the tasks whose pieces are all in this call, as the upstream
+     * fetches inputs before it starts work.
      */
     private void releaseReadInputs() {
         if (ended) {
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/stages/StageDispatcher.java
@@ -513,7 +513,7 @@
         }
     }
 
-    /** Releases the inputs that only a task needs whose pieces have all read them. */
+    /** Releases the exclusive inputs of a task whose pieces have all read them. */
     void releaseReadInputs(StageTask task) {
         releaseInputs.accept(task.job().exclusiveInputs());
     }
