--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AnswerTimes.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AnswerTimes.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.OptionalLong;
 
 /**
  * Estimates how long an attempt takes to its answer, or to the first event of a stream, by route
@@ -37,13 +36,6 @@
         private String unansweredUpstream = "";
         private boolean unansweredByTwo;
 
-        OptionalLong millis() {
-            if (!answered && !unansweredByTwo) {
-                return OptionalLong.empty();
-            }
-            return OptionalLong.of(Math.max(Math.round(answeredMillis), boundMillis()));
-        }
-
         /** Returns the time that an answer takes at least, as far as unanswered attempts show. */
         long boundMillis() {
             return unansweredByTwo ? unansweredMillis : 0;
@@ -57,8 +49,11 @@
     /** Records an answer, or the first event of a stream. */
     void recordAnswer(String route, String service, long elapsedMillis) {
         Estimate estimate = estimate(route, service);
+        // An answer that takes as long as the unanswered attempts shows that all answers do now.
+        boolean confirmsBound =
+                estimate.unansweredByTwo && elapsedMillis >= estimate.unansweredMillis;
         estimate.answeredMillis =
-                estimate.answered
+                estimate.answered && !confirmsBound
                         ? estimate.answeredMillis
                                 + SMOOTHING * (elapsedMillis - estimate.answeredMillis)
                         : elapsedMillis;
@@ -80,27 +75,19 @@
         estimate.unansweredUpstream = upstreamId;
     }
 
-    /**
-     * Returns how long an attempt may remain silent before its upstream counts as silent.
-     *
-     * @param factor the multiple of the usual time that an answer may take
-     * @param objectiveMillis the latency objective of the route, in milliseconds, used before the
-     *     first answer
-     */
-    long patienceMillis(String route, String service, double factor, long objectiveMillis) {
-        Estimate estimate = estimate(route, service);
-        double usualMillis = estimate.answered ? factor * estimate.answeredMillis : objectiveMillis;
-        return Math.max(Math.round(usualMillis), estimate.boundMillis());
+    /** Returns whether an attempt was answered. */
+    boolean hasAnswer(String route, String service) {
+        return estimate(route, service).answered;
+    }
+
+    /** Returns the smoothed time to an answer, in milliseconds; 0 before the first answer. */
+    double usualMillis(String route, String service) {
+        return estimate(route, service).answeredMillis;
     }
 
-    /**
-     * Returns the expected time of an attempt.
-     *
-     * @return the time in milliseconds; empty before the first answer, unless attempts at two
-     *     upstreams remained unanswered
-     */
-    OptionalLong expectedMillis(String route, String service) {
-        return estimate(route, service).millis();
+    /** Returns the time that an answer takes at least, as far as unanswered attempts show. */
+    long boundMillis(String route, String service) {
+        return estimate(route, service).boundMillis();
     }
 
     /** Returns the time of the fastest attempt, in milliseconds; 0 before the first answer. */
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -36,7 +36,6 @@
     /** The interval at which a request that lost a silent attempt looks for an upstream. */
     private static final long REPLACEMENT_BACKOFF_MILLIS = 200;
 
-    private static final int UNKNOWN_ANSWER_FACTOR = 2;
     private static final int CONFLICT = 409;
     private static final String STOPS_BEFORE_ANSWER = "this router stops before it could answer";
 
@@ -586,18 +585,11 @@
 
     /**
      * Returns whether an attempt that begins now can be answered while the caller waits. Otherwise
-     * the silent attempt is more likely to be answered in time. Before the first answer of the
-     * route, an attempt is assumed to take twice as long as the silent one has taken so far.
+     * the silent attempt is more likely to be answered in time.
      */
     private boolean leavesTimeForNextAttempt(long nowMillis) {
-        if (relay.hasStarted()) {
-            return true;
-        }
-        long expectedMillis =
-                shared.answerTimes()
-                        .expectedMillis(route.name(), service())
-                        .orElse(UNKNOWN_ANSWER_FACTOR * attempt.elapsedMillis());
-        return firstAnswerDeadlineMillis - nowMillis >= expectedMillis;
+        return relay.hasStarted()
+                || attempt.leavesTimeForNext(firstAnswerDeadlineMillis - nowMillis);
     }
 
     /**
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -26,7 +26,8 @@
     private static final long PLAIN_SILENCE_MILLIS = 400;
     private static final double PLAIN_SILENCE_FACTOR = 4;
     private static final int BUSY_PLAIN_SILENCE_FACTOR = 3;
-    private static final double ENGINE_SILENCE_FACTOR = 2;
+    private static final double ANSWER_PATIENCE_FACTOR = 2;
+    private static final int UNKNOWN_ANSWER_FACTOR = 2;
 
     private final RequestExecution execution;
     private final ServingContext context;
@@ -105,19 +106,28 @@
 
     /** Gives the attempt up and cancels it at the upstream. */
     void cancel() {
-        if (!ended && !resumes && !execution.relay().hasStarted()) {
-            execution
-                    .shared()
-                    .answerTimes()
-                    .recordNoAnswer(
-                            execution.route().name(),
-                            service,
-                            upstream.entry().id(),
-                            elapsedMillis());
+        if (!ended && !resumes && !execution.relay().hasStarted() && showsTimeOfAnswers()) {
+            times().recordNoAnswer(routeName(), service, upstream.entry().id(), elapsedMillis());
         }
         cancelCall();
     }
 
+    /**
+     * Returns whether the lack of an answer shows that answers take long. Where an engine has
+     * answered before, it rather shows a queue or a failure.
+     */
+    private boolean showsTimeOfAnswers() {
+        return !engine || !times().hasAnswer(routeName(), service);
+    }
+
+    private AnswerTimes times() {
+        return execution.shared().answerTimes();
+    }
+
+    private String routeName() {
+        return execution.route().name();
+    }
+
     /** Returns the time since the request was sent, in milliseconds. */
     long elapsedMillis() {
         return loop.nowMillis() - sentMillis;
@@ -125,10 +135,7 @@
 
     private void recordAnswer() {
         if (!resumes) {
-            execution
-                    .shared()
-                    .answerTimes()
-                    .recordAnswer(execution.route().name(), service, elapsedMillis());
+            times().recordAnswer(routeName(), service, elapsedMillis());
         }
     }
 
@@ -411,18 +418,56 @@
             silenceReported = true;
             execution.reportFailure(upstream, service, true);
         }
-        if (!execution.relay().hasStarted() || requestMillis > RESUME_SHARE * patienceMillis) {
+        boolean replaceable =
+                execution.relay().hasStarted()
+                        ? requestMillis > RESUME_SHARE * patienceMillis
+                        : requestMillis > answerPatienceMillis();
+        if (replaceable) {
             execution.attemptSilent(
                     "silent for %d ms, upstream for %d ms, checked %d ms late"
                             .formatted(requestMillis, upstreamMillis, lateMillis));
         }
     }
 
+    /**
+     * Returns how long an attempt may take to its answer before it is replaced, by the answers of
+     * its route or, before the first one, its objective. An engine may take a multiple of the
+     * shortest time, as the usual one includes queues.
+     */
+    private long answerPatienceMillis() {
+        double millis;
+        if (engine) {
+            millis = ANSWER_PATIENCE_FACTOR * times().leastMillis(routeName(), service);
+        } else if (times().hasAnswer(routeName(), service)) {
+            millis = ANSWER_PATIENCE_FACTOR * times().usualMillis(routeName(), service);
+        } else {
+            millis = execution.route().objectiveMillis();
+        }
+        return Math.max(Math.round(millis), times().boundMillis(routeName(), service));
+    }
+
+    /**
+     * Returns whether an attempt that begins now can be answered within a time. Before the first
+     * answer of the route, an attempt is assumed to take twice as long as this one has taken so
+     * far.
+     */
+    boolean leavesTimeForNext(long remainingMillis) {
+        double millis =
+                engine
+                        ? times().leastMillis(routeName(), service)
+                        : times().usualMillis(routeName(), service);
+        long boundMillis = times().boundMillis(routeName(), service);
+        if (!times().hasAnswer(routeName(), service) && boundMillis == 0) {
+            return remainingMillis >= UNKNOWN_ANSWER_FACTOR * elapsedMillis();
+        }
+        return remainingMillis >= Math.max(Math.round(millis), boundMillis);
+    }
+
     private long upstreamSilenceMillis() {
         if (execution.relay().hasStarted()) {
             return STREAM_SILENCE_MILLIS;
         }
-        return engine ? engineSilenceMillis() : plainSilenceMillis();
+        return engine ? ENGINE_SILENCE_MILLIS : plainSilenceMillis();
     }
 
     private long requestSilenceMillis() {
@@ -430,33 +475,12 @@
             return 2 * STREAM_SILENCE_MILLIS;
         }
         return engine
-                ? Math.max(BUSY_ENGINE_SILENCE_MILLIS, engineSilenceMillis())
+                ? BUSY_ENGINE_SILENCE_MILLIS
                 : BUSY_PLAIN_SILENCE_FACTOR * plainSilenceMillis();
     }
 
-    /** An engine that runs nothing else sends nothing while it reads a prompt. */
-    private long engineSilenceMillis() {
-        return upstream.callsInFlight() > 1
-                ? ENGINE_SILENCE_MILLIS
-                : Math.max(ENGINE_SILENCE_MILLIS, routeSilenceMillis(ENGINE_SILENCE_FACTOR));
-    }
-
     private long plainSilenceMillis() {
         return Math.max(
-                Math.max(
-                        PLAIN_SILENCE_MILLIS,
-                        Math.round(PLAIN_SILENCE_FACTOR * upstream.millisPerCall())),
-                routeSilenceMillis(PLAIN_SILENCE_FACTOR));
-    }
-
-    private long routeSilenceMillis(double factor) {
-        return execution
-                .shared()
-                .answerTimes()
-                .patienceMillis(
-                        execution.route().name(),
-                        service,
-                        factor,
-                        execution.route().objectiveMillis());
+                PLAIN_SILENCE_MILLIS, Math.round(PLAIN_SILENCE_FACTOR * upstream.millisPerCall()));
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/LongWorkTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/LongWorkTest.java
@@ -4,7 +4,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.catalog.ServiceRoute;
@@ -150,18 +149,40 @@
         assertThat(harness.finished).isTrue();
     }
 
+    // Guards against waits for failed engines that grow with the queues of sound ones.
+    @Test
+    void aStreamLeavesASilentEngineAfterASecondWhateverTheUsualTimeToAFirstEvent() {
+        harness.with(ServingHarness.route(RetryRule.RESUMABLE, true, 2));
+        for (long firstEventMillis : List.of(200L, 900L, 900L, 900L, 900L, 900L)) {
+            harness.request();
+            harness.advance(firstEventMillis);
+            harness.lastSend().head(200);
+            harness.lastSend().data("id: 1\ndata: a\n\n");
+            harness.lastSend().listener.onEnd();
+            harness.advance(5_000);
+            harness.catalog.confirm(1, harness.loop.now());
+        }
+        harness.sends.clear();
+        harness.request();
+        harness.advance(1_200);
+        assertThat(harness.sends).hasSize(2);
+        assertThat(harness.sends.get(0).cancelled).isTrue();
+    }
+
     @Test
     void oneUpstreamThatDoesNotAnswerSaysNothingOfTheTimeOfAnswers() {
         AnswerTimes times = new AnswerTimes();
         times.recordAnswer("r", "s", 100);
         times.recordNoAnswer("r", "s", "u1", 900);
         times.recordNoAnswer("r", "s", "u1", 800);
-        assertThat(times.expectedMillis("r", "s")).isEqualTo(OptionalLong.of(100));
+        assertThat(times.boundMillis("r", "s")).isEqualTo(0);
         times.recordNoAnswer("r", "s", "u2", 700);
-        assertThat(times.expectedMillis("r", "s")).isEqualTo(OptionalLong.of(900));
-        assertThat(times.patienceMillis("r", "s", 4, 50)).isEqualTo(900);
-        times.recordAnswer("r", "s", 100);
-        assertThat(times.expectedMillis("r", "s")).isEqualTo(OptionalLong.of(100));
-        assertThat(times.expectedMillis("r", "other")).isEqualTo(OptionalLong.empty());
+        assertThat(times.boundMillis("r", "s")).isEqualTo(900);
+        assertThat(times.usualMillis("r", "s")).isEqualTo(100.0);
+        times.recordAnswer("r", "s", 50);
+        assertThat(times.boundMillis("r", "s")).isEqualTo(0);
+        assertThat(times.usualMillis("r", "s")).isEqualTo(90.0);
+        assertThat(times.leastMillis("r", "s")).isEqualTo(50);
+        assertThat(times.hasAnswer("r", "other")).isFalse();
     }
 }
