--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageEstimates.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/StageEstimates.java
@@ -42,17 +42,16 @@
     }
 
     /**
-     * Returns the time of a stage after it has left the queue of its service: as configured, or as
-     * observed lately if that is shorter; 0 if neither is known. Pieces that had to wait share
-     * their call with others.
+     * Returns the time of a stage without queueing: as configured for a call with only the pieces
+     * of this request, or as observed lately, whichever is shorter; 0 if neither is known.
      */
     long leastMillis(int stage) {
-        StageWait wait = reported(stage);
-        OptionalLong configured = configuredMillis(stage, wait.waitMillis() > 0);
-        if (wait.callMillis() <= 0) {
+        OptionalLong configured = configuredMillis(stage);
+        long observedMillis = reported(stage).callMillis();
+        if (observedMillis <= 0) {
             return configured.orElse(0);
         }
-        return Math.min(wait.callMillis(), configured.orElse(wait.callMillis()));
+        return Math.min(observedMillis, configured.orElse(observedMillis));
     }
 
     /** Returns the least time of a stage behind the queue of its service. */
@@ -68,21 +67,17 @@
         StageWait wait = reported(stage);
         return wait.callMillis() > 0
                 ? wait.totalMillis()
-                : wait.waitMillis() + configuredMillis(stage, false).orElse(0);
+                : wait.waitMillis() + configuredMillis(stage).orElse(0);
     }
 
-    private OptionalLong configuredMillis(int stage, boolean shared) {
+    private OptionalLong configuredMillis(int stage) {
         Optional<StagePool> pool =
                 context.catalog()
                         .current()
                         .flatMap(catalog -> catalog.service(service(stage)))
                         .flatMap(ServiceEntry::stagePool);
-        if (pool.isEmpty()) {
-            return OptionalLong.empty();
-        }
-        int pieces = progress.piecesOf(stage);
-        double aloneMillis = pool.get().expectedMillis(pieces);
-        double fullMillis = pool.get().expectedMillis(pool.get().batch());
-        return OptionalLong.of(Math.round(shared ? (aloneMillis + fullMillis) / 2 : aloneMillis));
+        return pool.isEmpty()
+                ? OptionalLong.empty()
+                : OptionalLong.of(Math.round(pool.get().expectedMillis(progress.piecesOf(stage))));
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ShortStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ShortStagesTest.java
@@ -144,14 +144,4 @@
         harness.wait = Optional.of(new StageWait(0, 50, 0));
         assertThat(isAdmitted(4)).isTrue();
     }
-
-    @Test
-    void stagesBehindAQueueShareTheirCallsWithOthers() {
-        use(chain(4), 40, 2_000);
-        harness.wait = Optional.of(new StageWait(10, 0, 0));
-        assertThat(isAdmitted(4)).isTrue();
-        long fullMillis = 40 + 7 * 5;
-        assertThat(harness.jobs.get(0).job().leastLaterMillis())
-                .isEqualTo(3 * Math.round((50 + fullMillis) / 2.0));
-    }
 }
