Move admission limits and answer patience into classes of their own

The Retry-After of a refusal counts what exceeds the same limit as admission; it counted 0.6 of the caller's time, also where the work of the stages takes more.

--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AnswerTimes.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/AnswerTimes.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 
 /**
- * Estimates how long an attempt takes to its answer, or to the first event of a stream, by route
- * and service.
+ * The times that attempts take to an answer, or to the first event of a stream, by route and
+ * service. All attempts of one router are recorded here.
  *
  * <p>An attempt that is given up shows that an answer takes longer. One upstream that does not
  * answer may be broken; attempts that two upstreams leave unanswered, without an answer in between,
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/RequestExecution.java
@@ -24,8 +24,6 @@
 final class RequestExecution implements RunningRequest {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long MIN_SEND_MILLIS = 5;
-    private static final double MAX_WAIT_SHARE = 0.6;
-    private static final double MIN_QUEUE_SHARE = 0.25;
     private static final double MAX_PERMIT_WAIT_SHARE = 0.5;
     private static final double MAX_WAIT_AFTER_STAGES_SHARE = 0.3;
     private static final double MAX_ENTRY_WAIT_SHARE = 0.12;
@@ -162,7 +160,7 @@
                                         stages.describeWaits(),
                                         request.promptParts()));
         context.budget().recordRequest(service(), 1, arrivedMillis);
-        if (isQueueTooLong(expectedMillis)) {
+        if (expectedMillis > maxExpectedMillis(firstAnswerDeadlineMillis - arrivedMillis)) {
             refuse("the queues are too long for the deadline");
             return;
         }
@@ -184,21 +182,6 @@
         takeEntryPermit();
     }
 
-    /**
-     * Returns whether the queues are too long for the time that the caller waits. They may take
-     * what a share of that time leaves besides the work of the stages; stages whose work takes most
-     * of the time are still run while the queues take little of the rest.
-     */
-    private boolean isQueueTooLong(long expectedMillis) {
-        long callerWaitMillis = firstAnswerDeadlineMillis - arrivedMillis;
-        long workMillis = stages.leastMillis();
-        double maxQueueMillis =
-                Math.max(
-                        MAX_WAIT_SHARE * callerWaitMillis - workMillis,
-                        MIN_QUEUE_SHARE * (callerWaitMillis - workMillis));
-        return expectedMillis - workMillis > maxQueueMillis;
-    }
-
     /**
      * Starts the stages. If all upstreams of the service limit their requests, an entry permit is
      * taken first; otherwise most stage work would go to requests that never get a send permit.
@@ -263,6 +246,10 @@
                 + shared.engineWaits().expectedMillis(service(), rank(), loop.nowMillis());
     }
 
+    private double maxExpectedMillis(long callerWaitMillis) {
+        return AdmissionLimit.maxExpectedMillis(callerWaitMillis, stages.leastMillis());
+    }
+
     ServingState shared() {
         return shared;
     }
@@ -570,28 +557,19 @@
     boolean mayReplaceAttempt() {
         long nowMillis = loop.nowMillis();
         return mayRepeat(nowMillis)
-                && leavesTimeForNextAttempt(nowMillis)
                 && context.budget().canRetry(service(), nowMillis)
                 && !targets.availableWithoutPermit(service()).isEmpty();
     }
 
     private boolean mayRepeat(long nowMillis) {
         return mayRunAgain()
+                && attempt.leavesTimeForNext(firstAnswerDeadlineMillis - nowMillis)
                 && attempts < route.maxAttempts()
                 && deadlineAtMillis - nowMillis >= MIN_SEND_MILLIS
                 && isStillAuthorized()
                 && shared.stopPlan().canComplete(route, nowMillis);
     }
 
-    /**
-     * Returns whether an attempt that begins now can be answered while the caller waits. Otherwise
-     * the silent attempt is more likely to be answered in time.
-     */
-    private boolean leavesTimeForNextAttempt(long nowMillis) {
-        return relay.hasStarted()
-                || attempt.leavesTimeForNext(firstAnswerDeadlineMillis - nowMillis);
-    }
-
     /**
      * Cancels the attempt and sends the request to another upstream; does nothing if none can take
      * it at once or answer it in time.
@@ -603,7 +581,7 @@
         long nowMillis = loop.nowMillis();
         String service = service();
         Optional<Upstream> upstream =
-                mayRepeat(nowMillis) && leavesTimeForNextAttempt(nowMillis)
+                mayRepeat(nowMillis)
                         ? targets.chooseWithoutPermit(service, stages.prompt(), nowMillis)
                         : Optional.empty();
         if (upstream.isEmpty() || !(retryTaken || takeRetry())) {
@@ -749,7 +727,8 @@
                         Math.max(permitRetryMillis, availability.firstMillis()),
                         RetryAfter.excessMillis(
                                 expectedMillis(),
-                                MAX_WAIT_SHARE * route.firstResponseTimeoutMillis(remainingMillis),
+                                maxExpectedMillis(
+                                        route.firstResponseTimeoutMillis(remainingMillis)),
                                 route.objectiveMillis(),
                                 context.catalog().shedsByCost()));
         long retryAfterMillis =
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/UpstreamAttempt.java
@@ -26,8 +26,6 @@
     private static final long PLAIN_SILENCE_MILLIS = 400;
     private static final double PLAIN_SILENCE_FACTOR = 4;
     private static final int BUSY_PLAIN_SILENCE_FACTOR = 3;
-    private static final double ANSWER_PATIENCE_FACTOR = 2;
-    private static final int UNKNOWN_ANSWER_FACTOR = 2;
 
     private final RequestExecution execution;
     private final ServingContext context;
@@ -41,9 +39,10 @@
     private final FirstEventTimer firstEvent;
     private final long sentMillis;
     private final boolean resumes;
+    private final AnswerPatience patience;
     private long lastWrittenMillis;
     private long lastHeardMillis;
-    private long patienceMillis;
+    private long nextEventWaitMillis;
     private long lastCheckMillis;
     private ConnectionUse connection;
     private UpstreamHead head;
@@ -70,10 +69,13 @@
         this.receiveClock = execution.shared().receiveClock();
         this.lastWrittenMillis = receiveClock.nowMillis();
         this.resumes = execution.relay().hasStarted();
+        this.patience =
+                new AnswerPatience(
+                        execution.shared().answerTimes(), execution.route(), service, engine);
         this.firstEvent = new FirstEventTimer(context, upstream, execution.request());
         this.lastHeardMillis = lastWrittenMillis;
         this.lastCheckMillis = sentMillis;
-        this.patienceMillis = execution.nextEventDeadlineMillis() - sentMillis;
+        this.nextEventWaitMillis = execution.nextEventDeadlineMillis() - sentMillis;
     }
 
     void start(UpstreamCall request) {
@@ -106,36 +108,28 @@
 
     /** Gives the attempt up and cancels it at the upstream. */
     void cancel() {
-        if (!ended && !resumes && !execution.relay().hasStarted() && showsTimeOfAnswers()) {
-            times().recordNoAnswer(routeName(), service, upstream.entry().id(), elapsedMillis());
+        if (!ended && !resumes && !execution.relay().hasStarted()) {
+            patience.unanswered(upstream.entry().id(), elapsedMillis());
         }
         cancelCall();
     }
 
     /**
-     * Returns whether the lack of an answer shows that answers take long. Where an engine has
-     * answered before, it rather shows a queue or a failure.
+     * Returns whether a request that has not begun to be answered could still be answered in time
+     * by an attempt that begins now. If not, this one is more likely to be answered in time.
      */
-    private boolean showsTimeOfAnswers() {
-        return !engine || !times().hasAnswer(routeName(), service);
-    }
-
-    private AnswerTimes times() {
-        return execution.shared().answerTimes();
-    }
-
-    private String routeName() {
-        return execution.route().name();
+    boolean leavesTimeForNext(long remainingMillis) {
+        return execution.relay().hasStarted()
+                || patience.leavesTimeForNext(elapsedMillis(), remainingMillis);
     }
 
-    /** Returns the time since the request was sent, in milliseconds. */
-    long elapsedMillis() {
+    private long elapsedMillis() {
         return loop.nowMillis() - sentMillis;
     }
 
     private void recordAnswer() {
         if (!resumes) {
-            times().recordAnswer(routeName(), service, elapsedMillis());
+            patience.answered(elapsedMillis());
         }
     }
 
@@ -180,7 +174,7 @@
 
     private void attemptHeard() {
         execution.attemptHeard();
-        patienceMillis = execution.nextEventDeadlineMillis() - loop.nowMillis();
+        nextEventWaitMillis = execution.nextEventDeadlineMillis() - loop.nowMillis();
     }
 
     private void markHeard() {
@@ -420,8 +414,8 @@
         }
         boolean replaceable =
                 execution.relay().hasStarted()
-                        ? requestMillis > RESUME_SHARE * patienceMillis
-                        : requestMillis > answerPatienceMillis();
+                        ? requestMillis > RESUME_SHARE * nextEventWaitMillis
+                        : requestMillis > patience.silenceMillis();
         if (replaceable) {
             execution.attemptSilent(
                     "silent for %d ms, upstream for %d ms, checked %d ms late"
@@ -429,40 +423,6 @@
         }
     }
 
-    /**
-     * Returns how long an attempt may take to its answer before it is replaced, by the answers of
-     * its route or, before the first one, its objective. An engine may take a multiple of the
-     * shortest time, as the usual one includes queues.
-     */
-    private long answerPatienceMillis() {
-        double millis;
-        if (engine) {
-            millis = ANSWER_PATIENCE_FACTOR * times().leastMillis(routeName(), service);
-        } else if (times().hasAnswer(routeName(), service)) {
-            millis = ANSWER_PATIENCE_FACTOR * times().usualMillis(routeName(), service);
-        } else {
-            millis = execution.route().objectiveMillis();
-        }
-        return Math.max(Math.round(millis), times().boundMillis(routeName(), service));
-    }
-
-    /**
-     * Returns whether an attempt that begins now can be answered within a time. Before the first
-     * answer of the route, an attempt is assumed to take twice as long as this one has taken so
-     * far.
-     */
-    boolean leavesTimeForNext(long remainingMillis) {
-        double millis =
-                engine
-                        ? times().leastMillis(routeName(), service)
-                        : times().usualMillis(routeName(), service);
-        long boundMillis = times().boundMillis(routeName(), service);
-        if (!times().hasAnswer(routeName(), service) && boundMillis == 0) {
-            return remainingMillis >= UNKNOWN_ANSWER_FACTOR * elapsedMillis();
-        }
-        return remainingMillis >= Math.max(Math.round(millis), boundMillis);
-    }
-
     private long upstreamSilenceMillis() {
         if (execution.relay().hasStarted()) {
             return STREAM_SILENCE_MILLIS;
