Take no number without a length as the answer of a plain service

A part of an object, list, text or literal is no valid JSON, a part of a number is, so "120" that was cut off could become 12. Such an answer is invalid now unless it has a length or chunks.

HttpStageClientContractTest.aNumberWithoutALengthIsNoWholeAnswer fails before and passes after.

--- a/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/StageExchange.java
+++ b/bronzewheel-upstream/src/main/java/org/bronzewheel/upstream/StageExchange.java
@@ -5,6 +5,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -69,14 +70,24 @@
         BodyReader.read(
                 response,
                 settings.maxAnswerBytes(),
-                body -> succeed(body, isLeaving),
+                body -> succeed(body, isFramed(response), isLeaving),
                 cause -> fail(Failures.invalid(call, "it is incomplete", cause)));
     }
 
-    private void succeed(Buffer body, boolean isLeaving) {
+    private static boolean isFramed(HttpClientResponse response) {
+        return response.getHeader(HttpHeaders.CONTENT_LENGTH) != null
+                || response.getHeader(HttpHeaders.TRANSFER_ENCODING) != null;
+    }
+
+    private void succeed(Buffer body, boolean framed, boolean isLeaving) {
         StageAnswer answer;
         try {
-            answer = answer(Json.read(body), isLeaving);
+            JsonNode json = Json.read(body);
+            // A part of a number is a number, too; a part of any other value is not valid JSON.
+            if (json.isNumber() && !framed) {
+                throw Failures.invalid(call, "it is a number without a length", null);
+            }
+            answer = answer(json, isLeaving);
         } catch (IOException e) {
             fail(Failures.invalid(call, "it is not JSON", e));
             return;
--- a/bronzewheel-upstream/src/test/java/org/bronzewheel/upstream/HttpStageClientContractTest.java
+++ b/bronzewheel-upstream/src/test/java/org/bronzewheel/upstream/HttpStageClientContractTest.java
@@ -216,6 +216,33 @@
         }
     }
 
+    // MIXED (issue 64): a part of a number passed for the whole, as its end shows by its length
+    // only.
+    @Test
+    void aNumberWithoutALengthIsNoWholeAnswer() {
+        String cutOff = "HTTP/1.1 200 OK\r\n" + ECHO + "\r\n12";
+        try (ScriptedServer server = new ScriptedServer(vertx, rawThenClose(cutOff))) {
+            BronzewheelException error =
+                    failure(Calls.call(server.address(), PoolKind.PLAIN_SERVICE, false));
+
+            assertThat(error.code()).isEqualTo(ErrorCode.UPSTREAM_ANSWER_INVALID);
+            assertThat(error.outcome()).isEqualTo(Outcome.UNKNOWN);
+        }
+    }
+
+    @Test
+    void aNumberWithALengthIsAWholeAnswer() {
+        try (ScriptedServer server = new ScriptedServer(vertx, raw(response(200, ECHO, "120")))) {
+            StageAnswer answer =
+                    client.call(
+                                    Calls.call(server.address(), PoolKind.PLAIN_SERVICE, false),
+                                    TokenListener.NONE)
+                            .blockingGet();
+
+            assertThat(answer.output().asInt()).isEqualTo(120);
+        }
+    }
+
     @ParameterizedTest
     @MethodSource("leavingAnswers")
     void anAnswerTellsThatItsUpstreamIsLeaving(String response) {
