--- a/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
+++ b/bronzewheel-measure/src/main/java/org/bronzewheel/measure/StageFleet.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
@@ -222,7 +223,11 @@
                                                 Optional.of(pool.limits()),
                                                 Optional.empty())));
         return new Catalog(
-                1, serviceRoutes(), services, workspaces(), new CallerLimits(1, 1, 1, 1));
+                1,
+                serviceRoutes(),
+                services,
+                CallerAccess.withKeys(workspaces()),
+                new CallerLimits(1, 1, 1, 1));
     }
 
     /**
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Catalog.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/Catalog.java
@@ -12,12 +12,11 @@
 public final class Catalog {
     private final long version;
     private final List<ServiceRoute> routes;
-    private final List<WorkspaceEntry> workspaces;
+    private final CallerAccess access;
     private final CallerLimits limits;
     private final Map<String, List<ServiceRoute>> routesByHost = new HashMap<>();
     private final Map<String, ServiceEntry> services = new HashMap<>();
     private final Map<String, WorkspaceEntry> workspacesByKey = new HashMap<>();
-    private final boolean requiresKeys;
     private final EffectiveRanks ranks;
 
     /**
@@ -26,21 +25,20 @@
      * @param version the version, which increases with each change
      * @param routes the routes
      * @param services the services
-     * @param workspaces the workspaces; if empty, no request requires a key
+     * @param access admits callers to routes that are not open
      * @param limits the limits for callers
      */
     public Catalog(
             long version,
             List<ServiceRoute> routes,
             List<ServiceEntry> services,
-            List<WorkspaceEntry> workspaces,
+            CallerAccess access,
             CallerLimits limits) {
         this.version = version;
         this.routes = List.copyOf(routes);
-        this.workspaces = List.copyOf(workspaces);
+        this.access = access;
         this.limits = limits;
-        this.requiresKeys = !workspaces.isEmpty();
-        this.ranks = new EffectiveRanks(this.routes, this.workspaces);
+        this.ranks = new EffectiveRanks(this.routes, access.workspaces());
         for (ServiceRoute route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
@@ -50,7 +48,7 @@
                 Comparator.comparingInt(route -> -route.prefix().length());
         routesByHost.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> this.services.put(service.name(), service));
-        for (WorkspaceEntry workspace : workspaces) {
+        for (WorkspaceEntry workspace : access.workspaces()) {
             workspace.keys().forEach(key -> workspacesByKey.put(key, workspace));
         }
     }
@@ -92,12 +90,12 @@
     }
 
     /**
-     * Returns all workspaces.
+     * Returns the rule by which callers are admitted.
      *
-     * @return the workspaces in the order of the configuration
+     * @return the rule, with all workspaces
      */
-    public List<WorkspaceEntry> workspaces() {
-        return workspaces;
+    public CallerAccess access() {
+        return access;
     }
 
     /**
@@ -146,9 +144,9 @@
      * Returns whether requests to a route require an API key.
      *
      * @param route the route
-     * @return whether a key is required
+     * @return whether a key is required; true if the configuration may require one
      */
     public boolean needsKey(ServiceRoute route) {
-        return requiresKeys && !route.open();
+        return access.rule() != CallerAccess.Rule.ANY_CALLER && !route.open();
     }
 }
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/CatalogState.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/CatalogState.java
@@ -27,19 +27,26 @@
     }
 
     /**
-     * Makes a catalog the current one unless the current one is as new or newer.
+     * Makes a catalog the current one unless the current one is as new or newer. One of the same
+     * version is applied if it tells how callers are admitted and the current one does not.
      *
      * @param candidate the catalog
      * @return whether the catalog was applied
      */
     public boolean applyIfNewer(Catalog candidate) {
-        if (catalog != null && candidate.version() <= catalog.version()) {
+        if (catalog != null && !isNewer(candidate)) {
             return false;
         }
         catalog = candidate;
         return true;
     }
 
+    private boolean isNewer(Catalog candidate) {
+        boolean completes = candidate.access().isKnown() && !catalog.access().isKnown();
+        return candidate.version() > catalog.version()
+                || (candidate.version() == catalog.version() && completes);
+    }
+
     /**
      * Records a confirmation that the current catalog is the newest.
      *
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedCodec.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/published/PublishedCodec.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.EnginePool;
@@ -102,12 +103,15 @@
 
     static PublishedCatalog encode(Catalog catalog) {
         CallerLimits limits = catalog.limits();
-        return PublishedCatalog.newBuilder()
-                .setVersion(catalog.version())
+        CallerAccess access = catalog.access();
+        PublishedCatalog.Builder encoded = PublishedCatalog.newBuilder();
+        if (access.isKnown()) {
+            encoded.setRequiresKeys(access.rule() == CallerAccess.Rule.KEYS);
+        }
+        return encoded.setVersion(catalog.version())
                 .addAllRoutes(catalog.routes().stream().map(PublishedCodec::encode).toList())
                 .addAllServices(catalog.services().stream().map(PublishedCodec::encode).toList())
-                .addAllWorkspaces(
-                        catalog.workspaces().stream().map(PublishedCodec::encode).toList())
+                .addAllWorkspaces(access.workspaces().stream().map(PublishedCodec::encode).toList())
                 .setLimits(
                         PublishedLimits.newBuilder()
                                 .setMaxHeaderBytes(limits.maxHeaderBytes())
@@ -123,7 +127,7 @@
                 catalog.getVersion(),
                 catalog.getRoutesList().stream().map(PublishedCodec::decode).toList(),
                 catalog.getServicesList().stream().map(PublishedCodec::decode).toList(),
-                catalog.getWorkspacesList().stream().map(PublishedCodec::decode).toList(),
+                access(catalog),
                 new CallerLimits(
                         limits.getMaxHeaderBytes(),
                         limits.getMaxBodyBytes(),
@@ -131,6 +135,16 @@
                         limits.getIdleTimeoutMillis()));
     }
 
+    /** Routers of earlier versions send no workspaces both for an empty list and for none. */
+    private static CallerAccess access(PublishedCatalog catalog) {
+        List<WorkspaceEntry> workspaces =
+                catalog.getWorkspacesList().stream().map(PublishedCodec::decode).toList();
+        if (!workspaces.isEmpty() || catalog.getRequiresKeys()) {
+            return CallerAccess.withKeys(workspaces);
+        }
+        return catalog.hasRequiresKeys() ? CallerAccess.anyCaller() : CallerAccess.unknown();
+    }
+
     private static PublishedRoute encode(ServiceRoute route) {
         PublishedRoute.Builder encoded =
                 PublishedRoute.newBuilder()
--- a/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/serving/ServingEngine.java
@@ -113,6 +113,9 @@
             if (!fresh) {
                 return refuse(request, exchange, staleCatalog());
             }
+            if (!catalog.get().access().isKnown()) {
+                return refuse(request, exchange, incompleteCatalog());
+            }
             workspace = request.key().flatMap(catalog.get()::workspace);
             if (workspace.isEmpty()) {
                 return refuse(
@@ -150,6 +153,12 @@
         return Refusal.notRun("the configuration may be out of date", STALE_CATALOG_RETRY_MILLIS);
     }
 
+    private static Refusal incompleteCatalog() {
+        return Refusal.notRun(
+                "the configuration does not tell whether a key is required",
+                STALE_CATALOG_RETRY_MILLIS);
+    }
+
     private RunningRequest refuse(CallerRequest request, CallerExchange exchange, Refusal refusal) {
         context.observer()
                 .decided(
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/catalog/CatalogStateTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/catalog/CatalogStateTest.java
@@ -9,7 +9,11 @@
     private final CatalogState state = new CatalogState(1_000);
 
     private static Catalog version(long version) {
-        return new Catalog(version, List.of(), List.of(), List.of(), new CallerLimits(1, 1, 1, 1));
+        return version(version, CallerAccess.anyCaller());
+    }
+
+    private static Catalog version(long version, CallerAccess access) {
+        return new Catalog(version, List.of(), List.of(), access, new CallerLimits(1, 1, 1, 1));
     }
 
     @Test
@@ -20,6 +24,16 @@
         assertThat(state.current().get().version()).isEqualTo(5);
     }
 
+    @Test
+    void theSameVersionIsAppliedOnceItTellsHowCallersAreAdmitted() {
+        state.applyIfNewer(version(5, CallerAccess.unknown()));
+        assertThat(state.applyIfNewer(version(5, CallerAccess.unknown()))).isFalse();
+        assertThat(state.applyIfNewer(version(4))).isFalse();
+        assertThat(state.applyIfNewer(version(5))).isTrue();
+        assertThat(state.applyIfNewer(version(5, CallerAccess.unknown()))).isFalse();
+        assertThat(state.current().get().access()).isEqualTo(CallerAccess.anyCaller());
+    }
+
     @Test
     void confirmationOfANewerVersionDoesNotConfirmTheCurrentOne() {
         state.applyIfNewer(version(5));
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/catalog/EffectiveRanksTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/catalog/EffectiveRanksTest.java
@@ -41,7 +41,7 @@
                         1,
                         routes.stream().map(EffectiveRanksTest::route).toList(),
                         List.of(),
-                        List.of(workspaces),
+                        CallerAccess.withKeys(List.of(workspaces)),
                         new CallerLimits(1, 1, 1, 1))
                 .ranks();
     }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/observing/EngineLoadObserverTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/observing/EngineLoadObserverTest.java
@@ -5,6 +5,7 @@
 import io.reactivex.rxjava3.schedulers.TestScheduler;
 import java.util.List;
 import java.util.Optional;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
@@ -42,7 +43,7 @@
                                         Optional.empty(),
                                         Optional.of(new EnginePool(24, 1_000))),
                                 new ServiceEntry("plain", 9, Optional.empty(), Optional.empty())),
-                        List.of(),
+                        CallerAccess.anyCaller(),
                         new CallerLimits(1, 1, 1, 1)));
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/CopiedStore.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/CopiedStore.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.published.PublishedChange.CatalogPut;
@@ -77,7 +78,11 @@
     private static CatalogPut catalog(long version) {
         return new CatalogPut(
                 new Catalog(
-                        version, List.of(), List.of(), List.of(), new CallerLimits(1, 1, 1, 1)));
+                        version,
+                        List.of(),
+                        List.of(),
+                        CallerAccess.anyCaller(),
+                        new CallerLimits(1, 1, 1, 1)));
     }
 
     private void write(String key, PublishedChange change) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/PublishedFollowerTest.java
@@ -13,6 +13,7 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.logging.SimpleFormatter;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogProgress;
@@ -105,7 +106,11 @@
     private static CatalogPut version(long version) {
         return new CatalogPut(
                 new Catalog(
-                        version, List.of(), List.of(), List.of(), new CallerLimits(1, 1, 1, 1)));
+                        version,
+                        List.of(),
+                        List.of(),
+                        CallerAccess.anyCaller(),
+                        new CallerLimits(1, 1, 1, 1)));
     }
 
     private static UpstreamPut upstream(String id) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
@@ -32,6 +33,7 @@
 import org.bronzewheel.transport.PeerTransport;
 import org.bronzewheel.upstreams.UpstreamEntry;
 import org.bronzewheel.upstreams.UpstreamTable;
+import org.bronzewheel.wire.PublishedCatalog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -184,9 +186,11 @@
                                         Optional.of(new EnginePool(4, 1_000)),
                                         3_000,
                                         8.8)),
-                        List.of(
-                                new WorkspaceEntry("w", List.of("k", "l"), OptionalInt.of(3)),
-                                new WorkspaceEntry("v", List.of(), OptionalInt.empty())),
+                        CallerAccess.withKeys(
+                                List.of(
+                                        new WorkspaceEntry(
+                                                "w", List.of("k", "l"), OptionalInt.of(3)),
+                                        new WorkspaceEntry("v", List.of(), OptionalInt.empty()))),
                         new CallerLimits(1, 2, 3, 4)));
     }
 
@@ -206,13 +210,46 @@
                 (CatalogPut) PublishedCodec.decode(PublishedCodec.encode(version(5))).get();
         assertThat(received.catalog().routes()).isEqualTo(sent.routes());
         assertThat(received.catalog().services()).containsExactlyElementsIn(sent.services());
-        assertThat(received.catalog().workspaces()).isEqualTo(sent.workspaces());
+        assertThat(received.catalog().access()).isEqualTo(sent.access());
         assertThat(received.catalog().limits()).isEqualTo(sent.limits());
         Unreadable unreadable = new Unreadable("n", "why");
         assertThat(PublishedCodec.decode(PublishedCodec.encode(unreadable)).get())
                 .isEqualTo(unreadable);
     }
 
+    private static CallerAccess relayed(CallerAccess access) {
+        return PublishedCodec.decode(encoded(access).build()).access();
+    }
+
+    private static PublishedCatalog.Builder encoded(CallerAccess access) {
+        Catalog catalog =
+                new Catalog(5, List.of(), List.of(), access, new CallerLimits(1, 2, 3, 4));
+        return PublishedCodec.encode(catalog).toBuilder();
+    }
+
+    // CONFIG (review/13): routers took an empty list of workspaces for a configuration without one.
+    @Test
+    void aRelayedCatalogTellsAnEmptyListOfWorkspacesFromNone() {
+        CallerAccess nobody = CallerAccess.withKeys(List.of());
+        assertThat(relayed(nobody)).isEqualTo(nobody);
+        assertThat(relayed(CallerAccess.anyCaller())).isEqualTo(CallerAccess.anyCaller());
+        assertThat(relayed(CallerAccess.unknown())).isEqualTo(CallerAccess.unknown());
+    }
+
+    @Test
+    void aCatalogFromARouterOfAnEarlierVersionTellsThatKeysAreNeededOnlyIfItHasWorkspaces() {
+        CallerAccess keys =
+                CallerAccess.withKeys(
+                        List.of(new WorkspaceEntry("w", List.of("k"), OptionalInt.empty())));
+        assertThat(PublishedCodec.decode(encoded(keys).clearRequiresKeys().build()).access())
+                .isEqualTo(keys);
+        for (CallerAccess access :
+                List.of(CallerAccess.anyCaller(), CallerAccess.withKeys(List.of()))) {
+            assertThat(PublishedCodec.decode(encoded(access).clearRequiresKeys().build()).access())
+                    .isEqualTo(CallerAccess.unknown());
+        }
+    }
+
     @Test
     void followerDoesNotCallThePlatformWhileItsReaderAnswers() {
         int before = follower.platformRequests;
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ConfigurationChangeTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ConfigurationChangeTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.OptionalInt;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.RetryRule;
@@ -72,7 +73,10 @@
                                 2,
                                 List.of(newer),
                                 List.of(),
-                                List.of(new WorkspaceEntry("w", List.of(key), OptionalInt.empty())),
+                                CallerAccess.withKeys(
+                                        List.of(
+                                                new WorkspaceEntry(
+                                                        "w", List.of(key), OptionalInt.empty()))),
                                 new CallerLimits(1, 1, 1, 1)));
                 harness.catalog.confirm(2, harness.loop.now());
             } else {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/EngineFleet.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/EngineFleet.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
@@ -365,7 +366,7 @@
                                 250,
                                 Optional.empty(),
                                 Optional.of(new EnginePool(32, 100_000)))),
-                List.of(),
+                CallerAccess.anyCaller(),
                 new CallerLimits(1, 1, 1, 1));
     }
 }
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/RequestExecutionTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.RetryRule;
 import org.bronzewheel.catalog.ServiceRoute;
 import org.bronzewheel.catalog.StageStep;
@@ -483,6 +484,37 @@
         assertThat(harness.refusalStatus()).isEqualTo(401);
     }
 
+    // CONFIG (review/13): once the last workspace was removed, any key was accepted.
+    @Test
+    void noKeyIsAcceptedOnceTheLastWorkspaceIsRemoved() {
+        ServiceRoute route = ServingHarness.route(RetryRule.IDEMPOTENT, false, 2);
+        ServingHarness harness = new ServingHarness().with(route);
+        harness.with(2, route, CallerAccess.withKeys(List.of()));
+        harness.request();
+        assertThat(harness.refusalStatus()).isEqualTo(401);
+        assertThat(harness.sends).isEmpty();
+    }
+
+    @Test
+    void noKeyIsNeededWithoutAListOfWorkspaces() {
+        ServiceRoute route = ServingHarness.route(RetryRule.IDEMPOTENT, false, 2);
+        ServingHarness harness = new ServingHarness().with(1, route, CallerAccess.anyCaller());
+        harness.request("other", List.of());
+        assertThat(harness.sends).hasSize(1);
+    }
+
+    @Test
+    void aRequestDoesNotRunWhileItIsNotKnownWhetherItNeedsAKey() {
+        ServiceRoute route = ServingHarness.route(RetryRule.IDEMPOTENT, false, 2);
+        ServingHarness harness = new ServingHarness().with(1, route, CallerAccess.unknown());
+        harness.request();
+        assertThat(harness.refusalStatus()).isEqualTo(503);
+        assertThat(harness.refusals.get(0).retryAfterMillis()).isPresent();
+        assertThat(harness.sends).isEmpty();
+        harness.with(1, route, CallerAccess.anyCaller()).request();
+        assertThat(harness.sends).hasSize(1);
+    }
+
     @Test
     void aKeyRevokedWhileTheRequestWaitsForItsStagesIsNotAccepted() {
         List<StageStep> steps = List.of(new StageStep("e", List.of(), 10));
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ServingHarness.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
@@ -179,14 +180,15 @@
     }
 
     ServingHarness with(long version, ServiceRoute route, List<String> keys) {
-        return with(version, route, new WorkspaceEntry("w", keys, OptionalInt.empty()));
+        WorkspaceEntry workspace = new WorkspaceEntry("w", keys, OptionalInt.empty());
+        return with(version, route, CallerAccess.withKeys(List.of(workspace)));
     }
 
     ServingHarness withWorkspaces(ServiceRoute route, WorkspaceEntry... workspaces) {
-        return with(1, route, workspaces);
+        return with(1, route, CallerAccess.withKeys(List.of(workspaces)));
     }
 
-    private ServingHarness with(long version, ServiceRoute route, WorkspaceEntry... workspaces) {
+    ServingHarness with(long version, ServiceRoute route, CallerAccess access) {
         catalog.applyIfNewer(
                 new Catalog(
                         version,
@@ -199,7 +201,7 @@
                                         route.streaming()
                                                 ? Optional.of(new EnginePool(8, 1_000))
                                                 : Optional.empty())),
-                        List.of(workspaces),
+                        access,
                         new CallerLimits(1, 1, 1, 1)));
         catalog.confirm(version, loop.now());
         if (!upstreams.isLoaded()) {
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SharedInputsTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/SharedInputsTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
@@ -134,7 +135,8 @@
                 1,
                 List.of(ServingHarness.route(RetryRule.AT_MOST_ONCE, false, 1, steps)),
                 services,
-                List.of(new WorkspaceEntry("w", List.of("key"), OptionalInt.empty())),
+                CallerAccess.withKeys(
+                        List.of(new WorkspaceEntry("w", List.of("key"), OptionalInt.empty()))),
                 new CallerLimits(1, 1, 1, 1));
     }
 
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ShortStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/serving/ShortStagesTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.RetryRule;
@@ -67,7 +68,10 @@
                                                 new StagePool(
                                                         1, 2, 7, callMillis, 5, 10_000, 4_000)),
                                         Optional.empty())),
-                        List.of(new WorkspaceEntry("w", List.of("key"), OptionalInt.empty())),
+                        CallerAccess.withKeys(
+                                List.of(
+                                        new WorkspaceEntry(
+                                                "w", List.of("key"), OptionalInt.empty()))),
                         new CallerLimits(1, 1, 1, 1)));
         harness.catalog.confirm(1, harness.loop.now());
         harness.upstreams.replaceAll(
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesFixture.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.CatalogState;
@@ -76,7 +77,7 @@
                             List.of(
                                     new ServiceEntry(
                                             SERVICE, 9, Optional.of(POOL), Optional.empty())),
-                            List.of(),
+                            CallerAccess.anyCaller(),
                             new CallerLimits(1, 1, 1, 1)));
             SharedRetryBudget budget = new SharedRetryBudget(0, repeatSlack, 10_000, 1);
             stages =
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/stages/SharedStagesTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
 import java.util.stream.IntStream;
+import org.bronzewheel.catalog.CallerAccess;
 import org.bronzewheel.catalog.CallerLimits;
 import org.bronzewheel.catalog.Catalog;
 import org.bronzewheel.catalog.RetryRule;
@@ -291,7 +292,7 @@
                                 version,
                                 routes,
                                 owner().catalog.current().get().services(),
-                                workspaces,
+                                CallerAccess.withKeys(workspaces),
                                 new CallerLimits(1, 1, 1, 1)));
     }
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedCatalog.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedCatalog.java
@@ -212,6 +212,35 @@
     return limits_ == null ? org.bronzewheel.wire.PublishedLimits.getDefaultInstance() : limits_;
   }
 
+  public static final int REQUIRES_KEYS_FIELD_NUMBER = 6;
+  private boolean requiresKeys_ = false;
+  /**
+   * <pre>
+   * Whether requests need the key of a workspace unless their route is open. Routers of earlier
+   * versions leave it out; without it, an empty list of workspaces does not tell.
+   * </pre>
+   *
+   * <code>optional bool requires_keys = 6;</code>
+   * @return Whether the requiresKeys field is set.
+   */
+  @java.lang.Override
+  public boolean hasRequiresKeys() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Whether requests need the key of a workspace unless their route is open. Routers of earlier
+   * versions leave it out; without it, an empty list of workspaces does not tell.
+   * </pre>
+   *
+   * <code>optional bool requires_keys = 6;</code>
+   * @return The requiresKeys.
+   */
+  @java.lang.Override
+  public boolean getRequiresKeys() {
+    return requiresKeys_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -241,6 +270,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(5, getLimits());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeBool(6, requiresKeys_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -280,6 +312,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, getLimits());
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, requiresKeys_);
+    }
     return size;
   }
   @java.lang.Override
@@ -317,6 +353,11 @@
       if (!getLimits()
           .equals(other.getLimits())) return false;
     }
+    if (hasRequiresKeys() != other.hasRequiresKeys()) return false;
+    if (hasRequiresKeys()) {
+      if (getRequiresKeys()
+          != other.getRequiresKeys()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -347,6 +388,11 @@
       hash = (37 * hash) + LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getLimits().hashCode();
     }
+    if (hasRequiresKeys()) {
+      hash = (37 * hash) + REQUIRES_KEYS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getRequiresKeys());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -514,6 +560,7 @@
         limitsBuilder_.dispose();
         limitsBuilder_ = null;
       }
+      requiresKeys_ = false;
       return this;
     }
 
@@ -588,6 +635,10 @@
             : limitsBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.requiresKeys_ = requiresKeys_;
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -687,6 +738,9 @@
       if (other.hasLimits()) {
         mergeLimits(other.getLimits());
       }
+      if (other.hasRequiresKeys()) {
+        setRequiresKeys(other.getRequiresKeys());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -762,6 +816,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 48: {
+              requiresKeys_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1632,6 +1691,66 @@
       return limitsBuilder_;
     }
 
+    private boolean requiresKeys_ ;
+    /**
+     * <pre>
+     * Whether requests need the key of a workspace unless their route is open. Routers of earlier
+     * versions leave it out; without it, an empty list of workspaces does not tell.
+     * </pre>
+     *
+     * <code>optional bool requires_keys = 6;</code>
+     * @return Whether the requiresKeys field is set.
+     */
+    @java.lang.Override
+    public boolean hasRequiresKeys() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * Whether requests need the key of a workspace unless their route is open. Routers of earlier
+     * versions leave it out; without it, an empty list of workspaces does not tell.
+     * </pre>
+     *
+     * <code>optional bool requires_keys = 6;</code>
+     * @return The requiresKeys.
+     */
+    @java.lang.Override
+    public boolean getRequiresKeys() {
+      return requiresKeys_;
+    }
+    /**
+     * <pre>
+     * Whether requests need the key of a workspace unless their route is open. Routers of earlier
+     * versions leave it out; without it, an empty list of workspaces does not tell.
+     * </pre>
+     *
+     * <code>optional bool requires_keys = 6;</code>
+     * @param value The requiresKeys to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequiresKeys(boolean value) {
+
+      requiresKeys_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether requests need the key of a workspace unless their route is open. Routers of earlier
+     * versions leave it out; without it, an empty list of workspaces does not tell.
+     * </pre>
+     *
+     * <code>optional bool requires_keys = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequiresKeys() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      requiresKeys_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bronzewheel.wire.PublishedCatalog)
   }
 
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedCatalogOrBuilder.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/PublishedCatalogOrBuilder.java
@@ -102,4 +102,25 @@
    * <code>.bronzewheel.wire.PublishedLimits limits = 5;</code>
    */
   org.bronzewheel.wire.PublishedLimitsOrBuilder getLimitsOrBuilder();
+
+  /**
+   * <pre>
+   * Whether requests need the key of a workspace unless their route is open. Routers of earlier
+   * versions leave it out; without it, an empty list of workspaces does not tell.
+   * </pre>
+   *
+   * <code>optional bool requires_keys = 6;</code>
+   * @return Whether the requiresKeys field is set.
+   */
+  boolean hasRequiresKeys();
+  /**
+   * <pre>
+   * Whether requests need the key of a workspace unless their route is open. Routers of earlier
+   * versions leave it out; without it, an empty list of workspaces does not tell.
+   * </pre>
+   *
+   * <code>optional bool requires_keys = 6;</code>
+   * @return The requiresKeys.
+   */
+  boolean getRequiresKeys();
 }
--- a/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
+++ b/bronzewheel-wire/src/main/java/org/bronzewheel/wire/Serving.java
@@ -247,68 +247,69 @@
       "ddress\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t\022\r\n\005" +
       "slots\030\005 \001(\005\022\026\n\016started_millis\030\006 \001(\003\022\017\n\007l" +
       "eaving\030\007 \001(\010\022\035\n\025cold_remaining_millis\030\010 " +
-      "\001(\003\"\370\001\n\020PublishedCatalog\022\017\n\007version\030\001 \001(" +
+      "\001(\003\"\246\002\n\020PublishedCatalog\022\017\n\007version\030\001 \001(" +
       "\003\0220\n\006routes\030\002 \003(\0132 .bronzewheel.wire.Pub" +
       "lishedRoute\0224\n\010services\030\003 \003(\0132\".bronzewh" +
       "eel.wire.PublishedService\0228\n\nworkspaces\030" +
       "\004 \003(\0132$.bronzewheel.wire.PublishedWorksp" +
       "ace\0221\n\006limits\030\005 \001(\0132!.bronzewheel.wire.P" +
-      "ublishedLimits\"\355\002\n\016PublishedRoute\022\014\n\004nam" +
-      "e\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 \001(\t\022\021\n" +
-      "\tstreaming\030\004 \001(\010\022\023\n\013repeat_rule\030\005 \001(\t\022\026\n" +
-      "\016timeout_millis\030\006 \001(\003\022\030\n\020objective_milli" +
-      "s\030\007 \001(\003\022\034\n\024gap_objective_millis\030\010 \001(\003\022\020\n" +
-      "\010priority\030\t \001(\005\022\024\n\014max_attempts\030\n \001(\005\0220\n" +
-      "\006shares\030\013 \003(\0132 .bronzewheel.wire.Publish" +
-      "edShare\0220\n\006stages\030\014 \003(\0132 .bronzewheel.wi" +
-      "re.PublishedStage\022\014\n\004open\030\r \001(\010\022\035\n\025calle" +
-      "r_silence_millis\030\016 \001(\003\"1\n\016PublishedShare" +
-      "\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"F\n\016Pub" +
-      "lishedStage\022\017\n\007service\030\001 \001(\t\022\r\n\005after\030\002 " +
-      "\003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\343\001\n\020PublishedS" +
-      "ervice\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connections\030" +
-      "\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.bronzewheel." +
-      "wire.PublishedStagePool\022:\n\013engine_pool\030\004" +
-      " \001(\0132%.bronzewheel.wire.PublishedEngineP" +
-      "ool\022\031\n\021cold_start_millis\030\005 \001(\003\022\027\n\017cold_p" +
-      "er_second\030\006 \001(\001\"\227\001\n\022PublishedStagePool\022\r" +
-      "\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005batch\030\003 " +
-      "\001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piece_millis" +
-      "\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rresult_mil" +
-      "lis\030\007 \001(\003\":\n\023PublishedEnginePool\022\r\n\005slot" +
-      "s\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n\022Publish" +
-      "edWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030\002 \003(\t\022" +
-      "\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_priority\"\177\n\017P" +
-      "ublishedLimits\022\030\n\020max_header_bytes\030\001 \001(\005" +
-      "\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025header_timeo" +
-      "ut_millis\030\003 \001(\003\022\033\n\023idle_timeout_millis\030\004" +
-      " \001(\003\"I\n\014StageBacklog\022\017\n\007service\030\001 \001(\t\022\023\n" +
-      "\013wait_millis\030\002 \003(\003\022\023\n\013call_millis\030\003 \001(\003\"" +
-      "\247\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036.bronzewhee" +
-      "l.wire.StageJobCallH\000\0221\n\007release\030\002 \001(\0132\036" +
-      ".bronzewheel.wire.StageReleaseH\000\022/\n\006canc" +
-      "el\030\003 \001(\0132\035.bronzewheel.wire.StageCancelH" +
-      "\000B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\nrequest_id" +
-      "\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service\030\003 \001(\t\022\016" +
-      "\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inputs\030\006 " +
-      "\003(\0132\035.bronzewheel.wire.StageHandle\022\024\n\014re" +
-      "sult_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025object" +
-      "ive_left_millis\030\t \001(\003\022\034\n\024deadline_left_m" +
-      "illis\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022\026\n\016fai" +
-      "lure_domain\030\014 \001(\t\022\032\n\022least_later_millis\030" +
-      "\r \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.bronzewhee" +
-      "l.wire.StageJobCall.UnmetPiecesEntry\022\r\n\005" +
-      "first\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022\013\n\003key\030\001" +
-      " \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStageJobReply" +
-      "\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035.bro" +
-      "nzewheel.wire.StageHandle\"x\n\013StageHandle" +
-      "\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026\n\016fail" +
-      "ure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n\007servi" +
-      "ce\030\005 \001(\t\022\021\n\texclusive\030\006 \001(\010\"O\n\014StageRele" +
-      "ase\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 \003(\0132\035." +
-      "bronzewheel.wire.StageHandle\"2\n\013StageCan" +
-      "cel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service\030\002 \001(\t" +
-      "B\030\n\024org.bronzewheel.wireP\001b\006proto3"
+      "ublishedLimits\022\032\n\rrequires_keys\030\006 \001(\010H\000\210" +
+      "\001\001B\020\n\016_requires_keys\"\355\002\n\016PublishedRoute\022" +
+      "\014\n\004name\030\001 \001(\t\022\014\n\004host\030\002 \001(\t\022\016\n\006prefix\030\003 " +
+      "\001(\t\022\021\n\tstreaming\030\004 \001(\010\022\023\n\013repeat_rule\030\005 " +
+      "\001(\t\022\026\n\016timeout_millis\030\006 \001(\003\022\030\n\020objective" +
+      "_millis\030\007 \001(\003\022\034\n\024gap_objective_millis\030\010 " +
+      "\001(\003\022\020\n\010priority\030\t \001(\005\022\024\n\014max_attempts\030\n " +
+      "\001(\005\0220\n\006shares\030\013 \003(\0132 .bronzewheel.wire.P" +
+      "ublishedShare\0220\n\006stages\030\014 \003(\0132 .bronzewh" +
+      "eel.wire.PublishedStage\022\014\n\004open\030\r \001(\010\022\035\n" +
+      "\025caller_silence_millis\030\016 \001(\003\"1\n\016Publishe" +
+      "dShare\022\017\n\007service\030\001 \001(\t\022\016\n\006weight\030\002 \001(\001\"" +
+      "F\n\016PublishedStage\022\017\n\007service\030\001 \001(\t\022\r\n\005af" +
+      "ter\030\002 \003(\005\022\024\n\014result_bytes\030\003 \001(\003\"\343\001\n\020Publ" +
+      "ishedService\022\014\n\004name\030\001 \001(\t\022\027\n\017max_connec" +
+      "tions\030\002 \001(\005\0228\n\nstage_pool\030\003 \001(\0132$.bronze" +
+      "wheel.wire.PublishedStagePool\022:\n\013engine_" +
+      "pool\030\004 \001(\0132%.bronzewheel.wire.PublishedE" +
+      "nginePool\022\031\n\021cold_start_millis\030\005 \001(\003\022\027\n\017" +
+      "cold_per_second\030\006 \001(\001\"\227\001\n\022PublishedStage" +
+      "Pool\022\r\n\005slots\030\001 \001(\005\022\r\n\005queue\030\002 \001(\005\022\r\n\005ba" +
+      "tch\030\003 \001(\005\022\023\n\013call_millis\030\004 \001(\001\022\024\n\014piece_" +
+      "millis\030\005 \001(\001\022\022\n\nroom_bytes\030\006 \001(\003\022\025\n\rresu" +
+      "lt_millis\030\007 \001(\003\":\n\023PublishedEnginePool\022\r" +
+      "\n\005slots\030\001 \001(\005\022\024\n\014cache_tokens\030\002 \001(\003\"T\n\022P" +
+      "ublishedWorkspace\022\014\n\004name\030\001 \001(\t\022\014\n\004keys\030" +
+      "\002 \003(\t\022\025\n\010priority\030\003 \001(\005H\000\210\001\001B\013\n\t_priorit" +
+      "y\"\177\n\017PublishedLimits\022\030\n\020max_header_bytes" +
+      "\030\001 \001(\005\022\026\n\016max_body_bytes\030\002 \001(\005\022\035\n\025header" +
+      "_timeout_millis\030\003 \001(\003\022\033\n\023idle_timeout_mi" +
+      "llis\030\004 \001(\003\"I\n\014StageBacklog\022\017\n\007service\030\001 " +
+      "\001(\t\022\023\n\013wait_millis\030\002 \003(\003\022\023\n\013call_millis\030" +
+      "\003 \001(\003\"\247\001\n\nStageFrame\022-\n\003job\030\001 \001(\0132\036.bron" +
+      "zewheel.wire.StageJobCallH\000\0221\n\007release\030\002" +
+      " \001(\0132\036.bronzewheel.wire.StageReleaseH\000\022/" +
+      "\n\006cancel\030\003 \001(\0132\035.bronzewheel.wire.StageC" +
+      "ancelH\000B\006\n\004body\"\303\003\n\014StageJobCall\022\022\n\nrequ" +
+      "est_id\030\001 \001(\t\022\r\n\005stage\030\002 \001(\005\022\017\n\007service\030\003" +
+      " \001(\t\022\016\n\006pieces\030\004 \001(\005\022\013\n\003key\030\005 \001(\t\022-\n\006inp" +
+      "uts\030\006 \003(\0132\035.bronzewheel.wire.StageHandle" +
+      "\022\024\n\014result_bytes\030\007 \001(\003\022\014\n\004rank\030\010 \001(\005\022\035\n\025" +
+      "objective_left_millis\030\t \001(\003\022\034\n\024deadline_" +
+      "left_millis\030\n \001(\003\022\024\n\014later_millis\030\013 \001(\003\022" +
+      "\026\n\016failure_domain\030\014 \001(\t\022\032\n\022least_later_m" +
+      "illis\030\r \001(\003\022E\n\014unmet_pieces\030\016 \003(\0132/.bron" +
+      "zewheel.wire.StageJobCall.UnmetPiecesEnt" +
+      "ry\022\r\n\005first\030\017 \001(\010\0322\n\020UnmetPiecesEntry\022\013\n" +
+      "\003key\030\001 \001(\005\022\r\n\005value\030\002 \001(\005:\0028\001\"P\n\rStageJo" +
+      "bReply\022\017\n\007failure\030\001 \001(\t\022.\n\007handles\030\002 \003(\013" +
+      "2\035.bronzewheel.wire.StageHandle\"x\n\013Stage" +
+      "Handle\022\014\n\004text\030\001 \001(\t\022\020\n\010maker_id\030\002 \001(\t\022\026" +
+      "\n\016failure_domain\030\003 \001(\t\022\r\n\005bytes\030\004 \001(\003\022\017\n" +
+      "\007service\030\005 \001(\t\022\021\n\texclusive\030\006 \001(\010\"O\n\014Sta" +
+      "geRelease\022\017\n\007service\030\001 \001(\t\022.\n\007handles\030\002 " +
+      "\003(\0132\035.bronzewheel.wire.StageHandle\"2\n\013St" +
+      "ageCancel\022\022\n\nrequest_id\030\001 \001(\t\022\017\n\007service" +
+      "\030\002 \001(\tB\030\n\024org.bronzewheel.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -403,7 +404,7 @@
     internal_static_bronzewheel_wire_PublishedCatalog_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bronzewheel_wire_PublishedCatalog_descriptor,
-        new java.lang.String[] { "Version", "Routes", "Services", "Workspaces", "Limits", });
+        new java.lang.String[] { "Version", "Routes", "Services", "Workspaces", "Limits", "RequiresKeys", });
     internal_static_bronzewheel_wire_PublishedRoute_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_bronzewheel_wire_PublishedRoute_fieldAccessorTable = new
