--- a/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/CatalogState.java
+++ b/bronzewheel-serving/src/main/java/org/bronzewheel/catalog/CatalogState.java
@@ -34,14 +34,14 @@
      * @return whether the catalog was applied
      */
     public boolean applyIfNewer(Catalog candidate) {
-        if (catalog != null && !isNewer(candidate)) {
+        if (catalog != null && !supersedesCurrent(candidate)) {
             return false;
         }
         catalog = candidate;
         return true;
     }
 
-    private boolean isNewer(Catalog candidate) {
+    private boolean supersedesCurrent(Catalog candidate) {
         boolean completes = candidate.access().isKnown() && !catalog.access().isKnown();
         return candidate.version() > catalog.version()
                 || (candidate.version() == catalog.version() && completes);
--- a/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
+++ b/bronzewheel-serving/src/test/java/org/bronzewheel/published/RelayedPublicationTest.java
@@ -236,6 +236,23 @@
         assertThat(relayed(CallerAccess.unknown())).isEqualTo(CallerAccess.unknown());
     }
 
+    // CONFIG (review/13): a router that follows another one accepted any key, too.
+    @Test
+    void aFollowerAdmitsNobodyOnceTheLastWorkspaceIsRemoved() {
+        CallerAccess nobody = CallerAccess.withKeys(List.of());
+        int platformRequests = follower.platformRequests;
+        platform.publish(version(2));
+        advance(400);
+        platform.publish(
+                new CatalogPut(
+                        new Catalog(
+                                3, List.of(), List.of(), nobody, new CallerLimits(1, 2, 3, 4))));
+        advance(400);
+        assertThat(follower.catalog.current().get().version()).isEqualTo(3);
+        assertThat(follower.catalog.current().get().access()).isEqualTo(nobody);
+        assertThat(follower.platformRequests).isEqualTo(platformRequests);
+    }
+
     @Test
     void aCatalogFromARouterOfAnEarlierVersionTellsThatKeysAreNeededOnlyIfItHasWorkspaces() {
         CallerAccess keys =
--- a/bronzewheel-upstream/src/test/java/org/bronzewheel/upstream/HttpStageClientContractTest.java
+++ b/bronzewheel-upstream/src/test/java/org/bronzewheel/upstream/HttpStageClientContractTest.java
@@ -169,11 +169,7 @@
     @Test
     void aWholeAnswerIsReadWithItsUsage() {
         try (ScriptedServer server = new ScriptedServer(vertx, raw(response(200, ECHO, BODY)))) {
-            StageAnswer answer =
-                    client.call(
-                                    Calls.call(server.address(), PoolKind.ENCODER, false),
-                                    TokenListener.NONE)
-                            .blockingGet();
+            StageAnswer answer = answer(server, PoolKind.ENCODER);
 
             assertThat(answer.attemptId()).isEqualTo(Calls.ATTEMPT);
             assertThat(answer.output().toString()).isEqualTo("{\"a\":1}");
@@ -205,11 +201,7 @@
     @Test
     void aPlainServiceGetsItsPathAndAnswersWithAnyJson() {
         try (ScriptedServer server = new ScriptedServer(vertx, raw(response(200, ECHO, "[1,2]")))) {
-            StageAnswer answer =
-                    client.call(
-                                    Calls.call(server.address(), PoolKind.PLAIN_SERVICE, false),
-                                    TokenListener.NONE)
-                            .blockingGet();
+            StageAnswer answer = answer(server, PoolKind.PLAIN_SERVICE);
 
             assertThat(answer.output().toString()).isEqualTo("[1,2]");
             assertThat(server.requests().get(0)).startsWith("POST /confirm HTTP/1.1\r\n");
@@ -233,11 +225,7 @@
     @Test
     void aNumberWithALengthIsAWholeAnswer() {
         try (ScriptedServer server = new ScriptedServer(vertx, raw(response(200, ECHO, "120")))) {
-            StageAnswer answer =
-                    client.call(
-                                    Calls.call(server.address(), PoolKind.PLAIN_SERVICE, false),
-                                    TokenListener.NONE)
-                            .blockingGet();
+            StageAnswer answer = answer(server, PoolKind.PLAIN_SERVICE);
 
             assertThat(answer.output().asInt()).isEqualTo(120);
         }
@@ -296,6 +284,11 @@
         }
     }
 
+    private StageAnswer answer(ScriptedServer server, PoolKind kind) {
+        return client.call(Calls.call(server.address(), kind, false), TokenListener.NONE)
+                .blockingGet();
+    }
+
     private BronzewheelException failure(StageCall call) {
         return assertThrows(
                 BronzewheelException.class,
